--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# VENV may name an existing environment; it is created where it is absent.
+VENV ?= .venv
+PYTHON ?= python3.11
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+SEED ?= 0
+CASES ?= 0
+
+.PHONY: demo test lint format typecheck dist check clean
+
+$(STAMP): pyproject.toml constraints.txt
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q -c constraints.txt -e '.[dev,plots]'
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m plantainhook demo
+
+test: $(STAMP)
+	$(BIN)/python -m pytest
+
+lint: $(STAMP)
+	$(BIN)/python -m ruff format --check plantainhook tests
+	$(BIN)/python -m ruff check plantainhook tests
+
+format: $(STAMP)
+	$(BIN)/python -m ruff format plantainhook tests
+	$(BIN)/python -m ruff check --fix plantainhook tests
+
+typecheck: $(STAMP)
+	$(BIN)/python -m mypy
+
+check: lint typecheck test
+
+clean:
+	rm -rf build dist .mypy_cache .ruff_cache
--- /dev/null
+++ b/plantainhook/blackboard.py
@@ -0,0 +1,135 @@
+"""Shared state of a daemon, which controllers read and write.
+
+Each view has one owner, named in its docstring; the owner replaces the view
+as a whole, and every other controller only reads it. A controller that has
+to wait for a new view waits on ``changed`` of its topic.
+"""
+
+import dataclasses
+import enum
+
+import trio
+
+from plantainhook import schema, shardmap
+
+
+class Topic(enum.Enum):
+    """Name the views of the blackboard."""
+
+    SETTINGS = "settings"
+    LEAFS = "leafs"
+    MEMBERS = "members"
+    SHARES = "shares"
+    QUARANTINE = "quarantine"
+    LIFE = "life"
+
+
+class LeafState(enum.StrEnum):
+    """Classify a leaf by what is known of it."""
+
+    LIVE = "live"
+    COLD = "cold"
+    DRAINING = "draining"
+    DOWN = "down"
+
+
+class LifeState(enum.StrEnum):
+    """Order the stages of a daemon's life."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    DRAINING = "draining"
+    STOPPED = "stopped"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsView:
+    """Hold the settings in force; owner: ``gossip``."""
+
+    revision: int = 0
+    settings: schema.Settings = dataclasses.field(
+        default_factory=schema.Settings
+    )
+    adopted_wall_s: float = 0.0
+    source: str = "none"
+    leafs: dict[str, shardmap.LeafInfo] = dataclasses.field(
+        default_factory=dict
+    )
+    shard_maps: dict[str, dict[int, shardmap.ShardMap]] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeafView:
+    """Hold what is known of one leaf; owner: ``leafhealth``."""
+
+    state: LeafState
+    versions: dict[int, frozenset[str]]
+    seen_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberInfo:
+    """Describe a daemon of the fleet; owner: ``membership``."""
+
+    incarnation: int
+    name: str
+    vm_id: str
+    data_centre: str
+    peer_address: str
+    http_address: str
+    alive: bool
+    draining: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShareView:
+    """Hold who owns which connection share; owner: ``shares``."""
+
+    own_share: int | None = None
+    owners: dict[int, int] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(slots=True)
+class Blackboard:
+    """Hold all views of one daemon."""
+
+    incarnation: int
+    settings: SettingsView = dataclasses.field(default_factory=SettingsView)
+    leafs: dict[str, LeafView] = dataclasses.field(default_factory=dict)
+    members: dict[int, MemberInfo] = dataclasses.field(default_factory=dict)
+    shares: ShareView = dataclasses.field(default_factory=ShareView)
+    quarantine_until_s: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+    life: LifeState = LifeState.STARTING
+    _events: dict[Topic, trio.Event] = dataclasses.field(default_factory=dict)
+
+    def changed(self, topic: Topic) -> trio.Event:
+        """Return the event that the next change of a view sets."""
+        return self._events.setdefault(topic, trio.Event())
+
+    def notify(self, topic: Topic) -> None:
+        """Wake every task that waits for a change of a view."""
+        event = self._events.pop(topic, None)
+        if event is not None:
+            event.set()
+
+
+def settings_view(
+    revision: int, settings: schema.Settings, wall_s: float, source: str
+) -> SettingsView:
+    """Build the view of a validated revision of the settings."""
+    shard_maps: dict[str, dict[int, shardmap.ShardMap]] = {}
+    for index in settings.index.values():
+        versions = shard_maps.setdefault(index.target, {})
+        versions[index.version] = shardmap.build_shard_map(index)
+    return SettingsView(
+        revision=revision,
+        settings=settings,
+        adopted_wall_s=wall_s,
+        source=source,
+        leafs=shardmap.leafs_of(settings),
+        shard_maps=shard_maps,
+    )
--- /dev/null
+++ b/plantainhook/errors.py
@@ -0,0 +1,169 @@
+"""Typed errors of the whole package.
+
+Every error carries the step and the peer at which it arose. Expected
+failures travel as ``result.Err`` values; the same classes are exceptions so
+that a caller of the library can raise them.
+"""
+
+import enum
+
+from plantainhook import steps
+
+
+class Ran(enum.StrEnum):
+    """State whether a request may have run on a backend server."""
+
+    NO = "no"
+    MAYBE = "maybe"
+    YES = "yes"
+
+
+class PlantainhookError(Exception):
+    """Carry the step, the peer and a description of a failure."""
+
+    def __init__(self, step: steps.Step, peer: str, detail: str) -> None:
+        super().__init__(f"{step} ({peer}): {detail}")
+        self.step = step
+        self.peer = peer
+        self.detail = detail
+
+
+class SettingsError(PlantainhookError):
+    """Report a settings value that is not valid.
+
+    ``line`` is 0 where the position in the file is not known.
+    """
+
+    def __init__(
+        self, file: str, line: int, key_path: str, expected: str
+    ) -> None:
+        super().__init__(
+            steps.Step.SETTINGS_VALIDATE,
+            file,
+            f"line {line}: {key_path}: {expected}",
+        )
+        self.file = file
+        self.line = line
+        self.key_path = key_path
+        self.expected = expected
+
+
+class ObjectApiError(PlantainhookError):
+    """Report a failed call of the object API."""
+
+
+class ObjectNotFoundError(ObjectApiError):
+    """Report a key that does not exist."""
+
+
+class ObjectConflictError(ObjectApiError):
+    """Report a conditional update whose condition did not hold."""
+
+    def __init__(
+        self, step: steps.Step, peer: str, detail: str, current_version: int
+    ) -> None:
+        super().__init__(step, peer, detail)
+        self.current_version = current_version
+
+
+class ObjectTooLargeError(ObjectApiError):
+    """Report a value over the size limit of the object API."""
+
+
+class ObjectApiUnavailableError(ObjectApiError):
+    """Report a call that certainly had no effect."""
+
+
+class ObjectOutcomeUnknownError(ObjectApiError):
+    """Report a write that may have taken effect."""
+
+
+class FencedError(PlantainhookError):
+    """Report a write with a lease epoch lower than that of the object."""
+
+
+class PeerError(PlantainhookError):
+    """Report a failed exchange with another daemon.
+
+    ``ran`` states whether the peer may have acted on the message.
+    """
+
+    def __init__(
+        self, step: steps.Step, peer: str, detail: str, ran: Ran
+    ) -> None:
+        super().__init__(step, peer, detail)
+        self.ran = ran
+
+
+class MessageError(PlantainhookError):
+    """Report a malformed, oversized or wrong-version message."""
+
+
+class LeafFailureKind(enum.StrEnum):
+    """Classify failures of calls to leafs."""
+
+    CONNECT = "connect"
+    CONNECTION_LOST = "connection_lost"
+    REFUSED = "refused"
+    NOT_SERVED = "not_served"
+    TIMEOUT = "timeout"
+    MALFORMED = "malformed"
+    CANCELLED = "cancelled"
+    NO_CONNECTION = "no_connection"
+
+
+class LeafError(PlantainhookError):
+    """Report a failed call to a leaf.
+
+    ``ran`` states whether the leaf may have run the request.
+    """
+
+    def __init__(
+        self,
+        step: steps.Step,
+        peer: str,
+        detail: str,
+        kind: LeafFailureKind,
+        ran: Ran,
+    ) -> None:
+        super().__init__(step, peer, detail)
+        self.kind = kind
+        self.ran = ran
+
+
+class RefusalKind(enum.StrEnum):
+    """Classify refusals that a caller receives."""
+
+    BAD_REQUEST = "bad_request"
+    UNKNOWN_TARGET = "unknown_target"
+    UNKNOWN_KIND = "unknown_kind"
+    TICKET_REQUIRED = "ticket_required"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    OVERLOADED = "overloaded"
+    DEADLINE = "deadline"
+    COVERAGE = "coverage"
+    QUARANTINED = "quarantined"
+    DRAINING = "draining"
+    NO_SNAPSHOT = "no_snapshot"
+    NOT_AUTHORISED = "not_authorised"
+
+
+class RefusalError(PlantainhookError):
+    """Report a query that gets no answer.
+
+    ``retry_after_ms`` is 0 where a retry makes no sense.
+    """
+
+    def __init__(
+        self,
+        step: steps.Step,
+        peer: str,
+        detail: str,
+        kind: RefusalKind,
+        ran: Ran,
+        retry_after_ms: int = 0,
+    ) -> None:
+        super().__init__(step, peer, detail)
+        self.kind = kind
+        self.ran = ran
+        self.retry_after_ms = retry_after_ms
--- /dev/null
+++ b/plantainhook/logs.py
@@ -0,0 +1,64 @@
+"""Logging set-up: loguru, a fixed prefix per part, rate-limited decisions.
+
+``part_logger`` gives a part its prefix. ``DecisionLog`` writes one line per
+routing or placement decision up to a rate and counts what it left out, so
+that thousands of decisions a second do not fill the log.
+"""
+
+import dataclasses
+import sys
+import typing
+
+import loguru
+
+from plantainhook import clock
+
+TEXT_FORMAT: typing.Final = (
+    "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level: <7} {extra[part]}: {message}"
+)
+
+
+def configure_logs(log_format: str, level: str) -> None:
+    """Send logs to standard error as text or JSON."""
+    loguru.logger.remove()
+    loguru.logger.configure(extra={"part": "main"})
+    loguru.logger.add(
+        sys.stderr,
+        level=level,
+        format=TEXT_FORMAT,
+        serialize=log_format == "json",
+        backtrace=False,
+        diagnose=False,
+    )
+
+
+def part_logger(part: str) -> "loguru.Logger":
+    """Return a logger whose lines start with the part's name."""
+    return loguru.logger.bind(part=part)
+
+
+@dataclasses.dataclass(slots=True)
+class DecisionLog:
+    """Write decision lines up to a rate in lines per second."""
+
+    logger: "loguru.Logger"
+    clock: clock.Clock
+    lines_per_s: float
+    tokens_count: float = 0.0
+    suppressed_count: int = 0
+    refilled_s: float = 0.0
+
+    def decide(self, text: str) -> None:
+        """Write a decision, or count it where the rate is used up."""
+        now_s = self.clock.now_s()
+        gained = (now_s - self.refilled_s) * self.lines_per_s
+        self.tokens_count = min(self.lines_per_s, self.tokens_count + gained)
+        self.refilled_s = now_s
+        if self.tokens_count < 1:
+            self.suppressed_count += 1
+            return
+        self.tokens_count -= 1
+        if self.suppressed_count:
+            self.logger.info("{} decisions not logged.", self.suppressed_count)
+            self.suppressed_count = 0
+        self.logger.info(text)
--- /dev/null
+++ b/plantainhook/schema.py
@@ -0,0 +1,163 @@
+"""Validated models of the objects that operators create.
+
+These models stand at the border: settings files, the object API and peers
+deliver them, and nothing unchecked passes. Rules are inherited from the
+defaults through data centre, service and request kind; a rule that is None
+is inherited.
+"""
+
+import enum
+import typing
+
+import pydantic
+
+NAME_PATTERN: typing.Final = r"^[a-z0-9][a-z0-9._-]{0,62}$"
+ADDRESS_PATTERN: typing.Final = r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$"
+
+Name = typing.Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
+Address = typing.Annotated[str, pydantic.Field(pattern=ADDRESS_PATTERN)]
+Ratio = typing.Annotated[float, pydantic.Field(ge=0.0, le=1.0)]
+
+
+class RequestClass(enum.StrEnum):
+    """Order the classes of request from most to least urgent."""
+
+    URGENT = "urgent"
+    INTERACTIVE = "interactive"
+    SEARCH = "search"
+    ARCHIVE = "archive"
+
+
+class BelowMin(enum.StrEnum):
+    """State what a query below its least coverage receives."""
+
+    REFUSE = "refuse"
+    PARTIAL = "partial"
+
+
+class Model(pydantic.BaseModel):
+    """Reject unknown keys and wrong types."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", strict=False)
+
+
+class Rules(Model):
+    """Hold the rules that each level inherits and may override."""
+
+    request_class: RequestClass | None = None
+    idempotent: bool | None = None
+    deadline_ms: int | None = pydantic.Field(default=None, ge=1, le=600_000)
+    min_coverage_ratio: Ratio | None = None
+    below_min: BelowMin | None = None
+    hedge_policy: str | None = None
+    hedge_quantile: Ratio | None = None
+    hedge_delay_ms: int | None = pydantic.Field(default=None, ge=1)
+    max_hedges_count: int | None = pydantic.Field(default=None, ge=0, le=4)
+    max_retries_count: int | None = pydantic.Field(default=None, ge=0, le=5)
+    extra_load_ratio: Ratio | None = None
+    extra_load_floor_per_s: float | None = pydantic.Field(default=None, ge=0)
+    cross_zone_max_ratio: Ratio | None = None
+    queue_limit_count: int | None = pydantic.Field(default=None, ge=1)
+
+
+class Defaults(Rules):
+    """Hold the rules at the root; every rule has a value here."""
+
+    request_class: RequestClass = RequestClass.SEARCH
+    idempotent: bool = True
+    deadline_ms: int = pydantic.Field(default=1000, ge=1, le=600_000)
+    min_coverage_ratio: Ratio = 0.0
+    below_min: BelowMin = BelowMin.PARTIAL
+    hedge_policy: str = "adaptive"
+    hedge_quantile: Ratio = 0.95
+    hedge_delay_ms: int = pydantic.Field(default=20, ge=1)
+    max_hedges_count: int = pydantic.Field(default=2, ge=0, le=4)
+    max_retries_count: int = pydantic.Field(default=2, ge=0, le=5)
+    extra_load_ratio: Ratio = 0.03
+    extra_load_floor_per_s: float = pydantic.Field(default=1.0, ge=0)
+    cross_zone_max_ratio: Ratio = 0.2
+    queue_limit_count: int = pydantic.Field(default=1000, ge=1)
+
+
+class DataCentre(Model):
+    """Describe a data centre and the rules it overrides."""
+
+    region: Name = "default"
+    rules: Rules = Rules()
+
+
+class Service(Model):
+    """Describe a service and the rules it overrides."""
+
+    rules: Rules = Rules()
+
+
+class RequestKind(Model):
+    """Describe a kind of request and the rules it overrides."""
+
+    rules: Rules = Rules()
+
+
+class Leaf(Model):
+    """Describe one backend server."""
+
+    name: Name
+    address: Address
+    data_centre: Name
+    slot_count: int = pydantic.Field(ge=1)
+    connection_limit_count: int = pydantic.Field(ge=1)
+    connect_ms: float = pydantic.Field(default=1.0, ge=0)
+
+
+class Group(Model):
+    """Describe a shard group: the leafs that replicate its shards."""
+
+    service: Name
+    leafs: list[Leaf] = pydantic.Field(min_length=1)
+
+
+class Target(Model):
+    """Describe a query target: the shard groups that a query asks."""
+
+    groups: list[Name] = pydantic.Field(min_length=1)
+
+
+class Shard(Model):
+    """Describe a shard of an index version and the leafs that serve it."""
+
+    name: Name
+    group: Name
+    leafs: list[Name] = pydantic.Field(min_length=1)
+    weight: float = pydantic.Field(default=1.0, gt=0)
+    tiles: list[str] = []
+
+
+class Index(Model):
+    """Describe one version of the index of a target."""
+
+    target: Name
+    version: int = pydantic.Field(ge=1)
+    shards: list[Shard] = pydantic.Field(min_length=1)
+
+
+class SharePlan(Model):
+    """Fix how the connection limits of leafs are divided."""
+
+    generation: int = pydantic.Field(default=1, ge=1)
+    share_count: int = pydantic.Field(default=8, ge=1, le=10_000)
+    holders_per_leaf: int = pydantic.Field(default=8, ge=1)
+    cell_leaf_count: int = pydantic.Field(default=16, ge=1)
+
+
+class Settings(Model):
+    """Hold every operator object of one revision."""
+
+    defaults: Defaults = Defaults()
+    data_centre: dict[Name, DataCentre] = {}
+    service: dict[Name, Service] = {}
+    request_kind: dict[Name, RequestKind] = {}
+    group: dict[Name, Group] = {}
+    target: dict[Name, Target] = {}
+    index: dict[str, Index] = {}
+    share_plan: SharePlan = SharePlan()
+    figure: dict[Name, dict[str, typing.Any]] = {}
--- /dev/null
+++ b/plantainhook/shardmap.py
@@ -0,0 +1,78 @@
+"""Shard maps: the shards of one index version and the leafs behind them.
+
+A shard map is built from a validated ``schema.Index`` and never changes. A
+new index version is a new shard map.
+"""
+
+import dataclasses
+
+from plantainhook import schema
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeafInfo:
+    """Describe a leaf as the query decisions see it."""
+
+    name: str
+    address: str
+    data_centre: str
+    group: str
+    service: str
+    slot_count: int
+    connection_limit_count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShardInfo:
+    """Describe a shard of one index version."""
+
+    name: str
+    group: str
+    leafs: tuple[str, ...]
+    weight: float
+    tiles: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShardMap:
+    """Hold the shards of one version of a target's index, by name."""
+
+    target: str
+    version: int
+    shards: dict[str, ShardInfo]
+
+    def total_weight(self) -> float:
+        """Return the sum of the weights of all shards."""
+        return sum(shard.weight for shard in self.shards.values())
+
+
+def build_shard_map(index: schema.Index) -> ShardMap:
+    """Build the shard map of a validated index version."""
+    shards = {
+        shard.name: ShardInfo(
+            name=shard.name,
+            group=shard.group,
+            leafs=tuple(shard.leafs),
+            weight=shard.weight,
+            tiles=tuple(shard.tiles),
+        )
+        for shard in index.shards
+    }
+    return ShardMap(index.target, index.version, shards)
+
+
+def leafs_of(settings: schema.Settings) -> dict[str, LeafInfo]:
+    """Return every leaf of the settings, by leaf name."""
+    return {
+        leaf.name: LeafInfo(
+            name=leaf.name,
+            address=leaf.address,
+            data_centre=leaf.data_centre,
+            group=group_name,
+            service=group.service,
+            slot_count=leaf.slot_count,
+            connection_limit_count=leaf.connection_limit_count,
+        )
+        for group_name, group in settings.group.items()
+        for leaf in group.leafs
+    }
--- /dev/null
+++ b/plantainhook/steps.py
@@ -0,0 +1,41 @@
+"""Steps at which a fault can arise.
+
+Errors and decision logs name a step from this module, and the fault matrix
+has one column for each of them. A step that is added here without a column
+in the matrix fails the tests of the matrix.
+"""
+
+import enum
+
+
+class Step(enum.StrEnum):
+    """Name a step of a query, a settings change, a lease, a stop, a figure."""
+
+    QUERY_ACCEPT = "query.accept"
+    QUERY_ADMIT = "query.admit"
+    QUERY_PIN = "query.pin"
+    QUERY_PLAN = "query.plan"
+    QUERY_CONNECT = "query.connect"
+    QUERY_SEND = "query.send"
+    QUERY_WAIT = "query.wait"
+    QUERY_HEDGE = "query.hedge"
+    QUERY_MERGE = "query.merge"
+    QUERY_ANSWER = "query.answer"
+    QUERY_RECORD = "query.record"
+    SETTINGS_VALIDATE = "settings.validate"
+    SETTINGS_WRITE = "settings.write"
+    SETTINGS_NOTICE = "settings.notice"
+    SETTINGS_SPREAD = "settings.spread"
+    SETTINGS_APPLY = "settings.apply"
+    LEASE_RENEW = "lease.renew"
+    LEASE_EXPIRE = "lease.expire"
+    LEASE_TAKE_OVER = "lease.take_over"
+    LEASE_RESUME = "lease.resume"
+    STOP_ANNOUNCE = "stop.announce"
+    STOP_DRAIN = "stop.drain"
+    STOP_HAND_OVER = "stop.hand_over"
+    STOP_EXIT = "stop.exit"
+    FIGURES_COUNT = "figures.count"
+    FIGURES_WRITE = "figures.write"
+    FIGURES_FOLD = "figures.fold"
+    FIGURES_CLOSE = "figures.close"
--- /dev/null
+++ b/plantainhook/wire.py
@@ -0,0 +1,237 @@
+"""Messages between daemons and their frames.
+
+A frame is a four-byte big-endian length and a msgpack body. Every message
+is a tagged msgspec struct, so one decoder checks all types. The first frame
+on a connection is a ``HelloFrame``; a daemon closes a connection whose
+protocol version differs.
+"""
+
+import struct
+import typing
+
+import msgspec
+import result
+
+from plantainhook import errors, steps
+
+PROTOCOL_VERSION: typing.Final = 1
+FRAME_HEADER: typing.Final = struct.Struct(">I")
+
+
+class Body(msgspec.Struct, frozen=True, tag=True, array_like=True):
+    """Base of the bodies of requests and replies."""
+
+
+class Refused(Body, frozen=True, tag=True, array_like=True):
+    """Refuse a request that the receiver did not act on."""
+
+    detail: str
+
+
+class RevisionNotice(Body, frozen=True, tag=True, array_like=True):
+    """Tell the sender's settings revision."""
+
+    revision: int
+
+
+class RevisionPull(Body, frozen=True, tag=True, array_like=True):
+    """Ask for the difference from a revision to the receiver's own."""
+
+    have_revision: int
+
+
+class RevisionDelta(Body, frozen=True, tag=True, array_like=True):
+    """Carry the objects that differ between two revisions.
+
+    ``objects`` maps object names to JSON text; ``removed`` lists names.
+    ``from_revision`` is 0 for a whole copy.
+    """
+
+    from_revision: int
+    to_revision: int
+    manifest_hash: str
+    objects: dict[str, bytes]
+    removed: list[str]
+
+
+class MemberEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Describe a member in a message."""
+
+    incarnation: int
+    name: str
+    vm_id: str
+    data_centre: str
+    peer_address: str
+    http_address: str
+    state: int
+    counter: int
+
+
+class Probe(Body, frozen=True, tag=True, array_like=True):
+    """Ask whether the receiver is alive."""
+
+    members: list[MemberEntry]
+
+
+class ProbeAck(Body, frozen=True, tag=True, array_like=True):
+    """Answer a probe."""
+
+    incarnation: int
+    members: list[MemberEntry]
+
+
+class IndirectProbe(Body, frozen=True, tag=True, array_like=True):
+    """Ask the receiver to probe another member."""
+
+    peer_address: str
+
+
+class IndirectResult(Body, frozen=True, tag=True, array_like=True):
+    """Tell the outcome of an indirect probe."""
+
+    alive: bool
+
+
+class Digest(Body, frozen=True, tag=True, array_like=True):
+    """Summarise the sender's state for anti-entropy."""
+
+    revision: int
+    member_hash: int
+    quarantine_hash: int
+
+
+class MemberSync(Body, frozen=True, tag=True, array_like=True):
+    """Carry the whole member list."""
+
+    members: list[MemberEntry]
+
+
+class QuarantineSync(Body, frozen=True, tag=True, array_like=True):
+    """Carry quarantine entries as fingerprint to seconds left."""
+
+    left_s: dict[str, float]
+    cleared: list[str]
+
+
+class LeafWork(Body, frozen=True, tag=True, array_like=True):
+    """Ask a holder of connections to run work on a leaf."""
+
+    leaf: str
+    request_id: str
+    kind: str
+    fingerprint: str
+    snapshot: int
+    shards: list[str]
+    params: bytes
+    deadline_ms: int
+    idempotent: bool
+
+
+class LeafWorkDone(Body, frozen=True, tag=True, array_like=True):
+    """Carry the result of leaf work; ``results`` is JSON text."""
+
+    snapshot: int
+    results: bytes
+
+
+class LeafWorkFailed(Body, frozen=True, tag=True, array_like=True):
+    """Carry the failure of leaf work."""
+
+    kind: str
+    ran: str
+    detail: str
+
+
+class CancelWork(Body, frozen=True, tag=True, array_like=True):
+    """Cancel leaf work by its request id."""
+
+    request_id: str
+
+
+class TicketQuery(Body, frozen=True, tag=True, array_like=True):
+    """Forward a ticketed query to the daemon that issued the ticket."""
+
+    query: bytes
+
+
+class TicketAnswer(Body, frozen=True, tag=True, array_like=True):
+    """Carry the answer to a ticketed query as JSON text."""
+
+    http_status: int
+    answer: bytes
+
+
+class Ack(Body, frozen=True, tag=True, array_like=True):
+    """Confirm a message that has no other reply."""
+
+
+AnyBody = (
+    Refused
+    | RevisionNotice
+    | RevisionPull
+    | RevisionDelta
+    | Probe
+    | ProbeAck
+    | IndirectProbe
+    | IndirectResult
+    | Digest
+    | MemberSync
+    | QuarantineSync
+    | LeafWork
+    | LeafWorkDone
+    | LeafWorkFailed
+    | CancelWork
+    | TicketQuery
+    | TicketAnswer
+    | Ack
+)
+
+
+class RequestFrame(msgspec.Struct, frozen=True, tag="q", array_like=True):
+    """Carry a request and the id that its reply repeats."""
+
+    request_id: int
+    body: AnyBody
+
+
+class ReplyFrame(msgspec.Struct, frozen=True, tag="r", array_like=True):
+    """Carry the reply to a request."""
+
+    request_id: int
+    body: AnyBody
+
+
+class HelloFrame(msgspec.Struct, frozen=True, tag="h", array_like=True):
+    """Open a connection and name the sender."""
+
+    version: int
+    incarnation: int
+    name: str
+    vm_id: str
+    data_centre: str
+    peer_address: str
+    http_address: str
+
+
+AnyFrame = HelloFrame | RequestFrame | ReplyFrame
+
+_ENCODER: typing.Final = msgspec.msgpack.Encoder()
+_DECODER: typing.Final[msgspec.msgpack.Decoder[AnyFrame]] = (
+    msgspec.msgpack.Decoder(AnyFrame)
+)
+
+
+def encode_frame(frame: AnyFrame) -> bytes:
+    """Return the length header and the encoded frame."""
+    body = _ENCODER.encode(frame)
+    return FRAME_HEADER.pack(len(body)) + body
+
+
+def decode_body(
+    body: bytes, peer: str, step: steps.Step
+) -> result.Result[AnyFrame, errors.MessageError]:
+    """Decode the body of a frame; the header is already removed."""
+    try:
+        return result.Ok(_DECODER.decode(body))
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return result.Err(errors.MessageError(step, peer, str(error)))
