--- /dev/null
+++ b/plantainhook/executor.py
@@ -0,0 +1,135 @@
+"""Runs a query machine against leafs.
+
+The machine decides; the executor carries out its actions with trio tasks,
+feeds replies, failures and timers back, and ends when the machine finishes.
+When the query ends, attempts that are still open are cancelled, so no leaf
+works for a caller that has its answer or has left.
+"""
+
+import dataclasses
+import math
+import typing
+from collections import abc
+
+import result
+import trio
+
+from plantainhook import clock, errors, querytypes, steps
+
+EVENT_BUFFER_COUNT: typing.Final = 1024
+
+AttemptResult = result.Result[querytypes.LeafReply, errors.LeafError]
+Outcome = querytypes.Answer | errors.RefusalError
+
+
+class LeafCaller(typing.Protocol):
+    """Send the work of one attempt to a leaf, here or through a peer."""
+
+    async def call(
+        self, request: querytypes.QueryRequest, send: querytypes.Send
+    ) -> AttemptResult:
+        """Return the reply of the leaf or a typed failure."""
+
+
+class Machine(typing.Protocol):
+    """Decide one query; ``query.QueryMachine`` implements it."""
+
+    def start(self, now_s: float) -> abc.Sequence[querytypes.Action]:
+        """Return the first actions."""
+
+    def on_reply(
+        self, attempt_id: int, reply: querytypes.LeafReply, now_s: float
+    ) -> abc.Sequence[querytypes.Action]:
+        """Take the reply to an attempt."""
+
+    def on_failure(
+        self, attempt_id: int, failure: errors.LeafError, now_s: float
+    ) -> abc.Sequence[querytypes.Action]:
+        """Take the failure of an attempt."""
+
+    def on_timer(self, now_s: float) -> abc.Sequence[querytypes.Action]:
+        """Take the expiry of the timer that was set last."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Run:
+    """Hold the state of one running query."""
+
+    request: querytypes.QueryRequest
+    caller: LeafCaller
+    clock: clock.Clock
+    nursery: trio.Nursery
+    send_event: trio.MemorySendChannel[tuple[int, AttemptResult]]
+    scopes: dict[int, trio.CancelScope] = dataclasses.field(
+        default_factory=dict
+    )
+    timer_s: float = math.inf
+    outcome: Outcome | None = None
+
+    def carry_out(self, actions: abc.Iterable[querytypes.Action]) -> None:
+        """Carry out the actions of the machine in order."""
+        for action in actions:
+            match action:
+                case querytypes.Send():
+                    scope = trio.CancelScope()
+                    self.scopes[action.attempt_id] = scope
+                    self.nursery.start_soon(self.attempt, action, scope)
+                case querytypes.Cancel():
+                    open_scope = self.scopes.get(action.attempt_id)
+                    if open_scope is not None:
+                        open_scope.cancel()
+                case querytypes.SetTimer():
+                    self.timer_s = action.at_s
+                case querytypes.Finish():
+                    self.outcome = action.outcome
+
+    async def attempt(
+        self, send: querytypes.Send, scope: trio.CancelScope
+    ) -> None:
+        """Run one attempt and report its result unless it is cancelled."""
+        with scope:
+            attempt_result = await self.caller.call(self.request, send)
+            await self.send_event.send((send.attempt_id, attempt_result))
+        self.scopes.pop(send.attempt_id, None)
+
+
+async def run_query(
+    machine: Machine,
+    request: querytypes.QueryRequest,
+    caller: LeafCaller,
+    run_clock: clock.Clock,
+) -> Outcome:
+    """Run a query to its end and return its answer or refusal."""
+    send_event, receive_event = trio.open_memory_channel[
+        tuple[int, AttemptResult]
+    ](EVENT_BUFFER_COUNT)
+    async with trio.open_nursery() as nursery:
+        run = _Run(request, caller, run_clock, nursery, send_event)
+        run.carry_out(machine.start(run_clock.now_s()))
+        while run.outcome is None:
+            await _next_event(machine, run, receive_event)
+        nursery.cancel_scope.cancel()
+    if run.outcome is None:
+        raise errors.PlantainhookError(
+            steps.Step.QUERY_WAIT, "executor", "the query has no outcome"
+        )
+    return run.outcome
+
+
+async def _next_event(
+    machine: Machine,
+    run: _Run,
+    receive_event: trio.MemoryReceiveChannel[tuple[int, AttemptResult]],
+) -> None:
+    with trio.move_on_at(run.timer_s) as scope:
+        attempt_id, attempt_result = await receive_event.receive()
+    now_s = run.clock.now_s()
+    if scope.cancelled_caught:
+        run.timer_s = math.inf
+        run.carry_out(machine.on_timer(now_s))
+    elif attempt_result.is_ok():
+        reply = attempt_result.unwrap()
+        run.carry_out(machine.on_reply(attempt_id, reply, now_s))
+    else:
+        failure = attempt_result.unwrap_err()
+        run.carry_out(machine.on_failure(attempt_id, failure, now_s))
--- /dev/null
+++ b/plantainhook/frontend.py
@@ -0,0 +1,182 @@
+"""HTTP interface for callers and operators.
+
+A quart application on hypercorn's trio worker. Where the options hold
+tokens, each route needs a token with the route's role; the health and
+readiness routes need none, because the platform's balancer calls them.
+"""
+
+import dataclasses
+import hmac
+import typing
+from collections import abc
+
+import hypercorn.config
+import hypercorn.trio
+import prometheus_client
+import quart
+import quart_trio
+import trio
+
+from plantainhook import (
+    blackboard,
+    callerapi,
+    errors,
+    messages,
+    options,
+    queryservice,
+    steps,
+)
+
+JSON_TYPE: typing.Final = "application/json"
+METRICS_TYPE: typing.Final = "text/plain; version=0.0.4; charset=utf-8"
+# The process stops by draining, so the server only has to close idle
+# connections when it is told to end.
+SERVER_GRACE_S: typing.Final = 1.0
+
+StatusReport = abc.Callable[[], dict[str, typing.Any]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FrontendParts:
+    """Hold what the HTTP interface works with."""
+
+    options: options.Options
+    board: blackboard.Blackboard
+    service: queryservice.QueryService
+    status: StatusReport
+    request_drain: abc.Callable[[], None]
+    registry: prometheus_client.CollectorRegistry
+
+
+def build_app(parts: FrontendParts) -> quart_trio.QuartTrio:
+    """Build the application with all routes."""
+    app = quart_trio.QuartTrio("plantainhook")
+    app.config["MAX_CONTENT_LENGTH"] = parts.options.query_body_limit_bytes
+    _add_query_routes(app, parts)
+    _add_operator_routes(app, parts)
+    _add_health_routes(app, parts)
+    return app
+
+
+async def serve(
+    app: quart_trio.QuartTrio,
+    bind: str,
+    shutdown: trio.Event,
+    task_status: trio.TaskStatus[list[str]] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve until the event is set; report the bound addresses when ready."""
+    config = hypercorn.config.Config()
+    config.bind = [bind]
+    config.graceful_timeout = SERVER_GRACE_S
+    config.accesslog = None
+    config.errorlog = None
+    app_any: typing.Any = app
+    async with trio.open_nursery() as nursery:
+        binds = await nursery.start(
+            lambda task_status: hypercorn.trio.serve(
+                app_any,
+                config,
+                shutdown_trigger=shutdown.wait,
+                task_status=task_status,
+            )
+        )
+        task_status.started(binds)
+
+
+def authorise(
+    parts: FrontendParts, header: str, role: str
+) -> errors.RefusalError | None:
+    """Return a refusal unless the bearer token has the role."""
+    if not parts.options.tokens:
+        return None
+    token = header.removeprefix("Bearer ").encode()
+    for candidate in parts.options.tokens:
+        same = hmac.compare_digest(candidate.token.encode(), token)
+        if same and role in candidate.roles:
+            return None
+    return errors.RefusalError(
+        steps.Step.QUERY_ACCEPT,
+        "caller",
+        messages.NOT_AUTHORISED.format(role=role),
+        errors.RefusalKind.NOT_AUTHORISED,
+        errors.Ran.NO,
+    )
+
+
+def _http(response: callerapi.Response) -> quart.Response:
+    return quart.Response(
+        response.body, status=response.http_status, content_type=JSON_TYPE
+    )
+
+
+async def _request_body() -> bytes:
+    data = await quart.request.get_data(as_text=False)
+    return data if isinstance(data, bytes) else data.encode()
+
+
+def _denied(parts: FrontendParts, role: str) -> quart.Response | None:
+    header = quart.request.headers.get("Authorization", "")
+    refusal = authorise(parts, header, role)
+    if refusal is None:
+        return None
+    return _http(callerapi.refusal_response(refusal))
+
+
+def _add_query_routes(app: quart_trio.QuartTrio, parts: FrontendParts) -> None:
+    @app.post("/v1/query")
+    async def query() -> quart.Response:
+        denied = _denied(parts, "query")
+        if denied is not None:
+            return denied
+        parsed = callerapi.parse_query(await _request_body())
+        if parsed.is_err():
+            return _http(callerapi.refusal_response(parsed.unwrap_err()))
+        return _http(await parts.service.query(parsed.unwrap()))
+
+    @app.post("/v1/tickets")
+    async def issue_tickets() -> quart.Response:
+        denied = _denied(parts, "query")
+        if denied is not None:
+            return denied
+        parsed = callerapi.parse_tickets(await _request_body())
+        if parsed.is_err():
+            return _http(callerapi.refusal_response(parsed.unwrap_err()))
+        texts = parts.service.issue_tickets(parsed.unwrap().count)
+        return quart.jsonify({"tickets": texts})
+
+
+def _add_operator_routes(
+    app: quart_trio.QuartTrio, parts: FrontendParts
+) -> None:
+    @app.get("/v1/status")
+    async def status() -> quart.Response:
+        return _denied(parts, "read") or quart.jsonify(parts.status())
+
+    @app.post("/v1/drain")
+    async def drain() -> quart.Response:
+        denied = _denied(parts, "drain")
+        if denied is not None:
+            return denied
+        parts.request_drain()
+        return quart.jsonify({"life": parts.board.life})
+
+    @app.get("/metrics")
+    async def metrics() -> quart.Response:
+        text = prometheus_client.generate_latest(parts.registry)
+        return quart.Response(text, content_type=METRICS_TYPE)
+
+
+def _add_health_routes(
+    app: quart_trio.QuartTrio, parts: FrontendParts
+) -> None:
+    @app.get("/healthz")
+    async def healthz() -> quart.Response:
+        return quart.jsonify({"life": parts.board.life})
+
+    @app.get("/readyz")
+    async def readyz() -> quart.Response:
+        life = parts.board.life
+        ready = life is blackboard.LifeState.SERVING
+        response = quart.jsonify({"life": life})
+        response.status_code = 200 if ready else 503
+        return response
