Add the object API client, fake and stand-in, and the settings store

Cause: nothing could keep or check what operators configure. Change: HTTP client with call budget and write_resolved, in-memory fake with faults, HTTP stand-in, settings files with line numbers, chunks, manifests, conditional head, and the command settings.

--- /dev/null
+++ b/plantainhook/callbudget.py
@@ -0,0 +1,53 @@
+"""Call budget of a client: a token bucket that also honours Retry-After.
+
+The object API has a rate limit shared by the whole fleet, so each client
+keeps to its own rate and asks here how long to wait before a call.
+"""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class TokenBucket:
+    """Grant calls at a rate in calls per second, with a burst.
+
+    Tokens may become negative: every waiting caller has already taken its
+    token, which keeps callers in order and their waits exact.
+    """
+
+    rate_per_s: float
+    burst_count: float
+    tokens_count: float = -1.0
+    refilled_s: float | None = None
+    paused_until_s: float = 0.0
+
+    def reserve(self, now_s: float) -> float:
+        """Take a token and return the seconds to wait before the call."""
+        self._refill(now_s)
+        self.tokens_count -= 1
+        debt_s = max(0.0, -self.tokens_count / self.rate_per_s)
+        pause_s = max(0.0, self.paused_until_s - now_s)
+        return max(debt_s, pause_s)
+
+    def try_take(self, now_s: float) -> bool:
+        """Take a token if there is one."""
+        self._refill(now_s)
+        if self.tokens_count < 1:
+            return False
+        self.tokens_count -= 1
+        return True
+
+    def pause(self, now_s: float, seconds: float) -> None:
+        """Let no call start for some seconds."""
+        self.paused_until_s = max(self.paused_until_s, now_s + seconds)
+
+    def _refill(self, now_s: float) -> None:
+        """Add the tokens gained since the last call."""
+        if self.refilled_s is None:
+            self.tokens_count = self.burst_count
+        else:
+            gained = (now_s - self.refilled_s) * self.rate_per_s
+            self.tokens_count = min(
+                self.burst_count, self.tokens_count + gained
+            )
+        self.refilled_s = now_s
--- /dev/null
+++ b/plantainhook/commands_standin_platform.py
@@ -0,0 +1,50 @@
+"""Command ``plantainhook standin platform``."""
+
+import argparse
+import functools
+import typing
+
+import trio
+
+from plantainhook import commands, objectapifake, standin_platform, standins
+
+DEFAULT_LISTEN: typing.Final = "127.0.0.1:9000"
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the address and the limits of the stand-in."""
+    parser.add_argument(
+        "--listen",
+        default=DEFAULT_LISTEN,
+        metavar="ADDRESS:PORT",
+        help="address to serve on (default %(default)s)",
+    )
+    parser.add_argument(
+        "--calls-per-s",
+        type=float,
+        default=0.0,
+        metavar="N",
+        help="refuse calls over this rate with 429; 0 is no limit",
+    )
+    parser.add_argument(
+        "--delay-ms",
+        type=float,
+        default=0.0,
+        metavar="N",
+        help="delay each call by this time",
+    )
+    parser.add_argument(
+        "--token", default="", help="bearer token that calls need"
+    )
+
+
+@standins.standin("platform", "serve the object API", add_arguments)
+def run(arguments: argparse.Namespace) -> int:
+    """Serve the object API from memory until interrupted."""
+    faults = objectapifake.Faults(
+        delay_s=arguments.delay_ms / 1000, calls_per_s=arguments.calls_per_s
+    )
+    api = objectapifake.FakeObjectApi(faults=faults)
+    app = standin_platform.build_app(api, arguments.token)
+    trio.run(functools.partial(standin_platform.serve, app, arguments.listen))
+    return commands.EXIT_DONE
--- a/plantainhook/errors.py
+++ b/plantainhook/errors.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+from collections import abc
 
 from plantainhook import steps
 
@@ -48,6 +49,31 @@
         self.expected = expected
 
 
+class SettingsInvalidError(PlantainhookError):
+    """Report every reason why settings are not valid."""
+
+    def __init__(self, problems: abc.Sequence[SettingsError]) -> None:
+        first = problems[0]
+        count = len(problems)
+        detail = f"{count} errors, the first: {first.detail}"
+        super().__init__(steps.Step.SETTINGS_VALIDATE, first.file, detail)
+        self.problems = tuple(problems)
+
+
+class SettingsConflictError(PlantainhookError):
+    """Report a change that another operator's change came before.
+
+    ``report`` holds the difference and how to redo the change.
+    """
+
+    def __init__(
+        self, peer: str, detail: str, report: str, current_revision: int
+    ) -> None:
+        super().__init__(steps.Step.SETTINGS_WRITE, peer, detail)
+        self.report = report
+        self.current_revision = current_revision
+
+
 class ObjectApiError(PlantainhookError):
     """Report a failed call of the object API."""
 
@@ -57,13 +83,23 @@
 
 
 class ObjectConflictError(ObjectApiError):
-    """Report a conditional update whose condition did not hold."""
+    """Report a conditional update whose condition did not hold.
+
+    ``current_request_id`` is the request id of the write that made the
+    current version, empty where the object does not exist.
+    """
 
     def __init__(
-        self, step: steps.Step, peer: str, detail: str, current_version: int
+        self,
+        step: steps.Step,
+        peer: str,
+        detail: str,
+        current_version: int,
+        current_request_id: str = "",
     ) -> None:
         super().__init__(step, peer, detail)
         self.current_version = current_version
+        self.current_request_id = current_request_id
 
 
 class ObjectTooLargeError(ObjectApiError):
@@ -74,6 +110,16 @@
     """Report a call that certainly had no effect."""
 
 
+class ObjectRateLimitedError(ObjectApiUnavailableError):
+    """Report a call over the rate limit; it had no effect."""
+
+    def __init__(
+        self, step: steps.Step, peer: str, detail: str, retry_after_s: float
+    ) -> None:
+        super().__init__(step, peer, detail)
+        self.retry_after_s = retry_after_s
+
+
 class ObjectOutcomeUnknownError(ObjectApiError):
     """Report a write that may have taken effect."""
 
--- a/plantainhook/messages.py
+++ b/plantainhook/messages.py
@@ -32,3 +32,46 @@
     "no index version of target {target!r} is served by any leaf"
 )
 NOT_AUTHORISED: typing.Final = "the token does not have the role {role!r}"
+UNDO_CHANGED_LATER: typing.Final = (
+    "revision {revision} cannot be undone: later revisions changed {names}; "
+    "apply the values that you want instead"
+)
+CONFLICT: typing.Final = (
+    "revision {current} is in force, and the change was made for "
+    "revision {base}; nothing was written"
+)
+CONFLICT_REDO_SAME: typing.Final = (
+    "Both changed {names}. Get the objects in force with\n"
+    "  plantainhook settings show {names} > new.toml\n"
+    "put the change into new.toml and run\n"
+    "  plantainhook settings apply new.toml --base {current}"
+)
+CONFLICT_REDO_OTHER: typing.Final = (
+    "The other change is to other objects. To put this one on top, run the "
+    "same command with\n"
+    "  --base {current}"
+)
+OBJECT_TOO_LARGE: typing.Final = (
+    "expected at most {limit_bytes} bytes, found {size_bytes}"
+)
+OBJECT_UNKNOWN: typing.Final = "expected an existing object to remove"
+REVISION_UNKNOWN: typing.Final = "there is no revision {revision}"
+REVISION_NOT_KEPT: typing.Final = "revision {revision} is no longer kept"
+OUTCOME_OF_APPLY_UNKNOWN: typing.Final = (
+    "the change may be in force, the platform did not tell; look for request "
+    "{request_id} in: plantainhook settings history"
+)
+REVISION_NOT_READABLE: typing.Final = (
+    "the revision does not fit this version of the program: {detail}"
+)
+OBJECT_NOT_IN_REVISION: typing.Final = (
+    "there is no object {name!r} in revision {revision}"
+)
+FILE_VALID: typing.Final = "{file}: {count} objects, no errors"
+NOTHING_TO_CHANGE: typing.Final = (
+    "nothing to change: revision {revision} already holds these objects"
+)
+IN_FORCE: typing.Final = "revision {revision} is in force:"
+APPLY_NEEDS_OBJECTS: typing.Final = (
+    "error: name a file to apply or objects to --remove"
+)
--- a/plantainhook/schema.py
+++ b/plantainhook/schema.py
@@ -12,6 +12,8 @@
 import pydantic
 
 NAME_PATTERN: typing.Final = r"^[a-z0-9][a-z0-9._-]{0,62}$"
+HEDGE_POLICIES: typing.Final = ("adaptive", "fixed", "plain")
+INDEX_KEY_SEPARATOR: typing.Final = "@"
 ADDRESS_PATTERN: typing.Final = r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$"
 
 Name = typing.Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
--- /dev/null
+++ b/plantainhook/settingschunks.py
@@ -0,0 +1,212 @@
+"""Chunks, manifests and the head of the settings in the object API.
+
+``settings/chunk/<hash>`` and ``settings/manifest/<revision>/<hash>`` never
+change once written; ``settings/head`` names the revision in force. Texts are
+stored as JSON strings, so a platform that formats numbers in its own way
+does not change their hash. Reads of texts by hash cannot be stale; a text
+that is not found yet is read again.
+"""
+
+import dataclasses
+import typing
+from collections import abc
+
+import msgspec
+import result
+import trio
+
+from plantainhook import errors, objectapi, revisions, steps
+
+HEAD_KEY: typing.Final = "settings/head"
+CHUNK_PREFIX: typing.Final = "settings/chunk/"
+MANIFEST_PREFIX: typing.Final = "settings/manifest/"
+PARALLEL_CALLS_COUNT: typing.Final = 16
+READ_ATTEMPTS_COUNT: typing.Final = 4
+READ_FIRST_WAIT_S: typing.Final = 0.1
+
+T = typing.TypeVar("T")
+Failure = errors.PlantainhookError
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """Hold the revision in force; ``version`` is that of the object."""
+
+    revision: int
+    manifest_hash: str
+    version: int
+    request_id: str = ""
+
+    def value(self) -> dict[str, typing.Any]:
+        """Return the head as it is stored."""
+        return {"revision": self.revision, "manifest_hash": self.manifest_hash}
+
+
+def chunk_key(text_hash: str) -> str:
+    """Return the key of a chunk."""
+    return f"{CHUNK_PREFIX}{text_hash}"
+
+
+def manifest_key(revision: int, text_hash: str) -> str:
+    """Return the key of a manifest.
+
+    The hash is part of the key because two operators may write a manifest
+    for the same revision, of which the head then names one.
+    """
+    return f"{MANIFEST_PREFIX}{revision}/{text_hash}"
+
+
+def parse_head(
+    stored: objectapi.StoredObject,
+) -> result.Result[Head, Failure]:
+    """Read the head out of its object."""
+    try:
+        return result.Ok(
+            Head(
+                int(stored.value["revision"]),
+                str(stored.value["manifest_hash"]),
+                stored.version,
+                stored.request_id,
+            )
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        return result.Err(_damaged(stored.key, repr(error)))
+
+
+async def load_head(
+    api: objectapi.ObjectApi,
+) -> result.Result[Head, Failure]:
+    """Read the head; revision 0 stands for a store without settings."""
+    read = await api.get(HEAD_KEY)
+    if isinstance(read, result.Ok):
+        return parse_head(read.ok_value)
+    if isinstance(read.err_value, errors.ObjectNotFoundError):
+        return result.Ok(
+            Head(revisions.NO_REVISION, "", objectapi.ABSENT_VERSION)
+        )
+    return result.Err(read.err_value)
+
+
+async def load_text(
+    api: objectapi.ObjectApi, key: str, text_hash: str
+) -> result.Result[bytes, Failure]:
+    """Read a text by its hash; wait for one that a stale read hides."""
+    wait_s = READ_FIRST_WAIT_S
+    for attempt in range(READ_ATTEMPTS_COUNT):
+        read = await api.get(key)
+        if isinstance(read, result.Ok):
+            return _checked_text(read.ok_value, text_hash)
+        failure = read.err_value
+        if attempt < READ_ATTEMPTS_COUNT - 1:
+            await trio.sleep(wait_s)
+            wait_s *= 2
+    return result.Err(failure)
+
+
+def _checked_text(
+    stored: objectapi.StoredObject, text_hash: str
+) -> result.Result[bytes, Failure]:
+    """Return a text whose hash is right."""
+    if not isinstance(stored.value, str):
+        return result.Err(_damaged(stored.key, "it holds no text"))
+    text = stored.value.encode()
+    if revisions.hash_of(text) != text_hash:
+        return result.Err(_damaged(stored.key, "its hash differs"))
+    return result.Ok(text)
+
+
+async def load_manifest(
+    api: objectapi.ObjectApi, revision: int, text_hash: str
+) -> result.Result[revisions.Manifest, Failure]:
+    """Read a manifest."""
+    key = manifest_key(revision, text_hash)
+    loaded = await load_text(api, key, text_hash)
+    if isinstance(loaded, result.Err):
+        return loaded
+    try:
+        return result.Ok(
+            msgspec.json.decode(loaded.ok_value, type=revisions.Manifest)
+        )
+    except msgspec.MsgspecError as error:
+        return result.Err(_damaged(key, str(error)))
+
+
+async def load_records(
+    api: objectapi.ObjectApi,
+    manifest: revisions.Manifest,
+    known: abc.Mapping[str, abc.Mapping[str, bytes]],
+) -> result.Result[dict[str, bytes], Failure]:
+    """Read the chunks of a manifest, except those known by their hash."""
+    chunks: dict[str, abc.Mapping[str, bytes]] = {}
+    wanted = []
+    for _, text_hash in manifest.chunks:
+        if text_hash in known:
+            chunks[text_hash] = known[text_hash]
+        else:
+            wanted.append(text_hash)
+
+    async def load(text_hash: str) -> result.Result[bytes, Failure]:
+        return await load_text(api, chunk_key(text_hash), text_hash)
+
+    loaded = await in_parallel(load, wanted)
+    for text_hash, outcome in zip(wanted, loaded, strict=True):
+        if isinstance(outcome, result.Err):
+            return outcome
+        chunks[text_hash] = split_chunk(outcome.ok_value)
+    records: dict[str, bytes] = {}
+    for _, text_hash in manifest.chunks:
+        records.update(chunks[text_hash])
+    return result.Ok(records)
+
+
+def split_chunk(text: bytes) -> dict[str, bytes]:
+    """Return the texts of the records in a chunk."""
+    raw = msgspec.json.decode(text, type=dict[str, msgspec.Raw])
+    return {name: bytes(value) for name, value in raw.items()}
+
+
+async def write_chunk(
+    api: objectapi.ObjectApi, text_hash: str, text: bytes
+) -> result.Result[None, Failure]:
+    """Write a chunk; write it anew where it exists.
+
+    The new version keeps the clean-up job from deleting a chunk that the
+    job had found unused before.
+    """
+    key = chunk_key(text_hash)
+    version = objectapi.ABSENT_VERSION
+    for _ in range(READ_ATTEMPTS_COUNT):
+        written = await objectapi.write_resolved(
+            api, key, text.decode(), version, objectapi.new_request_id()
+        )
+        if isinstance(written, result.Ok):
+            return result.Ok(None)
+        error = written.err_value
+        if not isinstance(error, errors.ObjectConflictError):
+            return result.Err(error)
+        version = error.current_version
+    return result.Err(error)
+
+
+async def in_parallel(
+    call: abc.Callable[[str], abc.Awaitable[T]], names: abc.Sequence[str]
+) -> list[T]:
+    """Call once for each name, a limited number at a time, in order."""
+    outcomes: dict[int, T] = {}
+    limiter = trio.CapacityLimiter(PARALLEL_CALLS_COUNT)
+
+    async def one(position: int, name: str) -> None:
+        async with limiter:
+            outcomes[position] = await call(name)
+
+    async with trio.open_nursery() as nursery:
+        for position, name in enumerate(names):
+            nursery.start_soon(one, position, name)
+    return [outcomes[i] for i in range(len(names))]
+
+
+def _damaged(key: str, detail: str) -> Failure:
+    """Build the error of an object that does not hold what it should."""
+    return errors.ObjectApiError(
+        steps.Step.SETTINGS_APPLY, key, f"the object is damaged: {detail}"
+    )
--- /dev/null
+++ b/plantainhook/settingsobjects.py
@@ -0,0 +1,140 @@
+"""Named records of operator objects, and who set their values.
+
+Settings are kept as one record for each operator object: ``defaults``,
+``share_plan`` and ``kind/name`` for all others. A record holds what the
+operator wrote (``spec``) and a stamp with revision, author and time for the
+object as a whole (key ``""``) and for each of its rules.
+"""
+
+import dataclasses
+import typing
+from collections import abc
+
+import msgspec
+
+from plantainhook import revisions, schema
+
+SINGLE_KINDS: typing.Final = ("defaults", "share_plan")
+NAMED_KINDS: typing.Final = (
+    "data_centre",
+    "service",
+    "request_kind",
+    "group",
+    "target",
+    "index",
+    "figure",
+)
+WHOLE_OBJECT: typing.Final = ""
+RULES_KEY: typing.Final = "rules"
+
+Spec = dict[str, typing.Any]
+
+
+class Stamp(msgspec.Struct, frozen=True, array_like=True):
+    """Tell which revision set a value, who made it and when."""
+
+    revision: int
+    author: str
+    wall_s: float
+
+
+class Record(msgspec.Struct, frozen=True):
+    """Hold an operator object as it is stored."""
+
+    spec: Spec
+    stamps: dict[str, Stamp]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """Replace some objects as a whole and remove others, by record name."""
+
+    specs: abc.Mapping[str, Spec]
+    removed: frozenset[str] = frozenset()
+
+
+_RECORD_DECODER: typing.Final = msgspec.json.Decoder(Record)
+
+
+def decode(text: bytes) -> Record:
+    """Read a record; raises msgspec.MsgspecError where it is malformed."""
+    return _RECORD_DECODER.decode(text)
+
+
+def specs_of(settings: schema.Settings) -> dict[str, Spec]:
+    """Return what was set explicitly, by record name."""
+    dumped = settings.model_dump(
+        mode="json", exclude_unset=True, exclude_none=True
+    )
+    specs: dict[str, Spec] = {}
+    for kind in SINGLE_KINDS:
+        if kind in dumped:
+            specs[kind] = dumped[kind]
+    for kind in NAMED_KINDS:
+        for name, spec in dumped.get(kind, {}).items():
+            specs[f"{kind}/{name}"] = spec
+    return specs
+
+
+def tree_of(specs: abc.Mapping[str, Spec]) -> dict[str, typing.Any]:
+    """Return specs nested by kind and name, as a settings file has them."""
+    tree: dict[str, typing.Any] = {}
+    for record_name, spec in specs.items():
+        kind, _, name = record_name.partition("/")
+        if name:
+            tree.setdefault(kind, {})[name] = spec
+        else:
+            tree[kind] = spec
+    return tree
+
+
+def read_records(
+    records: abc.Mapping[str, bytes],
+) -> dict[str, Record]:
+    """Decode all records of a revision."""
+    return {name: decode(text) for name, text in records.items()}
+
+
+def settings_of(records: abc.Mapping[str, bytes]) -> schema.Settings:
+    """Build validated settings from the records of a revision.
+
+    Raises pydantic.ValidationError or msgspec.MsgspecError where a record
+    does not fit the schema of this program.
+    """
+    specs = {n: r.spec for n, r in read_records(records).items()}
+    return schema.Settings.model_validate(tree_of(specs))
+
+
+def change_records(
+    old: abc.Mapping[str, bytes], change: Change, info: revisions.Info
+) -> dict[str, bytes]:
+    """Return the records after a change; unchanged ones keep their text."""
+    stamp = Stamp(info.revision, info.author, info.wall_s)
+    records = {n: t for n, t in old.items() if n not in change.removed}
+    for name, spec in change.specs.items():
+        before = decode(old[name]) if name in old else Record({}, {})
+        if name in old and before.spec == spec:
+            continue
+        stamps = _stamps(name, before, spec, stamp)
+        records[name] = revisions.encode(Record(spec, stamps))
+    return records
+
+
+def _stamps(
+    name: str, before: Record, spec: Spec, stamp: Stamp
+) -> dict[str, Stamp]:
+    """Stamp the object and each rule that differs; keep other stamps."""
+    old_rules = rules_of(name, before.spec)
+    stamps = {WHOLE_OBJECT: stamp}
+    for rule, value in rules_of(name, spec).items():
+        kept = old_rules.get(rule) == value and rule in before.stamps
+        stamps[rule] = before.stamps[rule] if kept else stamp
+    return stamps
+
+
+def rules_of(name: str, spec: Spec) -> Spec:
+    """Return the rules that an object sets."""
+    if name == "defaults":
+        return spec
+    rules: Spec = spec.get(RULES_KEY, {})
+    return rules
--- /dev/null
+++ b/plantainhook/settingsstore.py
@@ -0,0 +1,403 @@
+"""Settings in the object API: load, apply, undo, history and difference.
+
+A change is validated as a whole, its chunks and manifest are written, and
+one conditional update of ``settings/head`` puts it in force. The caller gets
+a conflict report where another change came first. See ``settingschunks``
+for the keys and ``settingscleanup`` for the removal of old ones.
+"""
+
+import typing
+
+import result
+import trio
+
+from plantainhook import (
+    clock,
+    errors,
+    messages,
+    objectapi,
+    revisions,
+    settingsapply,
+    settingschunks,
+    settingsdiff,
+    steps,
+    wire,
+)
+
+APPLY_ATTEMPTS_COUNT: typing.Final = 4
+HISTORY_DEFAULT_COUNT: typing.Final = 20
+SETTLE_ATTEMPTS_COUNT: typing.Final = 5
+
+Failure = errors.PlantainhookError
+
+
+class SettingsStore:
+    """Read and change the settings of a fleet."""
+
+    def __init__(
+        self, api: objectapi.ObjectApi, own_clock: clock.Clock
+    ) -> None:
+        self.api = api
+        self._clock = own_clock
+        self._cached = revisions.empty()
+
+    async def load_head(
+        self,
+    ) -> result.Result[settingschunks.Head, Failure]:
+        """Return the head that a read of the object API shows."""
+        return await settingschunks.load_head(self.api)
+
+    async def load_current(
+        self,
+    ) -> result.Result[revisions.Revision, Failure]:
+        """Return the revision that the head names."""
+        head = await self.load_head()
+        if isinstance(head, result.Err):
+            return head
+        return await self._load(
+            head.ok_value.revision, head.ok_value.manifest_hash
+        )
+
+    async def load_settings(
+        self, revision: int
+    ) -> result.Result[revisions.Revision, Failure]:
+        """Return a revision that is still kept."""
+        infos = await self._chain(revision)
+        if isinstance(infos, result.Err):
+            return infos
+        if revision == revisions.NO_REVISION:
+            return result.Ok(revisions.empty())
+        text_hash, info = infos.ok_value[-1] if infos.ok_value else ("", None)
+        if info is None or info.revision != revision:
+            return result.Err(
+                failure(messages.REVISION_UNKNOWN.format(revision=revision))
+            )
+        return await self._load(revision, text_hash)
+
+    async def history(
+        self, count: int = HISTORY_DEFAULT_COUNT
+    ) -> result.Result[list[revisions.Info], Failure]:
+        """Return the newest revisions, newest first, as far as kept."""
+        head = await self.load_head()
+        if isinstance(head, result.Err):
+            return head
+        lowest = max(1, head.ok_value.revision - count + 1)
+        chain = await self._chain(lowest, head.ok_value, tolerant=True)
+        return chain.map(lambda found: [info for _, info in found])
+
+    async def diff(
+        self, old: int, new: int
+    ) -> result.Result[list[settingsdiff.Difference], Failure]:
+        """Return the differences between two revisions."""
+        before = await self.load_settings(old)
+        if isinstance(before, result.Err):
+            return before
+        after = await self.load_settings(new)
+        return after.map(
+            lambda revision: settingsdiff.between_records(
+                before.ok_value.records, revision.records
+            )
+        )
+
+    async def delta(
+        self, old: int, new: int
+    ) -> result.Result[wire.RevisionDelta, Failure]:
+        """Return the difference that peers exchange."""
+        before = await self.load_settings(old)
+        if isinstance(before, result.Err):
+            return before
+        after = await self.load_settings(new)
+        return after.map(
+            lambda revision: revisions.delta(before.ok_value, revision)
+        )
+
+    async def apply(
+        self, request: settingsapply.Request
+    ) -> result.Result[settingsapply.Applied, Failure]:
+        """Validate a change and put it in force as a whole or not at all.
+
+        Returns SettingsInvalidError, SettingsConflictError, or an
+        ObjectApiError; ObjectOutcomeUnknownError means that the change may
+        be in force.
+        """
+        for _ in range(APPLY_ATTEMPTS_COUNT):
+            prepared = await self._prepare(request)
+            if isinstance(prepared, result.Err):
+                return prepared
+            attempt = prepared.ok_value
+            if attempt.revision.hash == attempt.base.hash:
+                return result.Ok(settingsapply.Applied(attempt.base, ()))
+            written = await self._write(attempt)
+            if isinstance(written, result.Err):
+                return written
+            moved = await self._move_head(attempt)
+            if moved is not None:
+                return moved
+        return result.Err(failure("the head changed in every attempt"))
+
+    async def undo(
+        self, revision: int, author: str, comment: str = ""
+    ) -> result.Result[settingsapply.Applied, Failure]:
+        """Undo one revision as a new revision.
+
+        Refused where a later revision changed one of the same objects.
+        """
+        undone = await self.load_settings(revision)
+        if isinstance(undone, result.Err):
+            return undone
+        before = await self.load_settings(revision - 1)
+        if isinstance(before, result.Err):
+            return before
+        current = await self.load_current()
+        if isinstance(current, result.Err):
+            return current
+        later = settingsapply.changed_since(
+            undone.ok_value, before.ok_value, current.ok_value
+        )
+        if later:
+            names = ", ".join(later)
+            detail = messages.UNDO_CHANGED_LATER.format(
+                revision=revision, names=names
+            )
+            return result.Err(failure(detail))
+        request = settingsapply.Request(
+            settingsapply.undo_change(before.ok_value, undone.ok_value),
+            author,
+            comment or f"undo of revision {revision}",
+            base_revision=current.ok_value.info.revision,
+            undo_of=revision,
+        )
+        return await self.apply(request)
+
+    async def _load(
+        self, revision: int, text_hash: str
+    ) -> result.Result[revisions.Revision, Failure]:
+        """Read a revision; chunks of the last one read are not read again."""
+        if revision == revisions.NO_REVISION:
+            return result.Ok(revisions.empty())
+        if text_hash == self._cached.hash:
+            return result.Ok(self._cached)
+        loaded = await settingschunks.load_manifest(
+            self.api, revision, text_hash
+        )
+        if isinstance(loaded, result.Err):
+            return loaded
+        manifest = loaded.ok_value
+        records = await settingschunks.load_records(
+            self.api, manifest, settingsapply.chunks_of(self._cached)
+        )
+        if isinstance(records, result.Err):
+            return records
+        self._cached = revisions.Revision(
+            manifest.info, records.ok_value, manifest, text_hash
+        )
+        return result.Ok(self._cached)
+
+    async def _chain(
+        self,
+        lowest: int,
+        head: settingschunks.Head | None = None,
+        tolerant: bool = False,
+    ) -> result.Result[list[tuple[str, revisions.Info]], Failure]:
+        """Walk from the head down to a revision by the hashes."""
+        if head is None:
+            loaded = await self.load_head()
+            if isinstance(loaded, result.Err):
+                return loaded
+            head = loaded.ok_value
+        found: list[tuple[str, revisions.Info]] = []
+        revision, text_hash = head.revision, head.manifest_hash
+        while revision >= max(lowest, 1):
+            manifest = await settingschunks.load_manifest(
+                self.api, revision, text_hash
+            )
+            if isinstance(manifest, result.Err):
+                gone = isinstance(
+                    manifest.err_value, errors.ObjectNotFoundError
+                )
+                return result.Ok(found) if gone and tolerant else manifest
+            info = manifest.ok_value.info
+            found.append((text_hash, info))
+            revision, text_hash = revision - 1, info.previous_hash
+        return result.Ok(found)
+
+    async def _prepare(
+        self, request: settingsapply.Request
+    ) -> result.Result[settingsapply.Attempt, Failure]:
+        """Build and validate the new revision over the one in force."""
+        loaded = await self.load_head()
+        if isinstance(loaded, result.Err):
+            return loaded
+        head = loaded.ok_value
+        current = await self._load(head.revision, head.manifest_hash)
+        if isinstance(current, result.Err):
+            return current
+        base = current.ok_value
+        wanted = request.base_revision
+        if wanted is not None and wanted != head.revision:
+            return result.Err(
+                await self._conflict_with_base(request, wanted, base)
+            )
+        info = revisions.Info(
+            revision=head.revision + 1,
+            author=request.author,
+            wall_s=self._clock.wall_s(),
+            request_id=objectapi.new_request_id(),
+            previous_hash=head.manifest_hash,
+            comment=request.comment,
+            undo_of=request.undo_of,
+        )
+        return settingsapply.build(request, head, base, info)
+
+    async def _write(
+        self, attempt: settingsapply.Attempt
+    ) -> result.Result[None, Failure]:
+        """Write the chunks that the base does not have, then the manifest."""
+
+        async def write(text_hash: str) -> result.Result[None, Failure]:
+            text = attempt.new_texts[text_hash]
+            return await settingschunks.write_chunk(self.api, text_hash, text)
+
+        outcomes = await settingschunks.in_parallel(
+            write, list(attempt.new_texts)
+        )
+        for outcome in outcomes:
+            if isinstance(outcome, result.Err):
+                return outcome
+        revision = attempt.revision
+        key = settingschunks.manifest_key(
+            revision.info.revision, revision.hash
+        )
+        text = revisions.encode(revision.manifest).decode()
+        written = await objectapi.write_resolved(
+            self.api,
+            key,
+            text,
+            objectapi.ABSENT_VERSION,
+            revision.info.request_id,
+        )
+        return written.map(lambda _: None)
+
+    async def _move_head(
+        self, attempt: settingsapply.Attempt
+    ) -> result.Result[settingsapply.Applied, Failure] | None:
+        """Put the new revision in force; None asks for another attempt."""
+        revision = attempt.revision
+        head = settingschunks.Head(
+            revision.info.revision, revision.hash, attempt.head.version
+        )
+        moved = await objectapi.write_resolved(
+            self.api,
+            settingschunks.HEAD_KEY,
+            head.value(),
+            attempt.head.version,
+            revision.info.request_id,
+        )
+        if isinstance(moved, result.Ok):
+            return result.Ok(self._applied(attempt))
+        error = moved.err_value
+        settled = (
+            errors.ObjectConflictError,
+            errors.ObjectOutcomeUnknownError,
+        )
+        if isinstance(error, settled):
+            return await self._settle(attempt)
+        return result.Err(error)
+
+    async def _settle(
+        self, attempt: settingsapply.Attempt
+    ) -> result.Result[settingsapply.Applied, Failure] | None:
+        """Find out from the chain of revisions whether the change is in it.
+
+        None tells that the head has a new version but the same revision,
+        which the clean-up job causes.
+        """
+        head = await self._head_after(attempt.head.version)
+        if head is None:
+            return result.Err(_outcome_unknown(attempt.revision.info))
+        if head.revision == attempt.base.info.revision:
+            return None
+        number = attempt.revision.info.revision
+        chain = await self._chain(number, head)
+        if isinstance(chain, result.Err):
+            return result.Err(_outcome_unknown(attempt.revision.info))
+        if chain.ok_value[-1][0] == attempt.revision.hash:
+            return result.Ok(self._applied(attempt))
+        current = await self._load(head.revision, head.manifest_hash)
+        if isinstance(current, result.Err):
+            return current
+        return result.Err(
+            settingsapply.conflict(
+                attempt.base,
+                current.ok_value,
+                attempt.revision,
+                [info for _, info in chain.ok_value],
+            )
+        )
+
+    async def _head_after(self, version: int) -> settingschunks.Head | None:
+        """Read the head until it has a later version than a known one."""
+        wait_s = settingschunks.READ_FIRST_WAIT_S
+        for _ in range(SETTLE_ATTEMPTS_COUNT):
+            head = await self.load_head()
+            if isinstance(head, result.Ok) and head.ok_value.version > version:
+                return head.ok_value
+            await trio.sleep(wait_s)
+            wait_s *= 2
+        return None
+
+    async def _conflict_with_base(
+        self,
+        request: settingsapply.Request,
+        wanted: int,
+        current: revisions.Revision,
+    ) -> Failure:
+        """Build the report on a change made for an older revision."""
+        number = current.info.revision
+        if wanted > number:
+            return failure(messages.REVISION_UNKNOWN.format(revision=wanted))
+        seen = await self.load_settings(wanted)
+        if isinstance(seen, result.Err):
+            return seen.err_value
+        newer = await self._chain(wanted + 1)
+        if isinstance(newer, result.Err):
+            return newer.err_value
+        info = revisions.Info(number, request.author, 0.0, "")
+        built = settingsapply.build(
+            request, settingschunks.Head(wanted, "", 0), seen.ok_value, info
+        )
+        if isinstance(built, result.Err):
+            return built.err_value
+        return settingsapply.conflict(
+            seen.ok_value,
+            current,
+            built.ok_value.revision,
+            [entry for _, entry in newer.ok_value],
+        )
+
+    def _applied(
+        self, attempt: settingsapply.Attempt
+    ) -> settingsapply.Applied:
+        """Remember the new revision and describe the change."""
+        self._cached = attempt.revision
+        differences = settingsdiff.between_records(
+            attempt.base.records, attempt.revision.records
+        )
+        return settingsapply.Applied(attempt.revision, tuple(differences))
+
+
+def failure(detail: str) -> Failure:
+    """Build the error of a request that cannot be carried out."""
+    return errors.PlantainhookError(
+        steps.Step.SETTINGS_WRITE, settingsapply.PEER, detail
+    )
+
+
+def _outcome_unknown(info: revisions.Info) -> Failure:
+    """Build the error of a change that may be in force."""
+    detail = messages.OUTCOME_OF_APPLY_UNKNOWN.format(
+        request_id=info.request_id
+    )
+    return errors.ObjectOutcomeUnknownError(
+        steps.Step.SETTINGS_WRITE, settingschunks.HEAD_KEY, detail
+    )
