Add the decisions of one query

QueryMachine takes a plan (request, rules, latest view of the target) and the shared policies, and returns actions. LeafError carries the versions that a 409 reply names, which a restart uses.

--- /dev/null
+++ b/plantainhook/attempts.py
@@ -0,0 +1,173 @@
+"""Bookkeeping of one query: shard sets and their attempts.
+
+A shard set is the work of one first attempt. Hedges and retries of the set
+ask again for those of its shards that are still missing. The ledger opens
+and closes attempts and reports each one to the shared policies.
+"""
+
+import dataclasses
+
+from plantainhook import errors, hedging, queryplan, querytypes
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class ShardSet:
+    """Hold the shards sent together and what happened to them."""
+
+    group: str
+    missing: set[str]
+    estimate: hedging.LatencyEstimate
+    live: list["Attempt"] = dataclasses.field(default_factory=list)
+    tried: list[str] = dataclasses.field(default_factory=list)
+    barred: set[str] = dataclasses.field(default_factory=set)
+    hedge_count: int = 0
+    retry_count: int = 0
+    settled: bool = False
+
+    def lacking(self, attempt: "Attempt") -> set[str]:
+        """Return the missing shards of an attempt that no other asks."""
+        lacking = self.missing.intersection(attempt.shards)
+        for other in self.live:
+            lacking.difference_update(other.shards)
+        return lacking
+
+    def can_arrive(self, now_s: float, deadline_s: float) -> bool:
+        """Return whether a missing shard is likely to arrive in time.
+
+        An attempt that took longer than the median is a straggler and
+        says nothing about when it ends; a new one would need the median.
+        """
+        if not self.estimate.learned():
+            return True
+        median_s = self.estimate.quantile_s(0.5)
+        if now_s + median_s <= deadline_s:
+            return True
+        return any(
+            now_s < attempt.sent_s + median_s <= deadline_s
+            for attempt in self.live
+        )
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Attempt:
+    """Hold one call to a leaf."""
+
+    attempt_id: int
+    status: querytypes.LeafStatus
+    shards: tuple[str, ...]
+    shard_set: ShardSet
+    sent_s: float
+    snapshot: int
+
+
+class Ledger:
+    """Hold the attempts of one query and report them to the policies.
+
+    ``ran`` states whether any leaf may have run the request.
+    """
+
+    live: dict[int, Attempt]
+    lost_leafs: set[str]
+    ran: errors.Ran
+
+    def __init__(
+        self, plan: queryplan.QueryPlan, policies: queryplan.QueryPolicies
+    ) -> None:
+        self.plan = plan
+        self.policies = policies
+        self.live = {}
+        self.lost_leafs = set()
+        self.ran = errors.Ran.NO
+        self._opened_count = 0
+
+    def open(
+        self,
+        shard_set: ShardSet,
+        status: querytypes.LeafStatus,
+        shards: tuple[str, ...],
+        version: int,
+        now_s: float,
+    ) -> Attempt:
+        """Open an attempt and count it in flight."""
+        self._opened_count += 1
+        attempt = Attempt(
+            self._opened_count, status, shards, shard_set, now_s, version
+        )
+        self.live[attempt.attempt_id] = attempt
+        shard_set.live.append(attempt)
+        shard_set.tried.append(status.info.name)
+        self.policies.replicas.on_sent(
+            status, self.plan.rules.cross_zone_max_ratio
+        )
+        self.policies.quarantine.started(
+            status.info.name, self.plan.request.fingerprint, now_s
+        )
+        return attempt
+
+    def close(self, attempt_id: int) -> Attempt | None:
+        """Close a live attempt; return None for any other."""
+        attempt = self.live.pop(attempt_id, None)
+        if attempt is not None:
+            attempt.shard_set.live.remove(attempt)
+        return attempt
+
+    def count_dropped(self, attempt_id: int) -> None:
+        """Count a reply that belongs to no live attempt."""
+        if 0 < attempt_id <= self._opened_count:
+            self.policies.counters.late_reply_count += 1
+        else:
+            self.policies.counters.crossed_reply_count += 1
+
+    def note_ran(self, ran: errors.Ran) -> None:
+        """Raise the record of whether the request ran."""
+        if ran is errors.Ran.YES or self.ran is errors.Ran.NO:
+            self.ran = ran
+
+    def replied(self, attempt: Attempt, now_s: float) -> None:
+        """Report a closed attempt that has a valid reply."""
+        self.note_ran(errors.Ran.YES)
+        estimate = attempt.shard_set.estimate
+        latency_s = now_s - attempt.sent_s
+        estimate.record(latency_s)
+        self.policies.replicas.on_reply(
+            attempt.status, latency_s, estimate.quantile_s(0.5), now_s
+        )
+        self.policies.quarantine.replied(
+            attempt.status.info.name,
+            self.plan.request.fingerprint,
+            attempt.sent_s,
+        )
+
+    def failed(
+        self, attempt: Attempt, failure: errors.LeafError, now_s: float
+    ) -> None:
+        """Report a closed attempt that failed."""
+        self.note_ran(failure.ran)
+        leaf = attempt.status.info.name
+        fingerprint = self.plan.request.fingerprint
+        self.policies.replicas.on_failure(
+            attempt.status, failure, attempt.snapshot, now_s
+        )
+        if failure.kind is errors.LeafFailureKind.CONNECTION_LOST:
+            self.lost_leafs.add(leaf)
+            self.policies.quarantine.lost(leaf, fingerprint, now_s)
+        else:
+            self.policies.quarantine.ended(leaf, fingerprint)
+        if failure.kind is errors.LeafFailureKind.TIMEOUT:
+            attempt.shard_set.estimate.record(now_s - attempt.sent_s)
+
+    def cancel(self, attempt: Attempt, now_s: float) -> querytypes.Cancel:
+        """Close a live attempt and return the action that cancels it."""
+        del self.live[attempt.attempt_id]
+        attempt.shard_set.live.remove(attempt)
+        self.note_ran(errors.Ran.MAYBE)
+        estimate = attempt.shard_set.estimate
+        waited_s = now_s - attempt.sent_s
+        estimate.record(waited_s)
+        self.policies.replicas.on_cancelled(
+            attempt.status, waited_s, estimate.quantile_s(0.5), now_s
+        )
+        self.policies.quarantine.ended(
+            attempt.status.info.name, self.plan.request.fingerprint
+        )
+        return querytypes.Cancel(attempt.attempt_id)
--- /dev/null
+++ b/plantainhook/coverage.py
@@ -0,0 +1,90 @@
+"""Coverage of a query, computed from the set of merged shards.
+
+The merge holds the results of one index version only. Its coverage is the
+weight of the merged shards over the weight of all shards asked for.
+"""
+
+import dataclasses
+import typing
+from collections import abc
+
+from plantainhook import querytypes, shardmap
+
+# Weights are summed in different orders, so ratios that are equal on paper
+# can differ in the last bits.
+RATIO_TOLERANCE: typing.Final = 1e-9
+
+
+@dataclasses.dataclass(slots=True)
+class Merge:
+    """Collect the results of one version; each shard merges once."""
+
+    shard_map: shardmap.ShardMap
+    asked: frozenset[str]
+    results: dict[str, list[typing.Any]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def add(self, shard: str, items: list[typing.Any]) -> bool:
+        """Merge a shard; return False where it is merged already."""
+        if shard in self.results:
+            return False
+        self.results[shard] = items
+        return True
+
+    def complete(self) -> bool:
+        """Return whether every shard asked for is merged."""
+        return len(self.results) == len(self.asked)
+
+    def ratio(self) -> float:
+        """Return merged weight over asked weight, from 0 to 1."""
+        if self.complete():
+            return 1.0
+        shards = self.shard_map.shards
+        merged = sum(shards[name].weight for name in self.results)
+        return merged / sum(shards[name].weight for name in self.asked)
+
+    def ratio_without(self, lost: abc.Set[str]) -> float:
+        """Return the coverage if all but the lost shards still arrive."""
+        shards = self.shard_map.shards
+        asked = sum(shards[name].weight for name in self.asked)
+        return 1.0 - sum(shards[name].weight for name in lost) / asked
+
+    def missing_shards(self) -> tuple[str, ...]:
+        """Return the names of the shards not merged, in order."""
+        return tuple(sorted(self.asked - self.results.keys()))
+
+    def missing_tiles(self) -> tuple[str, ...]:
+        """Return the tiles to which an unmerged shard contributes."""
+        shards = self.shard_map.shards
+        tiles = {
+            tile
+            for name in self.asked - self.results.keys()
+            for tile in shards[name].tiles
+        }
+        return tuple(sorted(tiles))
+
+    def area_gaps(self, area: abc.Iterable[str]) -> tuple[str, ...]:
+        """Return the tiles of an area that are absent or incomplete."""
+        area = set(area)
+        if not area:
+            return ()
+        shards = self.shard_map.shards
+        present = {
+            tile for name in self.results for tile in shards[name].tiles
+        }
+        gaps = (area - present) | (area & set(self.missing_tiles()))
+        return tuple(sorted(gaps))
+
+
+def acceptable(
+    merge: Merge,
+    rules: querytypes.EffectiveRules,
+    area: abc.Iterable[str],
+) -> bool:
+    """Return whether the merge meets the least coverage and the area."""
+    if not merge.results:
+        return False
+    if merge.ratio() < rules.min_coverage_ratio - RATIO_TOLERANCE:
+        return False
+    return not merge.area_gaps(area)
--- /dev/null
+++ b/plantainhook/dispatch.py
@@ -0,0 +1,243 @@
+"""Sending of first attempts, hedges and retries of one query.
+
+The dispatcher owns the shard sets of a query and decides which extra
+attempts the rules, the policy and the load budget allow.
+"""
+
+import heapq
+import typing
+from collections import abc
+
+from plantainhook import (
+    attempts,
+    errors,
+    hedging,
+    quarantine,
+    queryplan,
+    querytypes,
+    routing,
+    snapshot,
+)
+
+Actions = list[querytypes.Action]
+
+HEDGE_DELAY_MIN_S: typing.Final = 0.001
+
+
+class Dispatcher:
+    """Send the work of one query to leafs.
+
+    ``one_at_a_time`` is set for a request that may crash leafs; it is
+    neither hedged nor retried.
+    """
+
+    ledger: attempts.Ledger
+    view: snapshot.VersionView
+    sets: list[attempts.ShardSet]
+    open_count: int
+    one_at_a_time: bool
+    learned: dict[str, frozenset[int]]
+
+    def __init__(
+        self,
+        plan: queryplan.QueryPlan,
+        policies: queryplan.QueryPolicies,
+        policy: hedging.HedgePolicy,
+    ) -> None:
+        self.ledger = attempts.Ledger(plan, policies)
+        self.view = snapshot.NO_VERSION
+        self.sets = []
+        self.open_count = 0
+        self.one_at_a_time = False
+        self.learned = {}
+        self._plan = plan
+        self._policies = policies
+        self._policy = policy
+        self._hedges: list[tuple[float, int]] = []
+        self._restarted = False
+
+    def pin(self, view: snapshot.VersionView) -> None:
+        """Set the version of all further attempts."""
+        self.view = view
+
+    def restart(self) -> None:
+        """Forget all shard sets; their attempts are cancelled before."""
+        self.sets = []
+        self.open_count = 0
+        self._hedges = []
+        self._restarted = True
+
+    def next_hedge_s(self) -> float | None:
+        """Return when a shard set is next to be hedged."""
+        return self._hedges[0][0] if self._hedges else None
+
+    def hedge_late(self, actions: Actions, now_s: float) -> None:
+        """Hedge every shard set whose delay has passed."""
+        while self._hedges and self._hedges[0][0] <= now_s:
+            index = heapq.heappop(self._hedges)[1]
+            self._hedge(index, actions, now_s)
+
+    def settle(self, shard_set: attempts.ShardSet) -> None:
+        """Close a set that has no live attempt."""
+        if not shard_set.settled and not shard_set.live:
+            shard_set.settled = True
+            self.open_count -= 1
+
+    def send_first(
+        self,
+        assignment: routing.Assignment,
+        reason: querytypes.AttemptReason,
+        actions: Actions,
+        now_s: float,
+    ) -> None:
+        """Send a new shard set and schedule its hedge."""
+        group = assignment.group
+        rules = self._plan.rules
+        estimate = self._policies.latencies.of(group, self._plan.request.kind)
+        shard_set = attempts.ShardSet(group, set(assignment.shards), estimate)
+        self.sets.append(shard_set)
+        self.open_count += 1
+        if reason is querytypes.AttemptReason.FIRST:
+            self._policies.counters.first_count += 1
+            self._policies.budgets.of(group).earn(1, rules.extra_load_ratio)
+        self._send(shard_set, assignment, reason, actions, now_s)
+        if self._may_hedge():
+            delay_s = self._policy.hedge_delay_s(estimate, rules)
+            self._schedule_hedge(len(self.sets) - 1, now_s + delay_s)
+
+    def _send(
+        self,
+        shard_set: attempts.ShardSet,
+        assignment: routing.Assignment,
+        reason: querytypes.AttemptReason,
+        actions: Actions,
+        now_s: float,
+    ) -> None:
+        version = self.view.shard_map.version
+        attempt = self.ledger.open(
+            shard_set, assignment.status, assignment.shards, version, now_s
+        )
+        actions.append(
+            querytypes.Send(
+                attempt.attempt_id,
+                assignment.status.info.name,
+                assignment.shards,
+                version,
+                self._plan.request.deadline_s,
+                reason,
+            )
+        )
+
+    def _may_hedge(self) -> bool:
+        return (
+            self._plan.rules.idempotent
+            and not self.one_at_a_time
+            and self._policy.max_hedges(self._plan.rules) > 0
+        )
+
+    def _schedule_hedge(self, index: int, at_s: float) -> None:
+        if at_s < self._plan.request.deadline_s:
+            heapq.heappush(self._hedges, (at_s, index))
+
+    def _hedge(self, index: int, actions: Actions, now_s: float) -> None:
+        shard_set = self.sets[index]
+        rules = self._plan.rules
+        if (
+            shard_set.settled
+            or not shard_set.live
+            or self._may_crash_leafs(now_s)
+        ):
+            return
+        sent = self._send_again(
+            shard_set,
+            shard_set.missing,
+            querytypes.AttemptReason.HEDGE,
+            actions,
+            now_s,
+        )
+        if sent:
+            shard_set.hedge_count += 1
+            self._policies.counters.hedge_count += 1
+        if shard_set.hedge_count < self._policy.max_hedges(rules):
+            delay_s = self._policy.hedge_delay_s(shard_set.estimate, rules)
+            self._schedule_hedge(
+                index, now_s + max(delay_s, HEDGE_DELAY_MIN_S)
+            )
+
+    def _send_again(
+        self,
+        shard_set: attempts.ShardSet,
+        shards: abc.Set[str],
+        reason: querytypes.AttemptReason,
+        actions: Actions,
+        now_s: float,
+    ) -> bool:
+        """Send shards to other replicas as far as the budget allows."""
+        assignments = routing.assign_again(
+            self._current_view(),
+            shard_set,
+            shards,
+            self._policies.replicas,
+            reason is querytypes.AttemptReason.HEDGE,
+            now_s,
+        )
+        sent = False
+        for assignment in assignments:
+            if not self._spend(shard_set.group, now_s):
+                break
+            self._send(shard_set, assignment, reason, actions, now_s)
+            sent = True
+        return sent
+
+    def _spend(self, group: str, now_s: float) -> bool:
+        if not self._policy.budgeted:
+            return True
+        floor = self._plan.rules.extra_load_floor_per_s
+        if self._policies.budgets.of(group).spend(now_s, floor):
+            return True
+        self._policies.counters.budget_denied_count += 1
+        return False
+
+    def _current_view(self) -> snapshot.VersionView:
+        """Return the routes of the pinned version as known now."""
+        latest = self._plan.latest_view()
+        version = self.view.shard_map.version
+        if self._restarted:
+            return snapshot.build_version_view(
+                self.view.shard_map,
+                latest.leafs,
+                latest.data_centre,
+                self.learned,
+            )
+        return latest.versions.get(version, self.view)
+
+    def retry(
+        self,
+        shard_set: attempts.ShardSet,
+        lacking: set[str],
+        ran: errors.Ran,
+        actions: Actions,
+        now_s: float,
+    ) -> None:
+        """Send missing shards again where every rule allows it."""
+        rules = self._plan.rules
+        if not rules.idempotent and ran is not errors.Ran.NO:
+            return
+        if shard_set.retry_count >= self._policy.max_retries(rules):
+            return
+        if now_s >= self._plan.request.deadline_s or self._may_crash_leafs(
+            now_s
+        ):
+            return
+        reason = querytypes.AttemptReason.RETRY
+        if self._send_again(shard_set, lacking, reason, actions, now_s):
+            shard_set.retry_count += 1
+            self._policies.counters.retry_count += 1
+
+    def _may_crash_leafs(self, now_s: float) -> bool:
+        if self.one_at_a_time:
+            return True
+        standing = self._policies.quarantine.standing(
+            self._plan.request.fingerprint, now_s
+        )
+        return standing is not quarantine.Standing.CLEAR
--- a/plantainhook/errors.py
+++ b/plantainhook/errors.py
@@ -115,7 +115,8 @@
 class LeafError(PlantainhookError):
     """Report a failed call to a leaf.
 
-    ``ran`` states whether the leaf may have run the request.
+    ``ran`` states whether the leaf may have run the request. ``served``
+    lists the index versions that a 409 reply names.
     """
 
     def __init__(
@@ -125,10 +126,12 @@
         detail: str,
         kind: LeafFailureKind,
         ran: Ran,
+        served: tuple[int, ...] = (),
     ) -> None:
         super().__init__(step, peer, detail)
         self.kind = kind
         self.ran = ran
+        self.served = served
 
 
 class RefusalKind(enum.StrEnum):
--- a/plantainhook/messages.py
+++ b/plantainhook/messages.py
@@ -32,3 +32,11 @@
     "no index version of target {target!r} is served by any leaf"
 )
 NOT_AUTHORISED: typing.Final = "the token does not have the role {role!r}"
+NO_SHARD_ANSWERED: typing.Final = "no shard answered before the deadline"
+NO_SHARD_LEFT: typing.Final = "no leaf could answer for any shard"
+SHARDS_UNKNOWN: typing.Final = (
+    "index version {snapshot} does not have the shards {shards}"
+)
+SUSPECT_RUNNING: typing.Final = (
+    "this request may have crashed a backend server and is already running"
+)
--- a/plantainhook/querytypes.py
+++ b/plantainhook/querytypes.py
@@ -138,3 +138,21 @@
     fit: bool
     cold: bool
     versions: dict[int, frozenset[str]]
+
+
+@dataclasses.dataclass(slots=True)
+class QueryCounters:
+    """Count what the query decisions dropped, added and denied."""
+
+    late_reply_count: int = 0
+    crossed_reply_count: int = 0
+    wrong_snapshot_count: int = 0
+    unasked_shard_count: int = 0
+    duplicate_shard_count: int = 0
+    first_count: int = 0
+    hedge_count: int = 0
+    retry_count: int = 0
+    restart_count: int = 0
+    budget_denied_count: int = 0
+    early_finish_count: int = 0
+    suspect_run_count: int = 0
--- /dev/null
+++ b/tests/test_query_cases.py
@@ -0,0 +1,80 @@
+"""Driver of the query cases in test-data/query.toml."""
+
+import pathlib
+import tomllib
+import typing
+
+import testtools
+
+from plantainhook import query, queryplan, querytypes
+from tests import querycase
+
+CASES: typing.Final = (
+    pathlib.Path(__file__).parent.parent / "test-data" / "query.toml"
+)
+
+
+def run_event(
+    machine: query.QueryMachine, event: querycase.Table
+) -> list[querytypes.Action]:
+    """Give one event of a case to the machine."""
+    now_s = event["at_s"]
+    if "reply" in event:
+        reply = querycase.build_reply(
+            event["shards"],
+            event.get("version", 1),
+            event.get("request_id", "r1"),
+        )
+        return machine.on_reply(event["reply"], reply, now_s)
+    if "fail" in event:
+        failure = querycase.build_failure(
+            event["kind"], event["ran"], event.get("served", ())
+        )
+        return machine.on_failure(event["fail"], failure, now_s)
+    if "cancel" in event:
+        return machine.on_cancel(now_s)
+    if "timer" in event:
+        return machine.on_timer(now_s)
+    return machine.start(now_s)
+
+
+def run_case(case: querycase.Table) -> tuple[list[str], list[str]]:
+    """Run a case and return expected and actual lines."""
+    versions: querycase.Table = case["versions"]
+    view = querycase.build_view(
+        case["leafs"],
+        versions,
+        case.get("known", versions),
+        case.get("tiles", {}),
+    )
+    rules = querycase.build_rules(case.get("rules", {}))
+    plan = querycase.build_plan(view, rules, case.get("area", ()))
+    policies = queryplan.build_policies("dc-1", 0)
+    for leaf in case.get("lost_before", ()):
+        policies.quarantine.lost(leaf, "f1", 0.0)
+    machine = query.QueryMachine(plan, policies, 0.0)
+    expected: list[str] = []
+    actual: list[str] = []
+    for event in case["events"]:
+        expected += [f"at {event['at_s']}", *event.get("expect", ())]
+        actual.append(f"at {event['at_s']}")
+        actual += [
+            querycase.action_text(action)
+            for action in run_event(machine, event)
+            if not isinstance(action, querytypes.SetTimer)
+        ]
+    for name, count in case.get("counters", {}).items():
+        expected.append(f"{name}={count}")
+        actual.append(f"{name}={getattr(policies.counters, name)}")
+    return expected, actual
+
+
+class QueryCaseTest(testtools.TestCase):
+    """Run every case of the file."""
+
+    def test_cases(self) -> None:
+        """Guards against the failure that each case names."""
+        cases = tomllib.loads(CASES.read_text(encoding="utf-8"))["case"]
+        for case in cases:
+            expected, actual = run_case(case)
+            self.assertEqual(expected, actual, case["guards_against"])
