--- a/plantainhook/messages.py
+++ b/plantainhook/messages.py
@@ -74,4 +74,11 @@
 IN_FORCE: typing.Final = "revision {revision} is in force:"
 APPLY_NEEDS_OBJECTS: typing.Final = (
     "error: name a file to apply or objects to --remove"
+NO_SHARD_ANSWERED: typing.Final = "no shard answered before the deadline"
+NO_SHARD_LEFT: typing.Final = "no leaf could answer for any shard"
+SHARDS_UNKNOWN: typing.Final = (
+    "index version {snapshot} does not have the shards {shards}"
+)
+SUSPECT_RUNNING: typing.Final = (
+    "this request may have crashed a backend server and is already running"
 )
