Add peer seam, membership and gossip over an in-memory transport

Cause: daemons need to know each other and spread settings revisions. Change: frames and write queue, handlers by body type, member table with refutation and bucket hashes, ring push, digests, watchers, quarantine entries; an in-memory network and object API with faults to run them on.

--- /dev/null
+++ b/plantainhook/controlfleet.py
@@ -0,0 +1,225 @@
+"""Many daemons' membership and gossip in one process, over memorynet.
+
+The parts are those of a daemon; only the transport, the object API and the
+store of revisions are small in-memory ones. Used by ``controlbench`` and by
+tests, under a virtual clock.
+"""
+
+import dataclasses
+import random
+import typing
+
+import result
+import trio
+
+from plantainhook import (
+    blackboard,
+    clock,
+    errors,
+    gossip,
+    membership,
+    memorynet,
+    memorystore,
+    objectapi,
+    peers,
+    steps,
+    wire,
+)
+
+INCARNATION_BITS: typing.Final = 64
+
+
+class CountingSource:
+    """Keep revisions as numbers; a delta has a fixed size."""
+
+    def __init__(
+        self, store: memorystore.MemoryStore, delta_bytes: int
+    ) -> None:
+        self._store = store
+        self._delta = bytes(delta_bytes)
+        self._view = blackboard.SettingsView()
+
+    def view(self) -> blackboard.SettingsView:
+        """Return the settings of the highest adopted revision."""
+        return self._view
+
+    async def delta_from(self, revision: int) -> wire.RevisionDelta:
+        """Return a difference of the fixed size."""
+        own = self._view.revision
+        objects = {"object": self._delta}
+        return wire.RevisionDelta(revision, own, str(own), objects, [])
+
+    async def adopt(
+        self, delta: wire.RevisionDelta
+    ) -> result.Result[int, errors.PlantainhookError]:
+        """Adopt a higher revision whose hash fits."""
+        if delta.manifest_hash != str(delta.to_revision):
+            return result.Err(
+                errors.MessageError(
+                    steps.Step.SETTINGS_SPREAD, "source", "wrong hash"
+                )
+            )
+        self._raise_to(delta.to_revision)
+        return result.Ok(self._view.revision)
+
+    async def refresh(
+        self,
+    ) -> result.Result[int, errors.PlantainhookError]:
+        """Adopt the head of the store if it is higher."""
+        head = await self._store.get(gossip.HEAD_KEY)
+        if isinstance(head, result.Err):
+            return result.Err(head.err_value)
+        self._raise_to(head.ok_value.value)
+        return result.Ok(self._view.revision)
+
+    def _raise_to(self, revision: int) -> None:
+        if revision > self._view.revision:
+            self._view = blackboard.SettingsView(revision=revision)
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """Hold the parts of one daemon and the scope that ends it."""
+
+    hello: wire.HelloFrame
+    board: blackboard.Blackboard
+    transport: memorynet.MemoryTransport
+    members: membership.Membership
+    spread: gossip.Gossip
+    scope: trio.CancelScope
+
+    @property
+    def revision(self) -> int:
+        """Return the revision in force."""
+        return self.board.settings.revision
+
+    def live_count(self) -> int:
+        """Return how many members are up, the daemon itself included."""
+        return len(self.members.table.ring())
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FleetOptions:
+    """Hold the shape of a fleet."""
+
+    daemon_count: int = 7
+    data_centre_count: int = 3
+    seed: int = 0
+    loss_ratio: float = 0.0
+    delta_bytes: int = 1024
+    known_members: bool = True
+    member_options: membership.MembershipOptions = dataclasses.field(
+        default_factory=membership.MembershipOptions
+    )
+    gossip_options: gossip.GossipOptions = dataclasses.field(
+        default_factory=gossip.GossipOptions
+    )
+
+
+class Fleet:
+    """Build, run and disturb daemons in the running trio loop."""
+
+    def __init__(self, nursery: trio.Nursery, options: FleetOptions) -> None:
+        self._nursery = nursery
+        self._options = options
+        self.rng = random.Random(options.seed)
+        self.store = memorystore.MemoryStore()
+        self.cut: set[str] = set()
+        self.nodes: list[Node] = []
+        self.network = memorynet.MemoryNetwork(
+            nursery,
+            self.rng,
+            options.loss_ratio,
+            delay_s=0.002,
+            jitter_s=0.004,
+            reachable=self._reachable,
+        )
+        for index in range(options.daemon_count):
+            self.start(index)
+        if options.known_members:
+            self._introduce_all()
+
+    def start(self, index: int) -> Node:
+        """Start a daemon with a new incarnation at the address of an index."""
+        hello = self._hello(index)
+        handlers = peers.Handlers()
+        transport = memorynet.MemoryTransport(self.network, hello, handlers)
+        board = blackboard.Blackboard(hello.incarnation)
+        seeds = (_address(0), _address(1))
+        own = membership.own_entry(hello)
+        time_source = clock.TrioClock()
+        rng = random.Random(self.rng.random())
+        members = membership.Membership(
+            board,
+            own,
+            transport,
+            handlers,
+            dataclasses.replace(
+                self._options.member_options, seed_peers=seeds
+            ),
+            time_source,
+            rng,
+        )
+        source = CountingSource(self.store, self._options.delta_bytes)
+        spread = gossip.Gossip(
+            board,
+            members,
+            source,
+            self.store,
+            transport,
+            handlers,
+            self._options.gossip_options,
+            time_source,
+            rng,
+        )
+        scope = trio.CancelScope()
+        node = Node(hello, board, transport, members, spread, scope)
+        self.nodes.append(node)
+        self._nursery.start_soon(self._run, node)
+        return node
+
+    def stop(self, node: Node) -> None:
+        """End a daemon without notice."""
+        node.scope.cancel()
+        node.transport.close()
+        self.nodes.remove(node)
+
+    async def accept(self, revision: int) -> None:
+        """Write a revision to the head, as an operator's apply does."""
+        version = objectapi.ABSENT_VERSION
+        head = self.store.objects.get(gossip.HEAD_KEY)
+        if head is not None:
+            version = head.version
+        await self.store.put(gossip.HEAD_KEY, revision, version, "operator")
+
+    def _hello(self, index: int) -> wire.HelloFrame:
+        centre = index % self._options.data_centre_count
+        return wire.HelloFrame(
+            wire.PROTOCOL_VERSION,
+            self.rng.getrandbits(INCARNATION_BITS),
+            f"daemon-{index}",
+            f"vm-{index}",
+            f"dc-{centre}",
+            _address(index),
+            _address(index).replace(":7080", ":8080"),
+        )
+
+    def _introduce_all(self) -> None:
+        entries = [membership.own_entry(node.hello) for node in self.nodes]
+        for node in self.nodes:
+            node.members.table.merge(entries, 0.0, spread=False)
+
+    def _reachable(self, sender: str, receiver: str) -> bool:
+        if not self.cut:
+            return True
+        return (sender in self.cut) == (receiver in self.cut)
+
+    async def _run(self, node: Node) -> None:
+        with node.scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(node.members.run)
+                nursery.start_soon(node.spread.run)
+
+
+def _address(index: int) -> str:
+    return f"10.{index >> 16}.{index >> 8 & 255}.{index & 255}:7080"
--- /dev/null
+++ b/plantainhook/gossip.py
@@ -0,0 +1,375 @@
+"""Dissemination of settings revisions and quarantine entries.
+
+Two daemons per data centre watch the settings head. A daemon whose revision
+rises tells its neighbours on the ring; a receiver pulls the difference from
+the first peer that announced it and from the next one only if that fails.
+Digests with a random member repair what was lost. A revision is adopted
+only if it is higher than the own one, whatever its source.
+
+``RevisionSource`` is the store of revisions; ``settingsstore`` implements
+it. The controller owns ``blackboard.settings``.
+"""
+
+import dataclasses
+import random
+import typing
+
+import result
+import trio
+
+from plantainhook import (
+    blackboard,
+    clock,
+    errors,
+    hashing,
+    logs,
+    membership,
+    membertable,
+    objectapi,
+    peers,
+    quarantinesync,
+    registry,
+    wire,
+)
+
+LOGGER: typing.Final = logs.part_logger("gossip")
+HEAD_KEY: typing.Final = "settings/head"
+REQUEST_TIMEOUT_S: typing.Final = 1.0
+PULL_TIMEOUT_S: typing.Final = 4.0
+API_PAUSE_S: typing.Final = 1.0
+API_PAUSE_MAX_S: typing.Final = 30.0
+ANNOUNCER_COUNT: typing.Final = 8
+FAR_LINK_COUNT: typing.Final = 1
+
+
+class RevisionSource(typing.Protocol):
+    """Hold the revisions of the settings that a daemon knows."""
+
+    def view(self) -> blackboard.SettingsView:
+        """Return the settings of the highest adopted revision."""
+
+    async def delta_from(self, revision: int) -> wire.RevisionDelta:
+        """Return the difference from a revision, or a whole copy."""
+
+    async def adopt(
+        self, delta: wire.RevisionDelta
+    ) -> result.Result[int, errors.PlantainhookError]:
+        """Check hashes and adopt a higher revision; return the revision."""
+
+    async def refresh(
+        self,
+    ) -> result.Result[int, errors.PlantainhookError]:
+        """Adopt the head of the object API if higher; return the revision."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Spread:
+    """Say how revisions travel: by push, by digests, by polling."""
+
+    push: bool
+    digest: bool
+    watch: bool
+    poll_by_all: bool
+
+
+SPREADS: typing.Final[registry.Registry[Spread]] = registry.Registry("spread")
+
+
+@SPREADS.register("push")
+def push_spread() -> Spread:
+    """Push to ring neighbours and repair by digests."""
+    return Spread(push=True, digest=True, watch=True, poll_by_all=False)
+
+
+@SPREADS.register("digest")
+def digest_spread() -> Spread:
+    """Exchange digests only."""
+    return Spread(push=False, digest=True, watch=True, poll_by_all=False)
+
+
+@SPREADS.register("poll")
+def poll_spread() -> Spread:
+    """Let every daemon poll the object API."""
+    return Spread(push=False, digest=False, watch=False, poll_by_all=True)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GossipOptions:
+    """Hold the times of gossip, in seconds, and its choices."""
+
+    spread: str = "push"
+    watcher_count: int = 2
+    digest_interval_s: float = 2.0
+    poll_s: float = 30.0
+    watch_timeout_s: float = 20.0
+
+
+class Gossip:
+    """Spread revisions and quarantine entries; publish the settings."""
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        members: membership.Membership,
+        source: RevisionSource,
+        store: objectapi.ObjectApi,
+        transport: peers.PeerTransport,
+        handlers: peers.Handlers,
+        options: GossipOptions,
+        time_source: clock.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._board = board
+        self._members = members
+        self._source = source
+        self._store = store
+        self._transport = transport
+        self._options = options
+        self._spread = SPREADS.create(options.spread)
+        self._clock = time_source
+        self._rng = rng
+        self._announcers: dict[str, int] = {}
+        self._announced = trio.Event()
+        self.quarantine = quarantinesync.QuarantineSync(board)
+        self.pull_count = 0
+        handlers.handles(wire.RevisionNotice)(self._on_notice)
+        handlers.handles(wire.RevisionPull)(self._on_pull)
+        handlers.handles(wire.Digest)(self._on_digest)
+        handlers.handles(wire.QuarantineSync)(self._on_quarantine)
+
+    async def run(self) -> None:
+        """Spread and adopt revisions until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            self._publish()
+            nursery.start_soon(self._pull_loop)
+            nursery.start_soon(self._quarantine_loop)
+            if self._spread.digest:
+                nursery.start_soon(self._digest_loop)
+            if self._spread.watch:
+                nursery.start_soon(self._watch_loop)
+            nursery.start_soon(self._poll_loop)
+
+    # Adoption
+
+    def _publish(self) -> bool:
+        """Put a higher revision in force; return whether there was one."""
+        view = self._source.view()
+        if view.revision <= self._board.settings.revision:
+            return False
+        self._board.settings = view
+        self._board.notify(blackboard.Topic.SETTINGS)
+        LOGGER.info("Revision {} is in force.", view.revision)
+        if self._spread.push:
+            self._push(wire.RevisionNotice(view.revision))
+        return True
+
+    def _push(self, body: wire.AnyBody) -> None:
+        for address in self.neighbour_addresses():
+            self._nursery.start_soon(self._send, address, body)
+
+    async def _send(self, address: str, body: wire.AnyBody) -> None:
+        reply = await self._transport.request(address, body, REQUEST_TIMEOUT_S)
+        if isinstance(reply, result.Err):
+            LOGGER.debug("No reply: {}", reply.err_value)
+
+    def neighbour_addresses(self) -> list[str]:
+        """Return ring neighbours in the data centre and far links."""
+        table = self._members.table
+        own = table.own
+        near = [
+            entry.incarnation
+            for entry in table.up_members()
+            if entry.data_centre == own.data_centre
+        ]
+        far = (
+            entry.incarnation
+            for entry in table.up_members()
+            if entry.data_centre != own.data_centre
+        )
+        chosen = membertable.fingers(near, own.incarnation)
+        key = f"far/{own.incarnation}"
+        chosen += hashing.choose(key, far, FAR_LINK_COUNT)
+        return [table.entries[each].peer_address for each in chosen]
+
+    # Watching and polling
+
+    def is_watcher(self) -> bool:
+        """Return whether this daemon watches for its data centre."""
+        own = self._members.table.own
+        return own.incarnation in self.watchers(own.data_centre)
+
+    def watchers(self, data_centre: str) -> list[int]:
+        """Return the incarnations that watch for a data centre."""
+        near = (
+            entry.incarnation
+            for entry in self._members.table.up_members()
+            if entry.data_centre == data_centre
+        )
+        return hashing.choose(HEAD_KEY, near, self._options.watcher_count)
+
+    async def _watch_loop(self) -> None:
+        version = 0
+        pause_s = API_PAUSE_S
+        while True:
+            if not self.is_watcher():
+                await self._board.changed(blackboard.Topic.MEMBERS).wait()
+                continue
+            changes = await self._store.watch(
+                HEAD_KEY, version, self._options.watch_timeout_s
+            )
+            if isinstance(changes, result.Err):
+                await self._back_off(pause_s)
+                pause_s = min(2 * pause_s, API_PAUSE_MAX_S)
+                continue
+            pause_s = API_PAUSE_S
+            for change in changes.ok_value:
+                version = max(version, change.version)
+            if changes.ok_value:
+                await self._refresh()
+
+    async def _poll_loop(self) -> None:
+        """Poll slowly, so that a broken watch delays but never loses."""
+        while True:
+            if self._spread.poll_by_all or self.is_watcher():
+                await self._refresh()
+            await self._back_off(self._options.poll_s)
+
+    async def _back_off(self, pause_s: float) -> None:
+        await trio.sleep(pause_s * self._rng.uniform(0.5, 1.5))
+
+    async def _refresh(self) -> None:
+        refreshed = await self._source.refresh()
+        if isinstance(refreshed, result.Err):
+            LOGGER.warning("Settings not read: {}", refreshed.err_value)
+        self._publish()
+
+    # Pulling
+
+    def _note(self, address: str, revision: int) -> None:
+        """Remember who announced a higher revision, first come first."""
+        if revision <= self._board.settings.revision:
+            return
+        known = self._announcers.get(address, 0)
+        if known or len(self._announcers) < ANNOUNCER_COUNT:
+            self._announcers[address] = max(known, revision)
+        self._announced.set()
+
+    async def _pull_loop(self) -> None:
+        while True:
+            await self._announced.wait()
+            self._announced = trio.Event()
+            while self._announcers:
+                address = next(iter(self._announcers))
+                revision = self._announcers.pop(address)
+                if revision > self._board.settings.revision:
+                    await self._pull(address)
+
+    async def _pull(self, address: str) -> None:
+        self.pull_count += 1
+        body = wire.RevisionPull(self._board.settings.revision)
+        reply = await self._transport.request(address, body, PULL_TIMEOUT_S)
+        if isinstance(reply, result.Err):
+            LOGGER.info("Pull failed: {}", reply.err_value)
+            return
+        delta = reply.ok_value
+        if not isinstance(delta, wire.RevisionDelta):
+            return
+        if delta.to_revision <= self._board.settings.revision:
+            return
+        adopted = await self._source.adopt(delta)
+        if isinstance(adopted, result.Err):
+            LOGGER.warning("Revision not adopted: {}", adopted.err_value)
+        self._publish()
+
+    # Digests
+
+    async def _digest_loop(self) -> None:
+        while True:
+            await self._back_off(self._options.digest_interval_s)
+            self.quarantine.expire(self._clock.now_s())
+            target = self._random_member()
+            if target is not None:
+                await self._exchange(target.peer_address)
+
+    def _random_member(self) -> wire.MemberEntry | None:
+        table = self._members.table
+        ring = table.ring()
+        if len(ring) < 2:
+            return None
+        chosen = self._rng.choice(ring)
+        while chosen == table.own_incarnation:
+            chosen = self._rng.choice(ring)
+        return table.entries[chosen]
+
+    def _digest(self) -> wire.Digest:
+        return wire.Digest(
+            self._board.settings.revision,
+            self._members.table.members_hash(),
+            self.quarantine.digest(),
+        )
+
+    async def _exchange(self, address: str) -> None:
+        reply = await self._transport.request(
+            address, self._digest(), REQUEST_TIMEOUT_S
+        )
+        if not isinstance(reply, result.Ok):
+            return
+        theirs = reply.ok_value
+        if not isinstance(theirs, wire.Digest):
+            return
+        self._note(address, theirs.revision)
+        if theirs.quarantine_hash != self.quarantine.digest():
+            await self._send_quarantine(address)
+        if theirs.member_hash != self._members.table.members_hash():
+            await self._members.sync_with(address)
+
+    async def _send_quarantine(self, address: str) -> None:
+        message = self.quarantine.message(self._clock.now_s())
+        reply = await self._transport.request(
+            address, message, REQUEST_TIMEOUT_S
+        )
+        if isinstance(reply, result.Ok):
+            theirs = reply.ok_value
+            if isinstance(theirs, wire.QuarantineSync):
+                self.quarantine.merge(theirs, self._clock.now_s())
+
+    async def _quarantine_loop(self) -> None:
+        """Push local news; what peers sent is passed on the same way."""
+        digest = self.quarantine.digest()
+        while True:
+            await self._board.changed(blackboard.Topic.QUARANTINE).wait()
+            if self.quarantine.digest() == digest:
+                continue
+            digest = self.quarantine.digest()
+            if self._spread.push:
+                self._push(self.quarantine.message(self._clock.now_s()))
+
+    # Requests of peers
+
+    async def _on_notice(
+        self, sender: wire.HelloFrame, body: wire.RevisionNotice
+    ) -> wire.AnyBody:
+        self._note(sender.peer_address, body.revision)
+        return wire.Ack()
+
+    async def _on_pull(
+        self, sender: wire.HelloFrame, body: wire.RevisionPull
+    ) -> wire.AnyBody:
+        revision = self._board.settings.revision
+        if revision <= body.have_revision:
+            return wire.RevisionNotice(revision)
+        return await self._source.delta_from(body.have_revision)
+
+    async def _on_digest(
+        self, sender: wire.HelloFrame, body: wire.Digest
+    ) -> wire.AnyBody:
+        self._note(sender.peer_address, body.revision)
+        return self._digest()
+
+    async def _on_quarantine(
+        self, sender: wire.HelloFrame, body: wire.QuarantineSync
+    ) -> wire.AnyBody:
+        now_s = self._clock.now_s()
+        self.quarantine.merge(body, now_s)
+        return self.quarantine.message(now_s)
--- /dev/null
+++ b/plantainhook/memorynet.py
@@ -0,0 +1,150 @@
+"""In-memory peer transport with faults, for tests and ``bench-control``.
+
+Frames are encoded and decoded as on TCP, so sizes and CPU are real.
+``loss_ratio`` applies to each message, so a request fails with
+``1 - (1 - loss_ratio) ** 2``. A lost message shows as a timeout.
+"""
+
+import dataclasses
+import random
+import typing
+from collections import abc
+
+import result
+import trio
+
+from plantainhook import errors, peers, wire
+
+FOREVER_S: typing.Final = 1e9
+
+
+@dataclasses.dataclass(slots=True)
+class Traffic:
+    """Count the messages and bytes that one daemon sent."""
+
+    message_count: int = 0
+    sent_bytes: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Delivery:
+    """Hold the encoded reply once the handler has finished."""
+
+    done: trio.Event = dataclasses.field(default_factory=trio.Event)
+    answer: bytes = b""
+
+
+@dataclasses.dataclass(slots=True)
+class MemoryNetwork:
+    """Connect transports; delays are in seconds, one way.
+
+    ``reachable`` answers whether messages pass between two addresses. The
+    nursery runs the handlers, which outlive a requester's timeout.
+    """
+
+    nursery: trio.Nursery
+    rng: random.Random
+    loss_ratio: float = 0.0
+    duplicate_ratio: float = 0.0
+    delay_s: float = 0.001
+    jitter_s: float = 0.0
+    reachable: abc.Callable[[str, str], bool] = lambda _from, _to: True
+    nodes: dict[str, "MemoryTransport"] = dataclasses.field(
+        default_factory=dict
+    )
+
+    async def carry(self, sender: str, receiver: str) -> bool:
+        """Delay a message and return whether it arrives."""
+        await trio.sleep(self.delay_s + self.rng.random() * self.jitter_s)
+        if self.rng.random() < self.loss_ratio:
+            return False
+        return self.reachable(sender, receiver)
+
+
+class MemoryTransport:
+    """Send requests through a memory network."""
+
+    def __init__(
+        self,
+        network: MemoryNetwork,
+        hello: wire.HelloFrame,
+        handlers: peers.Handlers,
+    ) -> None:
+        self._network = network
+        self._hello = hello
+        self._handlers = handlers
+        self._address = hello.peer_address
+        self._last_id = 0
+        self.traffic = Traffic()
+        network.nodes[self._address] = self
+
+    def close(self) -> None:
+        """Stop answering, as a daemon that died."""
+        if self._network.nodes.get(self._address) is self:
+            del self._network.nodes[self._address]
+
+    async def request(
+        self, peer_address: str, body: wire.AnyBody, timeout_s: float
+    ) -> peers.Reply:
+        """Return the reply to a request, or why there is none."""
+        if peer_address not in self._network.nodes:
+            await trio.sleep(self._network.delay_s)
+            detail = "connection refused"
+            return peers.failure(body, peer_address, detail, errors.Ran.NO)
+        with trio.move_on_after(timeout_s):
+            reply = await self._exchange(peer_address, body)
+            return peers.reply_of(body, peer_address, reply)
+        detail = f"no reply within {timeout_s} s"
+        return peers.failure(body, peer_address, detail, errors.Ran.MAYBE)
+
+    async def _exchange(
+        self, peer_address: str, body: wire.AnyBody
+    ) -> wire.AnyBody:
+        self._last_id += 1
+        data = self._send(wire.RequestFrame(self._last_id, body))
+        if not await self._network.carry(self._address, peer_address):
+            await trio.sleep(FOREVER_S)
+        receiver = self._network.nodes.get(peer_address)
+        if receiver is None:
+            return await self._never()
+        if self._network.rng.random() < self._network.duplicate_ratio:
+            self._network.nursery.start_soon(
+                receiver.deliver, self._hello, data, Delivery()
+            )
+        delivery = Delivery()
+        self._network.nursery.start_soon(
+            receiver.deliver, self._hello, data, delivery
+        )
+        await delivery.done.wait()
+        if not await self._network.carry(peer_address, self._address):
+            return await self._never()
+        return _body_of(delivery.answer)
+
+    async def _never(self) -> wire.AnyBody:
+        await trio.sleep(FOREVER_S)
+        raise AssertionError("a lost message never arrives")
+
+    def _send(self, frame: wire.AnyFrame) -> bytes:
+        data = wire.encode_frame(frame)
+        self.traffic.message_count += 1
+        self.traffic.sent_bytes += len(data)
+        return data
+
+    async def deliver(
+        self, sender: wire.HelloFrame, data: bytes, delivery: Delivery
+    ) -> None:
+        """Handle an encoded request and keep the encoded reply."""
+        reply = await self._handlers.handle(sender, _body_of(data))
+        delivery.answer = self._send(wire.ReplyFrame(0, reply))
+        delivery.done.set()
+
+
+def _body_of(data: bytes) -> wire.AnyBody:
+    body = data[wire.FRAME_HEADER.size :]
+    decoded = wire.decode_body(body, "memory", peers.step_of(wire.Ack()))
+    if isinstance(decoded, result.Err):
+        raise decoded.err_value
+    frame = decoded.ok_value
+    if isinstance(frame, wire.HelloFrame):
+        raise TypeError("a hello is no request or reply")
+    return frame.body
--- a/plantainhook/wire.py
+++ b/plantainhook/wire.py
@@ -28,6 +28,12 @@
     detail: str
 
 
+class Failed(Body, frozen=True, tag=True, array_like=True):
+    """Report a request that failed after the receiver began to act."""
+
+    detail: str
+
+
 class RevisionNotice(Body, frozen=True, tag=True, array_like=True):
     """Tell the sender's settings revision."""
 
@@ -84,6 +90,7 @@
     """Ask the receiver to probe another member."""
 
     peer_address: str
+    incarnation: int
 
 
 class IndirectResult(Body, frozen=True, tag=True, array_like=True):
@@ -100,17 +107,82 @@
     quarantine_hash: int
 
 
+class MemberBuckets(Body, frozen=True, tag=True, array_like=True):
+    """Carry one hash per bucket of the sender's live members."""
+
+    hashes: list[int]
+
+
+class MemberSummary(Body, frozen=True, tag=True, array_like=True):
+    """Carry the versions of the members in the buckets that differ.
+
+    ``versions`` maps incarnations to ``counter << 3 | state``.
+    """
+
+    buckets: list[int]
+    versions: dict[int, int]
+
+
 class MemberSync(Body, frozen=True, tag=True, array_like=True):
-    """Carry the whole member list."""
+    """Carry members that the receiver lacks and ask for others."""
 
     members: list[MemberEntry]
+    wanted: list[int]
 
 
 class QuarantineSync(Body, frozen=True, tag=True, array_like=True):
     """Carry quarantine entries as fingerprint to seconds left."""
 
     left_s: dict[str, float]
-    cleared: list[str]
+    cleared_left_s: dict[str, float]
+
+
+class StatusQuery(Body, frozen=True, tag=True, array_like=True):
+    """Ask for the revisions of the daemons of the receiver's data centre."""
+
+
+class StatusReport(Body, frozen=True, tag=True, array_like=True):
+    """Tell a watcher of the data centre the sender's revision."""
+
+    revision: int
+
+
+class StatusCounts(Body, frozen=True, tag=True, array_like=True):
+    """Count the daemons of a data centre by revision.
+
+    ``silent_count`` counts live daemons that have not reported.
+    """
+
+    data_centre: str
+    counts: dict[int, int]
+    silent_count: int
+
+
+class ClaimMemory(Body, frozen=True, tag=True, array_like=True):
+    """Carry a share claim for the receiver to remember; JSON text."""
+
+    key: str
+    vm_id: str
+    peer_address: str
+    value: bytes
+
+
+class ClaimForget(Body, frozen=True, tag=True, array_like=True):
+    """Ask the receiver to forget a share claim."""
+
+    key: str
+
+
+class ClaimRecall(Body, frozen=True, tag=True, array_like=True):
+    """Ask for the remembered claims of the sender's VM and address."""
+
+    vm_id: str
+
+
+class ClaimRecalled(Body, frozen=True, tag=True, array_like=True):
+    """Carry the remembered claims of a VM."""
+
+    claims: list[ClaimMemory]
 
 
 class LeafWork(Body, frozen=True, tag=True, array_like=True):
@@ -167,6 +239,7 @@
 
 AnyBody = (
     Refused
+    | Failed
     | RevisionNotice
     | RevisionPull
     | RevisionDelta
@@ -175,8 +248,17 @@
     | IndirectProbe
     | IndirectResult
     | Digest
+    | MemberBuckets
+    | MemberSummary
     | MemberSync
     | QuarantineSync
+    | StatusQuery
+    | StatusReport
+    | StatusCounts
+    | ClaimMemory
+    | ClaimForget
+    | ClaimRecall
+    | ClaimRecalled
     | LeafWork
     | LeafWorkDone
     | LeafWorkFailed
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,97 @@
+"""Tests of membership and gossip together, driven by test-data/fleet.toml."""
+
+import pathlib
+import tomllib
+import traceback
+import typing
+
+import testtools
+import trio
+import trio.testing
+
+from plantainhook import controlfleet
+
+CASES_FILE: typing.Final = (
+    pathlib.Path(__file__).parent.parent / "test-data" / "fleet.toml"
+)
+
+
+class FleetRun:
+    """Carry out the steps of one case and wait for convergence."""
+
+    def __init__(
+        self, fleet: controlfleet.Fleet, case: dict[str, typing.Any]
+    ) -> None:
+        self.fleet = fleet
+        self.case = case
+        self.revision = 0
+
+    async def step(self, step: dict[str, typing.Any]) -> None:
+        match step["do"]:
+            case "accept":
+                self.revision += 1
+                await self.fleet.accept(self.revision)
+            case "stop":
+                self.fleet.stop(self.fleet.nodes[step["index"]])
+            case "start":
+                self.fleet.start(step["index"])
+            case "cut":
+                centre = f"dc-{step['index']}"
+                self.fleet.cut |= {
+                    node.hello.peer_address
+                    for node in self.fleet.nodes
+                    if node.hello.data_centre == centre
+                }
+            case "heal":
+                self.fleet.cut.clear()
+            case "down":
+                self.fleet.store.set_down(True)
+            case "sleep":
+                await trio.sleep(step["s"])
+            case other:
+                raise ValueError(f"unknown step {other!r}")
+
+    def converged(self) -> bool:
+        count = len(self.fleet.nodes)
+        return all(
+            node.revision == self.revision and node.live_count() == count
+            for node in self.fleet.nodes
+        )
+
+    async def run(self) -> None:
+        for step in self.case["steps"]:
+            await self.step(step)
+        with trio.fail_after(self.case["limit_s"]):
+            while True:
+                if self.converged():
+                    return
+                await trio.sleep(0.25)
+
+
+async def run_case(case: dict[str, typing.Any]) -> None:
+    """Run one case in a fleet of its own."""
+    options = controlfleet.FleetOptions(
+        daemon_count=case["daemons"],
+        loss_ratio=case.get("loss", 0.0),
+        known_members=case.get("known", True),
+    )
+    async with trio.open_nursery() as nursery:
+        fleet = controlfleet.Fleet(nursery, options)
+        fleet.network.duplicate_ratio = case.get("duplicate", 0.0)
+        await FleetRun(fleet, case).run()
+        nursery.cancel_scope.cancel()
+
+
+class FleetTest(testtools.TestCase):
+    """Run every case."""
+
+    def test_cases(self) -> None:
+        """Guards against members or revisions that do not converge."""
+        cases = tomllib.loads(CASES_FILE.read_text(encoding="utf-8"))
+        for case in cases["case"]:
+            mock = trio.testing.MockClock(autojump_threshold=0)
+            try:
+                trio.run(run_case, case, clock=mock)
+            except BaseExceptionGroup as error:
+                traceback.print_exception(error)
+                self.fail(case["name"])
