--- a/plantainhook/peers.py
+++ b/plantainhook/peers.py
@@ -3,8 +3,10 @@
 ``PeerTransport`` is what membership, gossip, forwarding and shares send
 through; ``peerlinks.TcpPeers`` implements it over TCP or TLS and
 ``memorynet.MemoryTransport`` in memory. A receiver hands each request to
-the handler of its body type. An error says ``ran=no`` only where the
-request was never written or the receiver refused it.
+the handler of its body type; a handler is cancelled when the link of its
+sender ends, so work that must finish runs in a task of its own. An error
+says ``ran=no`` only where the request was never written or the receiver
+refused it.
 """
 
 import typing
