Add monthly figures from request records to the text report

Cause: the monthly figures were produced only by the old system. Change: figure definitions are a pydantic model with the old system's rules; records are counted per kind and UTC slice, written as segments by conditional update, folded into month objects under a lease epoch, and printed as text, JSON or CSV from exported objects. A separate replay computes the same figures from single records.

--- /dev/null
+++ b/plantainhook/documents.py
@@ -0,0 +1,191 @@
+"""Documents of cells in the object API, split into parts where large.
+
+A document is a head object and the parts that it names. Cells are grouped by
+the UTC day of arrival. Groups stand in the head while it stays small; the
+others are written to part objects first, and one conditional update of the
+head then replaces the whole document. A part belongs to one write and is
+never changed, so a reader sees either the old or the new document.
+
+A write is named by its request id. Repeating it with the same id and the
+same content has no further effect.
+"""
+
+import typing
+from collections import abc
+
+import msgspec
+import result
+
+from plantainhook import cells, errors, figures, objectapi, steps
+
+PART_PREFIX: typing.Final = "figures/part/"
+# A head of this size stays below the object API's limit of 1 MB with its
+# other fields.
+INLINE_LIMIT_BYTES: typing.Final = 600_000
+PART_LIMIT_BYTES: typing.Final = 900_000
+
+PutOutcome = result.Result[objectapi.StoredObject, errors.PlantainhookError]
+Put = abc.Callable[
+    [str, typing.Any, int, str],
+    abc.Coroutine[typing.Any, typing.Any, "PutOutcome"],
+]
+Rows = list[cells.CellRow]
+
+
+class Group(msgspec.Struct, frozen=True):
+    """Hold the cells of one group, or the keys of the parts with them."""
+
+    rows: list[cells.CellRow] = []
+    parts: list[str] = []
+
+
+class Part(msgspec.Struct, frozen=True):
+    """Hold cells outside the head."""
+
+    rows: list[cells.CellRow]
+
+
+class GroupWrite(typing.NamedTuple):
+    """Name the owner and the write to which new parts belong."""
+
+    owner: str
+    write_id: str
+
+
+def rows_by_day(rows: abc.Iterable[cells.CellRow]) -> dict[str, Rows]:
+    """Group cells by the UTC day of arrival."""
+    groups: dict[str, Rows] = {}
+    for row in rows:
+        day = figures.day_of_slice(row.arrival_slice)
+        groups.setdefault(day, []).append(row)
+    return groups
+
+
+def encoded_size(rows: Rows) -> int:
+    """Return the size of the cells as JSON in bytes."""
+    return len(msgspec.json.encode(rows))
+
+
+async def put_resolved(
+    put: Put,
+    api: objectapi.ObjectApi,
+    key: str,
+    value: typing.Any,
+    if_version: int,
+    request_id: str,
+) -> PutOutcome:
+    """Write, and read back where the outcome is not certain.
+
+    An ObjectOutcomeUnknownError that remains means that the write may still
+    take effect; the caller repeats it unchanged.
+    """
+    outcome: PutOutcome = await put(key, value, if_version, request_id)
+    if isinstance(outcome, result.Ok):
+        return outcome
+    unclear = (errors.ObjectOutcomeUnknownError, errors.ObjectConflictError)
+    if not isinstance(outcome.err_value, unclear):
+        return outcome
+    read = await api.get(key)
+    if isinstance(read, result.Ok) and read.ok_value.request_id == request_id:
+        return read
+    return outcome
+
+
+async def store_groups(
+    api: objectapi.ObjectApi, write: GroupWrite, groups: dict[str, Group]
+) -> result.Result[dict[str, Group], errors.PlantainhookError]:
+    """Move the largest groups into parts until the rest fits the head."""
+    stored = dict(groups)
+    sizes = sorted(
+        (encoded_size(group.rows), name) for name, group in groups.items()
+    )
+    total_bytes = 0
+    for size_bytes, name in sizes:
+        total_bytes += size_bytes
+        if total_bytes <= INLINE_LIMIT_BYTES or not groups[name].rows:
+            continue
+        moved = await _store_parts(api, write, name, groups[name].rows)
+        if isinstance(moved, result.Err):
+            return moved
+        stored[name] = Group(parts=moved.ok_value)
+    return result.Ok(stored)
+
+
+async def _store_parts(
+    api: objectapi.ObjectApi, write: GroupWrite, name: str, rows: Rows
+) -> result.Result[list[str], errors.PlantainhookError]:
+    keys = []
+    for number, chunk in enumerate(_chunks(rows)):
+        key = f"{PART_PREFIX}{write.owner}/{write.write_id}/{name}/{number}"
+        value = msgspec.to_builtins(Part(chunk))
+        outcome = await put_resolved(
+            api.put, api, key, value, objectapi.ABSENT_VERSION, write.write_id
+        )
+        if isinstance(outcome, result.Err):
+            return outcome
+        keys.append(key)
+    return result.Ok(keys)
+
+
+def _chunks(rows: Rows) -> abc.Iterator[Rows]:
+    chunk: Rows = []
+    chunk_bytes = 0
+    for row in rows:
+        row_bytes = encoded_size([row])
+        if chunk and chunk_bytes + row_bytes > PART_LIMIT_BYTES:
+            yield chunk
+            chunk, chunk_bytes = [], 0
+        chunk.append(row)
+        chunk_bytes += row_bytes
+    yield chunk
+
+
+async def load_group(
+    api: objectapi.ObjectApi, group: Group
+) -> result.Result[Rows, errors.PlantainhookError]:
+    """Return the cells of a group with those of its parts."""
+    rows = list(group.rows)
+    for key in group.parts:
+        read = await api.get(key)
+        if isinstance(read, result.Err):
+            return read
+        part = convert(read.ok_value, Part)
+        if isinstance(part, result.Err):
+            return part
+        rows.extend(part.ok_value.rows)
+    return result.Ok(rows)
+
+
+async def drop_parts(
+    api: objectapi.ObjectApi,
+    old: dict[str, Group],
+    kept: dict[str, Group],
+    write_id: str,
+) -> None:
+    """Delete the parts that a replaced head named and the new one does not.
+
+    A part that cannot be deleted now stays behind unused.
+    """
+    kept_keys = {key for group in kept.values() for key in group.parts}
+    for group in old.values():
+        for key in set(group.parts) - kept_keys:
+            read = await api.get(key)
+            if isinstance(read, result.Ok):
+                await api.delete(key, read.ok_value.version, write_id)
+
+
+T = typing.TypeVar("T")
+
+
+def convert(
+    stored: objectapi.StoredObject, struct_type: type[T]
+) -> result.Result[T, errors.PlantainhookError]:
+    """Validate the value of an object."""
+    try:
+        return result.Ok(msgspec.convert(stored.value, struct_type))
+    except msgspec.ValidationError as error:
+        return result.Err(
+            errors.MessageError(
+                steps.Step.FIGURES_FOLD, stored.key, str(error)
+            )
+        )
--- /dev/null
+++ b/plantainhook/folding.py
@@ -0,0 +1,354 @@
+"""Folding: sums the segments of gone daemons into month objects.
+
+One holder of a lease folds at a time. A pass lists the segments, seals those
+of daemons that are gone, adds the closed and sealed ones to the month objects
+and then marks them as folded. Every step can be repeated:
+
+- sealing is a conditional update, after which the daemon cannot write;
+- a month object lists the segments it contains until they are marked, so a
+  segment that is already in it is left out;
+- a month object carries the highest lease epoch that wrote it, so a holder
+  that was paused in the middle of a pass cannot add a segment that its
+  successor has folded, marked and taken off the list.
+
+What a sealed segment does not cover is a gap, unless the daemon turns out to
+be alive and continues in a further segment.
+"""
+
+import dataclasses
+import secrets
+import typing
+from collections import abc
+
+import msgspec
+import result
+
+from plantainhook import (
+    documents,
+    errors,
+    figures,
+    foldplan,
+    logs,
+    monthdocs,
+    objectapi,
+    segments,
+)
+
+LOGGER: typing.Final = logs.part_logger("folding")
+
+
+class FencedWriter(typing.Protocol):
+    """Write month objects under a lease."""
+
+    @property
+    def epoch(self) -> int:
+        """Return the epoch of the lease that this writer holds."""
+
+    async def fenced_put(
+        self, key: str, value: typing.Any, if_version: int, request_id: str
+    ) -> result.Result[objectapi.StoredObject, errors.PlantainhookError]:
+        """Write like ``ObjectApi.put``, or FencedError without a lease.
+
+        ``value["epoch"]`` is the epoch of the lease.
+        """
+
+
+@dataclasses.dataclass(slots=True)
+class FoldSummary:
+    """Count what a pass did; ``failures`` are tried again by the next."""
+
+    sealed_count: int = 0
+    folded_count: int = 0
+    closed_months: list[str] = dataclasses.field(default_factory=list)
+    failures: list[errors.PlantainhookError] = dataclasses.field(
+        default_factory=list
+    )
+
+
+Outcome = result.Result[None, errors.PlantainhookError]
+
+
+class Folder:
+    """Fold segments while a lease is held."""
+
+    _api: objectapi.ObjectApi
+    _writer: FencedWriter
+
+    def __init__(self, api: objectapi.ObjectApi, writer: FencedWriter) -> None:
+        self._api = api
+        self._writer = writer
+
+    async def fold(
+        self, now_wall_s: float, gone: abc.Sequence[foldplan.GoneDaemon]
+    ) -> result.Result[FoldSummary, errors.PlantainhookError]:
+        """Run one pass; an Err or a failure leaves work for the next one."""
+        listed = await foldplan.list_segments(self._api)
+        if isinstance(listed, result.Err):
+            return listed
+        fold_pass = FoldPass(
+            self._api, self._writer, now_wall_s, listed.ok_value
+        )
+        await fold_pass.run(gone)
+        return result.Ok(fold_pass.summary)
+
+
+class FoldPass:
+    """Run one pass under the epoch that was held when it began."""
+
+    summary: FoldSummary
+    _api: objectapi.ObjectApi
+    _writer: FencedWriter
+    _epoch: int
+    _now_wall_s: float
+    _found: foldplan.Segments
+
+    def __init__(
+        self,
+        api: objectapi.ObjectApi,
+        writer: FencedWriter,
+        now_wall_s: float,
+        found: foldplan.Segments,
+    ) -> None:
+        self.summary = FoldSummary()
+        self._api = api
+        self._writer = writer
+        self._epoch = writer.epoch
+        self._now_wall_s = now_wall_s
+        self._found = found
+
+    async def run(self, gone: abc.Sequence[foldplan.GoneDaemon]) -> None:
+        """Seal, fold and close, and count the outcome in the summary."""
+        for daemon in gone:
+            await self._seal(daemon)
+        ready = await self._contributions()
+        await self._fold_months(ready)
+        await self._close_months()
+
+    async def _seal(self, gone: foldplan.GoneDaemon) -> None:
+        last = foldplan.last_segment(
+            self._found, segments.incarnation_name(gone.incarnation)
+        )
+        sealed = foldplan.sealed_head(gone, last)
+        if sealed is None:
+            return
+        version = objectapi.ABSENT_VERSION
+        if last is not None and last.head.key() == sealed.key():
+            version = last.version
+        write_id = secrets.token_hex(16)
+        outcome = await documents.put_resolved(
+            self._api.put,
+            self._api,
+            sealed.key(),
+            msgspec.to_builtins(sealed),
+            version,
+            write_id,
+        )
+        if isinstance(outcome, result.Err):
+            self.summary.failures.append(outcome.err_value)
+            return
+        LOGGER.info("Sealed {} of {}.", sealed.key(), sealed.daemon)
+        self.summary.sealed_count += 1
+        self._found[sealed.key()] = foldplan.StoredSegment(
+            sealed, outcome.ok_value.version
+        )
+
+    async def _contributions(self) -> list[foldplan.Contribution]:
+        ready = []
+        for key in sorted(self._found):
+            stored = self._found[key]
+            if stored.head.state not in foldplan.READY_STATES:
+                continue
+            loaded = await self._contribution(stored)
+            if isinstance(loaded, result.Err):
+                self.summary.failures.append(loaded.err_value)
+                continue
+            ready.append(loaded.ok_value)
+        return ready
+
+    async def _contribution(
+        self, stored: foldplan.StoredSegment
+    ) -> result.Result[foldplan.Contribution, errors.PlantainhookError]:
+        head = stored.head
+        rows: documents.Rows = []
+        for group in head.groups.values():
+            loaded = await documents.load_group(self._api, group)
+            if isinstance(loaded, result.Err):
+                return loaded
+            rows.extend(loaded.ok_value)
+        by_month = monthdocs.rows_by_month(rows)
+        to_wall_s = max(head.covered_to_wall_s, head.gone_wall_s)
+        covered = figures.months_between(head.covered_from_wall_s, to_wall_s)
+        months = frozenset(by_month) | frozenset(covered)
+        gap = foldplan.gap_of(head, self._found)
+        return result.Ok(foldplan.Contribution(stored, by_month, months, gap))
+
+    async def _fold_months(
+        self,
+        ready: list[foldplan.Contribution],
+    ) -> None:
+        failed: set[figures.Month] = set()
+        for month in sorted({m for item in ready for m in item.months}):
+            added = [item for item in ready if month in item.months]
+            outcome = await self._fold_month(month, added)
+            if isinstance(outcome, result.Err):
+                self.summary.failures.append(outcome.err_value)
+                failed.add(month)
+        for item in ready:
+            if not item.months & failed:
+                await self._mark_folded(item.segment)
+
+    async def _fold_month(
+        self,
+        month: figures.Month,
+        added: list[foldplan.Contribution],
+    ) -> Outcome:
+        read = await self._read_month(month)
+        if isinstance(read, result.Err):
+            return read
+        head, version = read.ok_value
+        new = [
+            item
+            for item in added
+            if item.segment.head.key() not in head.folded
+        ]
+        if not new:
+            return result.Ok(None)
+        section = head.section(self._now_wall_s)
+        groups = await self._merged_groups(head, section, month, new)
+        if isinstance(groups, result.Err):
+            return groups
+        changed = msgspec.structs.replace(
+            head,
+            epoch=self._epoch,
+            folded=foldplan.folded_list(head, new, self._found),
+            folded_count=head.folded_count + len(new),
+            gaps=foldplan.merged_gaps(head, section, month, new),
+            groups=groups.ok_value,
+        )
+        return await self._write_month(month, head, changed, version)
+
+    async def _read_month(
+        self, month: figures.Month
+    ) -> result.Result[
+        tuple[monthdocs.MonthHead, int], errors.PlantainhookError
+    ]:
+        read = await self._api.get(monthdocs.month_key(month))
+        if isinstance(read, result.Err):
+            if isinstance(read.err_value, errors.ObjectNotFoundError):
+                empty = monthdocs.MonthHead(str(month), self._epoch)
+                return result.Ok((empty, objectapi.ABSENT_VERSION))
+            return read
+        head = documents.convert(read.ok_value, monthdocs.MonthHead)
+        if isinstance(head, result.Err):
+            return head
+        if self._is_fenced(head.ok_value):
+            return result.Err(foldplan.fenced(head.ok_value, self._epoch))
+        return result.Ok((head.ok_value, read.ok_value.version))
+
+    def _is_fenced(self, head: monthdocs.MonthHead) -> bool:
+        lost = self._writer.epoch != self._epoch
+        return lost or head.epoch > self._epoch
+
+    async def _merged_groups(
+        self,
+        head: monthdocs.MonthHead,
+        section: str,
+        month: figures.Month,
+        new: list[foldplan.Contribution],
+    ) -> result.Result[dict[str, documents.Group], errors.PlantainhookError]:
+        groups = dict(head.groups)
+        rows = [row for item in new for row in item.rows.get(month, [])]
+        for day, added in documents.rows_by_day(rows).items():
+            name = monthdocs.group_name(section, day)
+            loaded = await documents.load_group(
+                self._api, groups.get(name, documents.Group())
+            )
+            if isinstance(loaded, result.Err):
+                return loaded
+            merged = monthdocs.merge_rows(loaded.ok_value, added)
+            groups[name] = documents.Group(rows=merged)
+        return result.Ok(groups)
+
+    async def _write_month(
+        self,
+        month: figures.Month,
+        old: monthdocs.MonthHead,
+        head: monthdocs.MonthHead,
+        version: int,
+    ) -> Outcome:
+        key = monthdocs.month_key(month)
+        write_id = secrets.token_hex(16)
+        stored = await documents.store_groups(
+            self._api,
+            documents.GroupWrite(str(month), write_id),
+            head.groups,
+        )
+        if isinstance(stored, result.Err):
+            return stored
+        head = msgspec.structs.replace(head, groups=stored.ok_value)
+        outcome = await documents.put_resolved(
+            self._writer.fenced_put,
+            self._api,
+            key,
+            msgspec.to_builtins(head),
+            version,
+            write_id,
+        )
+        if isinstance(outcome, result.Err):
+            return outcome
+        await documents.drop_parts(
+            self._api, old.groups, head.groups, write_id
+        )
+        return result.Ok(None)
+
+    async def _mark_folded(self, stored: foldplan.StoredSegment) -> None:
+        marked = msgspec.structs.replace(
+            stored.head, state=segments.SegmentState.FOLDED, groups={}
+        )
+        key = stored.head.key()
+        write_id = secrets.token_hex(16)
+        outcome = await documents.put_resolved(
+            self._api.put,
+            self._api,
+            key,
+            msgspec.to_builtins(marked),
+            stored.version,
+            write_id,
+        )
+        if isinstance(outcome, result.Err):
+            self.summary.failures.append(outcome.err_value)
+            return
+        self.summary.folded_count += 1
+        LOGGER.info("Folded {}.", key)
+        await documents.drop_parts(self._api, stored.head.groups, {}, write_id)
+
+    async def _close_months(self) -> None:
+        listing = await self._api.list(monthdocs.MONTH_PREFIX)
+        if isinstance(listing, result.Err):
+            self.summary.failures.append(listing.err_value)
+            return
+        for stored in listing.ok_value.objects:
+            head = documents.convert(stored, monthdocs.MonthHead)
+            if isinstance(head, result.Err):
+                self.summary.failures.append(head.err_value)
+            elif monthdocs.is_due_to_close(head.ok_value, self._now_wall_s):
+                await self._close_month(head.ok_value, stored.version)
+
+    async def _close_month(
+        self,
+        head: monthdocs.MonthHead,
+        version: int,
+    ) -> None:
+        if self._is_fenced(head):
+            self.summary.failures.append(foldplan.fenced(head, self._epoch))
+            return
+        closed = msgspec.structs.replace(
+            head, epoch=self._epoch, closed_wall_s=self._now_wall_s
+        )
+        month = figures.parse_month(head.month)
+        outcome = await self._write_month(month, head, closed, version)
+        if isinstance(outcome, result.Err):
+            self.summary.failures.append(outcome.err_value)
+            return
+        self.summary.closed_months.append(head.month)
+        LOGGER.info("Closed month {}.", head.month)
--- /dev/null
+++ b/plantainhook/foldplan.py
@@ -0,0 +1,215 @@
+"""Decisions of a folding pass: what to seal, what is a gap, what is listed.
+
+Everything but ``list_segments`` is pure; ``folding`` carries it out.
+"""
+
+import dataclasses
+import typing
+from collections import abc
+
+import msgspec
+import result
+
+from plantainhook import (
+    documents,
+    errors,
+    figures,
+    monthdocs,
+    objectapi,
+    segments,
+    steps,
+)
+
+READY_STATES: typing.Final = frozenset(
+    {segments.SegmentState.CLOSED, segments.SegmentState.SEALED}
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GoneDaemon:
+    """Name an incarnation that serves no more requests.
+
+    ``started_wall_s`` is where its gap begins if it has written nothing.
+    """
+
+    daemon: str
+    incarnation: int
+    started_wall_s: float
+    gone_wall_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredSegment:
+    """Hold a segment head and the version at which it was read."""
+
+    head: segments.SegmentHead
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Contribution:
+    """Hold what one segment adds to the month objects."""
+
+    segment: StoredSegment
+    rows: dict[figures.Month, documents.Rows]
+    months: frozenset[figures.Month]
+    gap: monthdocs.Gap | None
+
+
+Segments = dict[str, StoredSegment]
+
+
+async def list_segments(
+    api: objectapi.ObjectApi,
+) -> result.Result[Segments, errors.PlantainhookError]:
+    """Return all segment heads by key."""
+    listing = await api.list(segments.SEGMENT_PREFIX)
+    if isinstance(listing, result.Err):
+        return listing
+    found: Segments = {}
+    for stored in listing.ok_value.objects:
+        head = documents.convert(stored, segments.SegmentHead)
+        if isinstance(head, result.Err):
+            return head
+        found[stored.key] = StoredSegment(head.ok_value, stored.version)
+    return result.Ok(found)
+
+
+def gone_daemons(
+    found: abc.Iterable[StoredSegment],
+    live: abc.Container[int],
+    now_wall_s: float,
+    silent_s: float,
+) -> list[GoneDaemon]:
+    """Return the incarnations that are not live and have been silent.
+
+    ``live`` holds the incarnations that membership knows as alive. For
+    callers that have no record of when a daemon was declared dead.
+    """
+    gone = {}
+    for stored in found:
+        head = stored.head
+        incarnation = int(head.incarnation, 16)
+        silent = now_wall_s - head.covered_to_wall_s >= silent_s
+        is_open = head.state is segments.SegmentState.OPEN
+        if is_open and silent and incarnation not in live:
+            gone[incarnation] = GoneDaemon(
+                head.daemon, incarnation, head.covered_from_wall_s, now_wall_s
+            )
+    return list(gone.values())
+
+
+def last_segment(found: Segments, incarnation: str) -> StoredSegment | None:
+    """Return the segment of an incarnation with the highest generation."""
+    own = [
+        item for item in found.values() if item.head.incarnation == incarnation
+    ]
+    return max(own, key=lambda item: item.head.generation, default=None)
+
+
+def sealed_head(
+    gone: GoneDaemon, last: StoredSegment | None
+) -> segments.SegmentHead | None:
+    """Return the head that ends the segments of a gone daemon.
+
+    None where they have ended already. A daemon that died between two
+    segments, or before the first, gets an empty sealed one.
+    """
+    if last is None:
+        return _empty_sealed(gone, 0, gone.started_wall_s)
+    head = last.head
+    if head.state is segments.SegmentState.OPEN:
+        return msgspec.structs.replace(
+            head,
+            state=segments.SegmentState.SEALED,
+            gone_wall_s=gone.gone_wall_s,
+        )
+    if head.final or head.gone_wall_s:
+        return None
+    return _empty_sealed(gone, head.generation + 1, head.covered_to_wall_s)
+
+
+def _empty_sealed(
+    gone: GoneDaemon, generation: int, covered_wall_s: float
+) -> segments.SegmentHead:
+    return segments.SegmentHead(
+        daemon=gone.daemon,
+        incarnation=segments.incarnation_name(gone.incarnation),
+        generation=generation,
+        state=segments.SegmentState.SEALED,
+        covered_from_wall_s=covered_wall_s,
+        covered_to_wall_s=covered_wall_s,
+        record_count=0,
+        write_id="",
+        gone_wall_s=gone.gone_wall_s,
+    )
+
+
+def gap_of(
+    head: segments.SegmentHead, found: Segments
+) -> monthdocs.Gap | None:
+    """Return what a sealed segment lacks, unless a later one covers it."""
+    if head.state is not segments.SegmentState.SEALED:
+        return None
+    if segments.segment_key(head.incarnation, head.generation + 1) in found:
+        return None
+    if head.gone_wall_s <= head.covered_to_wall_s:
+        return None
+    return monthdocs.Gap(
+        head.daemon,
+        head.incarnation,
+        head.covered_to_wall_s,
+        head.gone_wall_s,
+        monthdocs.BASE_SECTION,
+    )
+
+
+def folded_list(
+    head: monthdocs.MonthHead, new: list[Contribution], found: Segments
+) -> dict[str, int]:
+    """Return the listed segments without those marked as folded."""
+    listed = {
+        key: version
+        for key, version in head.folded.items()
+        if key in found
+        and found[key].head.state is not segments.SegmentState.FOLDED
+    }
+    for item in new:
+        listed[item.segment.head.key()] = item.segment.version
+    return listed
+
+
+def merged_gaps(
+    head: monthdocs.MonthHead,
+    section: str,
+    month: figures.Month,
+    new: list[Contribution],
+) -> list[monthdocs.Gap]:
+    """Return the gaps of a month after further segments.
+
+    A segment that begins where a gap of its incarnation begins shows that
+    the daemon was alive, and removes the gap.
+    """
+    begun = {
+        (item.segment.head.incarnation, item.segment.head.covered_from_wall_s)
+        for item in new
+        if item.segment.head.generation > 0
+    }
+    gaps = {
+        gap
+        for gap in head.gaps
+        if (gap.incarnation, gap.from_wall_s) not in begun
+    }
+    for item in new:
+        if item.gap is not None and item.gap.touches(month):
+            gaps.add(msgspec.structs.replace(item.gap, found=section))
+    return sorted(gaps)
+
+
+def fenced(head: monthdocs.MonthHead, epoch: int) -> errors.FencedError:
+    """Return the error of a holder whose lease has been taken over."""
+    return errors.FencedError(
+        steps.Step.FIGURES_FOLD,
+        monthdocs.month_key(figures.parse_month(head.month)),
+        f"epoch {epoch} is lower than the stored epoch {head.epoch}",
+    )
--- /dev/null
+++ b/plantainhook/reportdata.py
@@ -0,0 +1,192 @@
+"""Reading of the cells of a month from the object API.
+
+A month in any time zone needs the UTC month itself and its two neighbours.
+Segments that are not folded yet are added, so the figures of the current
+month are as recent as the last write of each daemon.
+"""
+
+import dataclasses
+import typing
+
+import result
+
+from plantainhook import (
+    cells,
+    documents,
+    errors,
+    figures,
+    foldplan,
+    monthdocs,
+    objectapi,
+    segments,
+    steps,
+)
+
+# Folding may move cells while they are read; one pass a minute leaves time
+# for a quiet reading.
+READ_ATTEMPTS_COUNT: typing.Final = 5
+LIVE_SECTION: typing.Final = "live"
+
+SectionRows = dict[str, documents.Rows]
+LoadedRows = result.Result[SectionRows, errors.PlantainhookError]
+
+
+@dataclasses.dataclass(slots=True)
+class MonthData:
+    """Hold what the object API knows of a month and its neighbours.
+
+    ``sections`` are the cells by section, see ``monthdocs``, and ``live``.
+    ``live_until_wall_s`` maps each daemon segment that is not folded to the
+    time up to which it is counted.
+    """
+
+    month: figures.Month
+    sections: SectionRows = dataclasses.field(default_factory=dict)
+    gaps: list[monthdocs.Gap] = dataclasses.field(default_factory=list)
+    closed_wall_s: float = 0.0
+    live_until_wall_s: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+    def correction_days(self) -> list[str]:
+        """Return the days of the corrections in order."""
+        fixed = (monthdocs.BASE_SECTION, LIVE_SECTION)
+        return sorted(name for name in self.sections if name not in fixed)
+
+    def rows(self, sections: list[str]) -> documents.Rows:
+        """Return the cells of some sections."""
+        return [
+            row for name in sections for row in self.sections.get(name, [])
+        ]
+
+    def closed_rows(self) -> documents.Rows:
+        """Return the cells without corrections."""
+        return self.rows([monthdocs.BASE_SECTION, LIVE_SECTION])
+
+
+async def read_month(
+    api: objectapi.ObjectApi, month: figures.Month
+) -> result.Result[MonthData, errors.PlantainhookError]:
+    """Read a month; repeat while folding moves cells."""
+    outcome: result.Result[MonthData, errors.PlantainhookError]
+    for _ in range(READ_ATTEMPTS_COUNT):
+        outcome = await _read_once(api, month)
+        if isinstance(outcome, result.Ok):
+            return outcome
+        retried = (errors.ObjectNotFoundError, errors.ObjectConflictError)
+        if not isinstance(outcome.err_value, retried):
+            return outcome
+    return outcome
+
+
+async def _read_once(
+    api: objectapi.ObjectApi, month: figures.Month
+) -> result.Result[MonthData, errors.PlantainhookError]:
+    before = await foldplan.list_segments(api)
+    if isinstance(before, result.Err):
+        return before
+    data = MonthData(month)
+    folded: set[str] = set()
+    for neighbour in (month.shift(-1), month, month.shift(1)):
+        outcome = await _read_document(api, neighbour, data, folded)
+        if isinstance(outcome, result.Err):
+            return outcome
+    added = await _add_live(api, before.ok_value, folded, data)
+    if isinstance(added, result.Err):
+        return added
+    after = await foldplan.list_segments(api)
+    if isinstance(after, result.Err):
+        return after
+    if _folded_keys(after.ok_value) != _folded_keys(before.ok_value):
+        return result.Err(
+            errors.ObjectConflictError(
+                steps.Step.FIGURES_FOLD,
+                segments.SEGMENT_PREFIX,
+                "segments were folded during the reading",
+                objectapi.ABSENT_VERSION,
+            )
+        )
+    return result.Ok(data)
+
+
+def _folded_keys(found: foldplan.Segments) -> set[str]:
+    return {
+        key
+        for key, stored in found.items()
+        if stored.head.state is segments.SegmentState.FOLDED
+    }
+
+
+async def _read_document(
+    api: objectapi.ObjectApi,
+    month: figures.Month,
+    data: MonthData,
+    folded: set[str],
+) -> result.Result[None, errors.PlantainhookError]:
+    read = await api.get(monthdocs.month_key(month))
+    if isinstance(read, result.Err):
+        if isinstance(read.err_value, errors.ObjectNotFoundError):
+            return result.Ok(None)
+        return read
+    converted = documents.convert(read.ok_value, monthdocs.MonthHead)
+    if isinstance(converted, result.Err):
+        return converted
+    head = converted.ok_value
+    folded.update(head.folded)
+    if month == data.month:
+        data.closed_wall_s = head.closed_wall_s
+    data.gaps.extend(head.gaps)
+    for name, group in head.groups.items():
+        loaded = await documents.load_group(api, group)
+        if isinstance(loaded, result.Err):
+            return loaded
+        section = monthdocs.section_of(name)
+        data.sections.setdefault(section, []).extend(loaded.ok_value)
+    return result.Ok(None)
+
+
+async def _add_live(
+    api: objectapi.ObjectApi,
+    found: foldplan.Segments,
+    folded: set[str],
+    data: MonthData,
+) -> result.Result[None, errors.PlantainhookError]:
+    rows: documents.Rows = []
+    begun: set[tuple[str, float]] = set()
+    for key, stored in found.items():
+        head = stored.head
+        if head.covered_to_wall_s > head.covered_from_wall_s:
+            begun.add((head.incarnation, head.covered_from_wall_s))
+        if key in folded or head.state is segments.SegmentState.FOLDED:
+            continue
+        for group in head.groups.values():
+            loaded = await documents.load_group(api, group)
+            if isinstance(loaded, result.Err):
+                return loaded
+            rows.extend(loaded.ok_value)
+        data.live_until_wall_s[key] = head.covered_to_wall_s
+        gap = foldplan.gap_of(head, found)
+        if gap is not None:
+            data.gaps.append(gap)
+    data.gaps = _open_gaps(data.gaps, begun)
+    data.sections[LIVE_SECTION] = [
+        row for row in rows if _is_near(row, data.month)
+    ]
+    return result.Ok(None)
+
+
+def _is_near(row: cells.CellRow, month: figures.Month) -> bool:
+    home = figures.month_of_quarter(row.arrival_slice)
+    return month.shift(-1) <= home <= month.shift(1)
+
+
+def _open_gaps(
+    gaps: list[monthdocs.Gap], begun: set[tuple[str, float]]
+) -> list[monthdocs.Gap]:
+    """Return each gap once, without those that a later segment covers."""
+    found = {
+        (gap.incarnation, gap.from_wall_s): gap
+        for gap in sorted(gaps, reverse=True)
+        if (gap.incarnation, gap.from_wall_s) not in begun
+    }
+    return sorted(found.values())
--- /dev/null
+++ b/plantainhook/reportreplay.py
@@ -0,0 +1,178 @@
+"""Reference computation of the figures from single request records.
+
+It shares the month boundaries, the ranks and the rounding with the
+incremental path and nothing else: no slices, cells, histograms or segments.
+Values of percentiles are sorted exactly. Resends are found by the identity
+of the request, not by the daemon's mark.
+"""
+
+import array
+import dataclasses
+import datetime
+import zoneinfo
+from collections import abc
+
+from plantainhook import (
+    figures,
+    monthdocs,
+    report,
+    requestrecord,
+    schema,
+    segments,
+)
+
+
+class GapIndex:
+    """Tell which records fall into gaps."""
+
+    _gaps: dict[str, list[monthdocs.Gap]]
+
+    def __init__(self, gaps: abc.Iterable[monthdocs.Gap]) -> None:
+        self._gaps = {}
+        for gap in gaps:
+            self._gaps.setdefault(gap.incarnation, []).append(gap)
+
+    def holds(self, record: requestrecord.RequestRecord) -> bool:
+        """Tell whether the record was answered in a gap of its daemon."""
+        name = segments.incarnation_name(record.incarnation)
+        return any(
+            gap.from_wall_s < record.answered_wall_s <= gap.to_wall_s
+            for gap in self._gaps.get(name, ())
+        )
+
+
+@dataclasses.dataclass(slots=True)
+class FigureReplay:
+    """Compute one figure of one month from records."""
+
+    figure: schema.Figure
+    month: figures.Month
+    start_wall_s: float
+    end_wall_s: float
+    total: int = 0
+    values: "array.array[float]" = dataclasses.field(
+        default_factory=lambda: array.array("d")
+    )
+
+    def add(
+        self, record: requestrecord.RequestRecord, first_time: bool
+    ) -> None:
+        """Count a record if the figure's rules select it."""
+        if self._selects(record, first_time):
+            self._count(record)
+
+    def _selects(
+        self, record: requestrecord.RequestRecord, first_time: bool
+    ) -> bool:
+        figure = self.figure
+        if figure.request_kinds and record.kind not in figure.request_kinds:
+            return False
+        if figure.resends is schema.Resends.ONCE and not first_time:
+            return False
+        wall_s = record.answered_wall_s
+        if figure.counted_at is schema.CountedAt.ARRIVAL:
+            wall_s = record.arrived_wall_s
+        return self.start_wall_s <= wall_s < self.end_wall_s
+
+    def _count(self, record: requestrecord.RequestRecord) -> None:
+        measure = self.figure.measure
+        answered = record.status is not requestrecord.Status.REFUSED
+        if measure is schema.Measure.LATENCY_PERCENTILE:
+            if answered:
+                self.values.append(record.latency_ms)
+        elif measure is schema.Measure.COVERAGE_PERCENTILE:
+            if answered:
+                self.values.append(record.coverage_ratio)
+        else:
+            self.total += _counts(measure, record)
+
+    def value(self) -> report.FigureValue:
+        """Return the figure over all records that were added."""
+        figure = self.figure
+        if figure.percentile is None:
+            return self._rounded(self.total)
+        if not self.values:
+            return report.FigureValue(None, None, 0.0)
+        ordered = sorted(self.values)
+        ranks = figures.percentile_ranks(
+            figure.percentile, len(ordered), figure.percentile_method
+        )
+        return self._rounded(ranks.value(lambda rank: ordered[rank - 1]))
+
+    def _rounded(self, value: float | int) -> report.FigureValue:
+        rounded = figures.round_value(
+            value, self.figure.digits, self.figure.rounding
+        )
+        return report.FigureValue(value, rounded, 0.0)
+
+
+def _counts(
+    measure: schema.Measure, record: requestrecord.RequestRecord
+) -> bool:
+    status = record.status
+    served = status is not requestrecord.Status.REFUSED
+    urgent = record.request_class == schema.RequestClass.URGENT
+    archive = record.request_class == schema.RequestClass.ARCHIVE
+    return {
+        schema.Measure.COUNT: True,
+        schema.Measure.COMPLETE: status is requestrecord.Status.COMPLETE,
+        schema.Measure.PARTIAL: status is requestrecord.Status.PARTIAL,
+        schema.Measure.REFUSED: not served,
+        schema.Measure.URGENT_WITHIN_DEADLINE: (
+            served and urgent and record.deadline_met
+        ),
+        schema.Measure.ARCHIVE_SERVED: served and archive,
+    }[measure]
+
+
+def replay_starts(month: figures.Month, time_zone: str) -> float:
+    """Return the first second of a month in a time zone.
+
+    Searches the month's first local second from the UTC side, hour by hour
+    and then second by second, without the slices of ``figures``.
+    """
+    zone = zoneinfo.ZoneInfo(time_zone)
+    first = datetime.datetime(month.year, month.month, 1, tzinfo=datetime.UTC)
+    wall_s = int(first.timestamp()) + 86_400
+    while _in_month(wall_s - 3600, month, zone):
+        wall_s -= 3600
+    while _in_month(wall_s - 1, month, zone):
+        wall_s -= 1
+    return float(wall_s)
+
+
+def _in_month(
+    wall_s: int, month: figures.Month, zone: zoneinfo.ZoneInfo
+) -> bool:
+    local = datetime.datetime.fromtimestamp(wall_s, tz=zone)
+    return (local.year, local.month) == (month.year, month.month)
+
+
+def replay(
+    records: abc.Iterable[requestrecord.RequestRecord],
+    months: abc.Iterable[figures.Month],
+    definitions: dict[str, schema.Figure],
+    gaps: abc.Iterable[monthdocs.Gap] = (),
+) -> dict[tuple[figures.Month, str], report.FigureValue]:
+    """Compute figures by month and name, without the records in gaps."""
+    replays = {
+        (month, name): FigureReplay(
+            figure,
+            month,
+            replay_starts(month, figure.time_zone),
+            replay_starts(month.shift(1), figure.time_zone),
+        )
+        for month in months
+        for name, figure in definitions.items()
+    }
+    index = GapIndex(gaps)
+    seen: set[str] = set()
+    for record in records:
+        if index.holds(record):
+            continue
+        identity = record.resend_of or record.request_id
+        first_time = identity not in seen
+        seen.add(identity)
+        for one in replays.values():
+            one.add(record, first_time)
+    return {key: one.value() for key, one in replays.items()}
--- a/plantainhook/schema.py
+++ b/plantainhook/schema.py
@@ -6,8 +6,10 @@
 is inherited.
 """
 
+import decimal
 import enum
 import typing
+import zoneinfo
 
 import pydantic
 
@@ -149,6 +151,92 @@
     cell_leaf_count: int = pydantic.Field(default=16, ge=1)
 
 
+class Measure(enum.StrEnum):
+    """Name what a monthly figure measures."""
+
+    COUNT = "count"
+    COMPLETE = "complete"
+    PARTIAL = "partial"
+    REFUSED = "refused"
+    COVERAGE_PERCENTILE = "coverage_percentile"
+    LATENCY_PERCENTILE = "latency_percentile"
+    URGENT_WITHIN_DEADLINE = "urgent_within_deadline"
+    ARCHIVE_SERVED = "archive_served"
+
+
+class CountedAt(enum.StrEnum):
+    """State which time of a request decides its month."""
+
+    ARRIVAL = "arrival"
+    ANSWER = "answer"
+
+
+class PercentileMethod(enum.StrEnum):
+    """State how a percentile is taken from the ordered values."""
+
+    NEAREST_RANK = "nearest_rank"
+    LINEAR = "linear"
+
+
+class Rounding(enum.StrEnum):
+    """State how a value half-way between two results is rounded."""
+
+    HALF_UP = "half_up"
+    HALF_EVEN = "half_even"
+
+
+class Resends(enum.StrEnum):
+    """State whether resends of a request count."""
+
+    ONCE = "once"
+    EACH = "each"
+
+
+PERCENTILE_MEASURES: typing.Final = frozenset(
+    {Measure.COVERAGE_PERCENTILE, Measure.LATENCY_PERCENTILE}
+)
+
+
+class Figure(Model):
+    """Define a monthly figure by the old system's rules.
+
+    An empty list of request kinds stands for all kinds. Latency is in
+    milliseconds and coverage is a ratio.
+    """
+
+    request_kinds: list[Name] = []
+    measure: Measure
+    percentile: decimal.Decimal | None = pydantic.Field(
+        default=None, gt=0, le=100
+    )
+    time_zone: str = "UTC"
+    counted_at: CountedAt = CountedAt.ARRIVAL
+    percentile_method: PercentileMethod = PercentileMethod.NEAREST_RANK
+    digits: int = pydantic.Field(default=0, ge=0, le=9)
+    rounding: Rounding = Rounding.HALF_UP
+    resends: Resends = Resends.EACH
+
+    @pydantic.field_validator("time_zone")
+    @classmethod
+    def check_time_zone(cls, value: str) -> str:
+        """Accept the names of the IANA time zone database."""
+        try:
+            zoneinfo.ZoneInfo(value)
+        except (zoneinfo.ZoneInfoNotFoundError, ValueError, OSError):
+            raise ValueError(f"there is no time zone {value!r}") from None
+        return value
+
+    @pydantic.model_validator(mode="after")
+    def check_percentile(self) -> "Figure":
+        """Demand a percentile exactly where the measure is one."""
+        is_percentile = self.measure in PERCENTILE_MEASURES
+        if is_percentile and self.percentile is None:
+            raise ValueError(f"measure {self.measure} needs a percentile")
+        if not is_percentile and self.percentile is not None:
+            raise ValueError(f"measure {self.measure} takes no percentile")
+        return self
+
+
 class Settings(Model):
     """Hold every operator object of one revision."""
 
@@ -160,4 +248,4 @@
     target: dict[Name, Target] = {}
     index: dict[str, Index] = {}
     share_plan: SharePlan = SharePlan()
-    figure: dict[Name, dict[str, typing.Any]] = {}
+    figure: dict[Name, Figure] = {}
--- /dev/null
+++ b/plantainhook/selfcheckstore.py
@@ -0,0 +1,200 @@
+"""Small object API in memory with the faults that the self-check needs.
+
+Values are kept as JSON, so a stored object cannot be changed in place and
+the size limit is that of the platform.
+"""
+
+import random
+import typing
+from collections import abc
+
+import msgspec
+import result
+
+from plantainhook import errors, objectapi, steps
+
+STEP: typing.Final = steps.Step.FIGURES_WRITE
+# A write that was cut off arrives up to this many calls later.
+LATE_CALLS_COUNT: typing.Final = 20
+
+
+class Write(typing.NamedTuple):
+    """Hold a put or, with ``encoded`` None, a deletion."""
+
+    key: str
+    encoded: bytes | None
+    if_version: int
+    request_id: str
+
+
+class StoredBytes(typing.NamedTuple):
+    """Hold a stored object with its value as JSON."""
+
+    version: int
+    encoded: bytes
+    request_id: str
+
+
+class FaultyStore:
+    """Keep objects, lose replies at a rate and be out at times."""
+
+    version: int
+    out: bool
+    lost_ratio: float
+    objects: dict[str, StoredBytes]
+    _random: random.Random
+    _late: list[tuple[int, Write]]
+    _calls_count: int
+
+    def __init__(self, seed: int, lost_ratio: float) -> None:
+        self.version = 0
+        self.out = False
+        self.lost_ratio = lost_ratio
+        self.objects = {}
+        self._random = random.Random(seed)
+        self._late = []
+        self._calls_count = 0
+
+    async def get(
+        self, key: str
+    ) -> result.Result[objectapi.StoredObject, errors.ObjectApiError]:
+        """Return an object, or ObjectNotFoundError."""
+        self._begin_call()
+        if self.out:
+            return result.Err(_unavailable(key))
+        if key not in self.objects:
+            return result.Err(
+                errors.ObjectNotFoundError(STEP, key, "does not exist")
+            )
+        return result.Ok(self.stored(key))
+
+    async def list(
+        self, prefix: str
+    ) -> result.Result[objectapi.Listing, errors.ObjectApiError]:
+        """Return all objects whose key starts with the prefix."""
+        self._begin_call()
+        if self.out:
+            return result.Err(_unavailable(prefix))
+        found = tuple(
+            self.stored(key)
+            for key in sorted(self.objects)
+            if key.startswith(prefix)
+        )
+        return result.Ok(objectapi.Listing(found, self.version))
+
+    async def put(
+        self, key: str, value: typing.Any, if_version: int, request_id: str
+    ) -> result.Result[objectapi.StoredObject, errors.ObjectApiError]:
+        """Write a JSON value if the object still has the version."""
+        self._begin_call()
+        encoded = msgspec.json.encode(value)
+        if self.out:
+            return result.Err(_unavailable(key))
+        if len(encoded) > objectapi.VALUE_LIMIT_BYTES:
+            detail = f"{len(encoded)} bytes are too many"
+            return result.Err(errors.ObjectTooLargeError(STEP, key, detail))
+        write = Write(key, encoded, if_version, request_id)
+        outcome = self._with_faults(write)
+        if isinstance(outcome, result.Err):
+            return outcome
+        return result.Ok(self.stored(key))
+
+    async def delete(
+        self, key: str, if_version: int, request_id: str
+    ) -> result.Result[None, errors.ObjectApiError]:
+        """Delete an object if it still has the version."""
+        self._begin_call()
+        if self.out:
+            return result.Err(_unavailable(key))
+        return self._with_faults(Write(key, None, if_version, request_id))
+
+    async def watch(
+        self, prefix: str, from_version: int, timeout_s: float
+    ) -> result.Result[
+        abc.Sequence[objectapi.StoredObject], errors.ObjectApiError
+    ]:
+        """Return the present objects that changed after a version."""
+        listing = await self.list(prefix)
+        return listing.map(
+            lambda found: [
+                item for item in found.objects if item.version > from_version
+            ]
+        )
+
+    def stored(self, key: str) -> objectapi.StoredObject:
+        """Return an object as readers see it."""
+        held = self.objects[key]
+        value = msgspec.json.decode(held.encoded)
+        return objectapi.StoredObject(
+            key, held.version, value, held.request_id
+        )
+
+    def deliver_late(self) -> None:
+        """Apply every write that is still on its way."""
+        late, self._late = self._late, []
+        for _, write in late:
+            self._apply(write)
+
+    def _begin_call(self) -> None:
+        self._calls_count += 1
+        due = [item for item in self._late if item[0] <= self._calls_count]
+        self._late = [item for item in self._late if item not in due]
+        for _, write in due:
+            self._apply(write)
+
+    def _with_faults(
+        self, write: Write
+    ) -> result.Result[None, errors.ObjectApiError]:
+        if self._random.random() >= self.lost_ratio:
+            return self._apply(write)
+        unknown = errors.ObjectOutcomeUnknownError(
+            STEP, write.key, "the reply was lost"
+        )
+        fate = self._random.randrange(3)
+        if fate == 0:
+            self._apply(write)
+        elif fate == 1:
+            delay = self._random.randrange(1, LATE_CALLS_COUNT)
+            self._late.append((self._calls_count + delay, write))
+        return result.Err(unknown)
+
+    def _apply(
+        self, write: Write
+    ) -> result.Result[None, errors.ObjectApiError]:
+        held = self.objects.get(write.key)
+        version = held.version if held else objectapi.ABSENT_VERSION
+        if version != write.if_version:
+            return result.Err(
+                errors.ObjectConflictError(
+                    STEP, write.key, "the version differs", version
+                )
+            )
+        self.version += 1
+        if write.encoded is None:
+            self.objects.pop(write.key, None)
+            return result.Ok(None)
+        self.objects[write.key] = StoredBytes(
+            self.version, write.encoded, write.request_id
+        )
+        return result.Ok(None)
+
+
+def _unavailable(key: str) -> errors.ObjectApiUnavailableError:
+    return errors.ObjectApiUnavailableError(STEP, key, "the store is out")
+
+
+class EpochWriter:
+    """Write under an epoch that the self-check hands out."""
+
+    epoch: int
+    _api: objectapi.ObjectApi
+
+    def __init__(self, api: objectapi.ObjectApi, epoch: int) -> None:
+        self.epoch = epoch
+        self._api = api
+
+    async def fenced_put(
+        self, key: str, value: typing.Any, if_version: int, request_id: str
+    ) -> result.Result[objectapi.StoredObject, errors.PlantainhookError]:
+        """Write like ``ObjectApi.put``."""
+        return await self._api.put(key, value, if_version, request_id)
