--- a/plantainhook/cli.py
+++ b/plantainhook/cli.py
@@ -11,6 +11,7 @@
 from plantainhook import commands, commands_settings
 
 COMMAND_MODULES: typing.Final = (commands_settings,)
+from plantainhook import commands, commands_report  # noqa: F401
 
 
 def build_parser() -> argparse.ArgumentParser:
