--- a/plantainhook/cli.py
+++ b/plantainhook/cli.py
@@ -8,10 +8,17 @@
 import typing
 from collections import abc
 
-from plantainhook import commands, commands_settings
-
-COMMAND_MODULES: typing.Final = (commands_settings,)
-from plantainhook import commands, commands_report  # noqa: F401
+from plantainhook import (
+    commands,
+    commands_report,
+    commands_settings,
+)
+
+# Importing a module of commands registers its commands.
+COMMAND_MODULES: typing.Final = (
+    commands_report,
+    commands_settings,
+)
 
 
 def build_parser() -> argparse.ArgumentParser:
--- a/plantainhook/messages.py
+++ b/plantainhook/messages.py
@@ -74,6 +74,7 @@
 IN_FORCE: typing.Final = "revision {revision} is in force:"
 APPLY_NEEDS_OBJECTS: typing.Final = (
     "error: name a file to apply or objects to --remove"
+)
 NO_SHARD_ANSWERED: typing.Final = "no shard answered before the deadline"
 NO_SHARD_LEFT: typing.Final = "no leaf could answer for any shard"
 SHARDS_UNKNOWN: typing.Final = (
