--- a/plantainhook/blackboard.py
+++ b/plantainhook/blackboard.py
@@ -34,10 +34,15 @@
 
 
 class LifeState(enum.StrEnum):
-    """Order the stages of a daemon's life."""
+    """Order the stages of a daemon's life.
+
+    A leaving daemon is not ready at the balancer and still admits requests,
+    because the balancer sends some until it has seen the change.
+    """
 
     STARTING = "starting"
     SERVING = "serving"
+    LEAVING = "leaving"
     DRAINING = "draining"
     STOPPED = "stopped"
 
--- a/plantainhook/callerapi.py
+++ b/plantainhook/callerapi.py
@@ -23,6 +23,7 @@
     errors.RefusalKind.OVERLOADED: 429,
     errors.RefusalKind.COVERAGE: 503,
     errors.RefusalKind.QUARANTINED: 503,
+    errors.RefusalKind.STARTING: 503,
     errors.RefusalKind.DRAINING: 503,
     errors.RefusalKind.NO_SNAPSHOT: 503,
     errors.RefusalKind.DEADLINE: 504,
--- a/plantainhook/errors.py
+++ b/plantainhook/errors.py
@@ -192,6 +192,7 @@
     DEADLINE = "deadline"
     COVERAGE = "coverage"
     QUARANTINED = "quarantined"
+    STARTING = "starting"
     DRAINING = "draining"
     NO_SNAPSHOT = "no_snapshot"
     NOT_AUTHORISED = "not_authorised"
--- a/plantainhook/messages.py
+++ b/plantainhook/messages.py
@@ -15,6 +15,7 @@
 OUTCOME_UNKNOWN: typing.Final = (
     "the request may have run; it will not be run again"
 )
+STARTING: typing.Final = "this daemon has no settings yet"
 DRAINING: typing.Final = "this daemon is stopping and takes no new requests"
 OVERLOADED: typing.Final = "the queue of class {request_class} is full"
 DEADLINE_TOO_SHORT: typing.Final = (
--- a/plantainhook/options.py
+++ b/plantainhook/options.py
@@ -61,10 +61,13 @@
     segment_interval_s: float = pydantic.Field(default=10.0, gt=0)
     fold_interval_s: float = pydantic.Field(default=60.0, gt=0)
     lease_duration_s: float = pydantic.Field(default=15.0, gt=0)
+    drain_notice_s: float = pydantic.Field(default=2.0, ge=0)
     drain_timeout_s: float = pydantic.Field(default=120.0, gt=0)
     peer_message_limit_bytes: int = pydantic.Field(default=4_194_304, ge=1024)
     query_body_limit_bytes: int = pydantic.Field(default=1_048_576, ge=1024)
     concurrent_query_limit_count: int = pydantic.Field(default=256, ge=1)
+    queued_query_limit_count: int = pydantic.Field(default=1000, ge=1)
+    archive_queue_limit_count: int = pydantic.Field(default=1000, ge=1)
     tls: TlsOptions | None = None
     tokens: list[TokenOptions] = []
 
--- /dev/null
+++ b/plantainhook/planner.py
@@ -0,0 +1,129 @@
+"""Builds the query machine of a request from the blackboard.
+
+Routes are built once per change of the settings or of the leafs and shared
+by all queries of a target, because building them costs more than a query.
+"""
+
+import dataclasses
+
+from plantainhook import (
+    blackboard,
+    callerapi,
+    errors,
+    executor,
+    messages,
+    query,
+    queryplan,
+    querytypes,
+    schema,
+    settingstree,
+    shardmap,
+    snapshot,
+    steps,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _CachedView:
+    """Hold a target view and the views that it was built from."""
+
+    settings: blackboard.SettingsView
+    leafs: dict[str, blackboard.LeafView]
+    view: snapshot.TargetView
+
+
+class BlackboardPlanner:
+    """Plan queries from the settings and the leafs of the blackboard."""
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        data_centre: str,
+        policies: queryplan.QueryPolicies,
+    ) -> None:
+        self.board = board
+        self.data_centre = data_centre
+        self.policies = policies
+        self._views: dict[str, _CachedView] = {}
+
+    def rules(
+        self, body: callerapi.QueryBody
+    ) -> querytypes.EffectiveRules | errors.RefusalError:
+        """Return the rules in force for a request, or why there are none."""
+        settings = self.board.settings.settings
+        target = settings.target.get(body.target)
+        if target is None:
+            return refuse(
+                messages.TARGET_UNKNOWN.format(target=body.target),
+                errors.RefusalKind.UNKNOWN_TARGET,
+            )
+        if body.kind not in settings.request_kind:
+            return refuse(
+                messages.KIND_UNKNOWN.format(kind=body.kind),
+                errors.RefusalKind.UNKNOWN_KIND,
+            )
+        return settingstree.resolve(
+            settings, self.data_centre, service_of(settings, target), body.kind
+        )
+
+    def machine(
+        self,
+        request: querytypes.QueryRequest,
+        rules: querytypes.EffectiveRules,
+        now_s: float,
+    ) -> executor.Machine:
+        """Return a machine that has not started."""
+        plan = queryplan.QueryPlan(
+            request, rules, lambda: self.target_view(request.target)
+        )
+        return query.QueryMachine(plan, self.policies, now_s)
+
+    def target_view(self, target: str) -> snapshot.TargetView:
+        """Return the routes of a target as the blackboard has them now."""
+        settings = self.board.settings
+        cached = self._views.get(target)
+        if (
+            cached is not None
+            and cached.settings is settings
+            and cached.leafs is self.board.leafs
+        ):
+            return cached.view
+        view = snapshot.build_target_view(
+            target,
+            settings.shard_maps.get(target, {}),
+            leaf_statuses(settings.leafs, self.board.leafs),
+            self.data_centre,
+        )
+        self._views[target] = _CachedView(settings, self.board.leafs, view)
+        return view
+
+
+def service_of(settings: schema.Settings, target: schema.Target) -> str:
+    """Return the service of a target, or nothing where it spans several."""
+    services = {settings.group[name].service for name in target.groups}
+    return services.pop() if len(services) == 1 else ""
+
+
+def leaf_statuses(
+    infos: dict[str, shardmap.LeafInfo],
+    views: dict[str, blackboard.LeafView],
+) -> dict[str, querytypes.LeafStatus]:
+    """Join the settings of leafs with what is known of them."""
+    fit_states = (blackboard.LeafState.LIVE, blackboard.LeafState.COLD)
+    return {
+        name: querytypes.LeafStatus(
+            info=infos[name],
+            fit=view.state in fit_states,
+            cold=view.state is blackboard.LeafState.COLD,
+            versions=view.versions,
+        )
+        for name, view in views.items()
+        if name in infos
+    }
+
+
+def refuse(detail: str, kind: errors.RefusalKind) -> errors.RefusalError:
+    """Build the refusal of a request that names something unknown."""
+    return errors.RefusalError(
+        steps.Step.QUERY_ACCEPT, "settings", detail, kind, errors.Ran.NO
+    )
--- a/plantainhook/queryservice.py
+++ b/plantainhook/queryservice.py
@@ -26,6 +26,11 @@
     tickets,
 )
 
+ADMITTING: typing.Final = (
+    blackboard.LifeState.SERVING,
+    blackboard.LifeState.LEAVING,
+)
+
 
 class Planner(typing.Protocol):
     """Build the machine that decides one query."""
@@ -171,7 +176,13 @@
         self, body: callerapi.QueryBody
     ) -> _Accepted | errors.RefusalError:
         parts = self.parts
-        if parts.board.life is not blackboard.LifeState.SERVING:
+        if parts.board.life is blackboard.LifeState.STARTING:
+            return refuse(
+                steps.Step.QUERY_ACCEPT,
+                messages.STARTING,
+                errors.RefusalKind.STARTING,
+            )
+        if parts.board.life not in ADMITTING:
             return refuse(
                 steps.Step.QUERY_ACCEPT,
                 messages.DRAINING,
