Add the self-check, compare, replay and the HTML page of the figures

Cause: the incremental figures had no reference, and operators no way to set them beside the old system's export. Change: report selfcheck simulates a month with kills, outages, lost and late writes, crashed and paused folding, and compares every figure with a replay of the log. A daemon that dies after it had been taken for dead gets a second sealed segment: its gap ended too early before.

--- a/plantainhook/commands_report.py
+++ b/plantainhook/commands_report.py
@@ -5,6 +5,7 @@
 import pathlib
 import sys
 import typing
+from collections import abc
 
 import result
 import trio
@@ -14,10 +15,16 @@
     errors,
     figures,
     figuresfile,
+    logs,
     objectapi,
     objectapidir,
     report,
+    reportcompare,
     reportdata,
+    reporthtml,
+    reportreplay,
+    reportselfcheck,
+    requestrecord,
     schema,
 )
 
@@ -26,6 +33,9 @@
     "json": report.as_json,
     "csv": report.as_csv,
 }
+SELFCHECK_TICK_S: typing.Final = 3600.0
+
+T = typing.TypeVar("T")
 
 
 class InputError(Exception):
@@ -40,10 +50,8 @@
         raise argparse.ArgumentTypeError(str(error)) from None
 
 
-def unwrap(
-    outcome: "result.Result[typing.Any, errors.PlantainhookError]",
-) -> typing.Any:
-    """Return the value, or raise InputError."""
+def checked(outcome: "result.Result[T, errors.PlantainhookError]") -> T:
+    """Return the value of an input, or raise InputError."""
     if isinstance(outcome, result.Err):
         raise InputError(str(outcome.err_value))
     return outcome.ok_value
@@ -53,10 +61,7 @@
     """Return the object API that the arguments name."""
     if arguments.from_dir is None:
         raise InputError("--from-dir is required")
-    api: objectapi.ObjectApi = unwrap(
-        objectapidir.load_directory(arguments.from_dir)
-    )
-    return api
+    return checked(objectapidir.load_directory(arguments.from_dir))
 
 
 def figure_definitions(
@@ -65,9 +70,19 @@
     """Return the figures that the arguments name."""
     if arguments.figures is None:
         raise InputError("--figures is required")
-    found: dict[str, schema.Figure] = unwrap(
-        figuresfile.load_figures(arguments.figures)
-    )
+    return checked(figuresfile.load_figures(arguments.figures))
+
+
+def read_months(
+    api: objectapi.ObjectApi, months: abc.Iterable[figures.Month]
+) -> dict[figures.Month, reportdata.MonthData]:
+    """Read some months; raise the error of the object API."""
+    found = {}
+    for month in months:
+        read = trio.run(functools.partial(reportdata.read_month, api, month))
+        if isinstance(read, result.Err):
+            raise read.err_value
+        found[month] = read.ok_value
     return found
 
 
@@ -79,6 +94,11 @@
         metavar="DIR",
         help="read exported JSON objects from a directory",
     )
+    add_figures_argument(parser)
+
+
+def add_figures_argument(parser: argparse.ArgumentParser) -> None:
+    """Add the argument that names the definitions."""
     parser.add_argument(
         "--figures",
         type=pathlib.Path,
@@ -88,27 +108,145 @@
 
 
 def add_report_arguments(parser: argparse.ArgumentParser) -> None:
-    """Add the arguments of ``report``."""
+    """Add the arguments of ``report`` and its subcommands."""
     parser.add_argument("--month", type=month_argument, metavar="YYYY-MM")
     parser.add_argument("--format", choices=sorted(FORMATS), default="text")
+    parser.add_argument(
+        "--html",
+        type=pathlib.Path,
+        metavar="FILE",
+        help="write an HTML page with plots instead",
+    )
     add_source_arguments(parser)
     parser.set_defaults(run_report=run_show)
+    subparsers = parser.add_subparsers(metavar="SUBCOMMAND")
+    _add_compare(subparsers)
+    _add_replay(subparsers)
+    _add_selfcheck(subparsers)
+
+
+Subparsers = typing.Any
+
+
+def _add_compare(subparsers: Subparsers) -> None:
+    parser = subparsers.add_parser(
+        "compare", help="compare with an export of the old system"
+    )
+    parser.add_argument("old", type=pathlib.Path, metavar="OLD.csv")
+    add_source_arguments(parser)
+    parser.set_defaults(run_report=run_compare)
+
+
+def _add_replay(subparsers: Subparsers) -> None:
+    parser = subparsers.add_parser(
+        "replay", help="compute the figures from a log of request records"
+    )
+    parser.add_argument("log", type=pathlib.Path, metavar="LOG")
+    parser.add_argument(
+        "--month", type=month_argument, metavar="YYYY-MM", required=True
+    )
+    add_figures_argument(parser)
+    parser.set_defaults(run_report=run_replay)
+
+
+def _add_selfcheck(subparsers: Subparsers) -> None:
+    parser = subparsers.add_parser(
+        "selfcheck", help="compare a simulated month with its replay"
+    )
+    parser.add_argument("--requests", type=int, default=5000)
+    parser.add_argument("--seed", type=int, default=0)
+    parser.add_argument(
+        "--seeds", type=int, default=1, help="run this many seeds in a row"
+    )
+    parser.add_argument(
+        "--tick-s",
+        type=float,
+        default=SELFCHECK_TICK_S,
+        help="simulated seconds between writes of a segment",
+    )
+    parser.add_argument(
+        "--keep",
+        type=pathlib.Path,
+        metavar="DIR",
+        help="keep the records, objects and definitions of the last run",
+    )
+    parser.set_defaults(run_report=run_selfcheck)
 
 
 def run_show(arguments: argparse.Namespace) -> int:
     """Print the figures of a month."""
-    if arguments.month is None:
+    month = arguments.month
+    if month is None:
         raise InputError("--month is required")
     definitions = figure_definitions(arguments)
-    api = object_api(arguments)
-    data = trio.run(
-        functools.partial(reportdata.read_month, api, arguments.month)
-    )
-    built = report.build_report(unwrap(data), definitions)
-    sys.stdout.write(FORMATS[arguments.format](built))
+    months = [month, month.shift(-1)] if arguments.html else [month]
+    data = read_months(object_api(arguments), months)
+    built = report.build_report(data[month], definitions)
+    if arguments.html is None:
+        sys.stdout.write(FORMATS[arguments.format](built))
+        return commands.EXIT_DONE
+    last = report.build_report(data[month.shift(-1)], definitions)
+    page = reporthtml.as_html(built, last, data[month])
+    arguments.html.write_text(page, encoding="utf-8")
     return commands.EXIT_DONE
 
 
+def run_compare(arguments: argparse.Namespace) -> int:
+    """Print each figure beside the old system's."""
+    definitions = figure_definitions(arguments)
+    try:
+        content = arguments.old.read_bytes()
+    except OSError as error:
+        raise InputError(f"{arguments.old}: {error.strerror}") from None
+    read = reportcompare.read_export(content, str(arguments.old), definitions)
+    if isinstance(read, result.Err):
+        raise InputError("\n".join(str(bad) for bad in read.err_value))
+    old_values = read.ok_value
+    months = sorted({old.month for old in old_values})
+    data = read_months(object_api(arguments), months)
+    compared = [
+        reportcompare.compare(old, definitions[old.name], data[old.month])
+        for old in old_values
+    ]
+    sys.stdout.write(reportcompare.as_text(compared))
+    differs = reportcompare.Verdict.DIFFERS
+    if any(item.verdict is differs for item in compared):
+        return commands.EXIT_FAILED
+    return commands.EXIT_DONE
+
+
+def run_replay(arguments: argparse.Namespace) -> int:
+    """Print the figures of a log of request records."""
+    definitions = figure_definitions(arguments)
+    try:
+        with arguments.log.open("rb") as stream:
+            records = requestrecord.read_lines(stream, str(arguments.log))
+            values = reportreplay.replay(
+                records, [arguments.month], definitions
+            )
+    except OSError as error:
+        raise InputError(f"{arguments.log}: {error.strerror}") from None
+    except errors.MessageError as error:
+        raise InputError(str(error)) from None
+    for (month, name), value in values.items():
+        sys.stdout.write(f"{month} {name} {value.text()}\n")
+    return commands.EXIT_DONE
+
+
+def run_selfcheck(arguments: argparse.Namespace) -> int:
+    """Compare simulated months with their replays."""
+    logs.configure_logs("text", "WARNING")
+    failed = False
+    for seed in range(arguments.seed, arguments.seed + arguments.seeds):
+        outcome = reportselfcheck.run_selfcheck(
+            seed, arguments.requests, arguments.tick_s, arguments.keep
+        )
+        sys.stdout.write(reportselfcheck.summary_text(seed, outcome))
+        sys.stdout.flush()
+        failed = failed or bool(outcome.differences)
+    return commands.EXIT_FAILED if failed else commands.EXIT_DONE
+
+
 @commands.command(
     "report", "Print monthly figures and compare them.", add_report_arguments
 )
@@ -119,4 +257,7 @@
     except InputError as error:
         sys.stderr.write(f"plantainhook report: {error}\n")
         return commands.EXIT_USAGE
+    except errors.PlantainhookError as error:
+        sys.stderr.write(f"plantainhook report: {error}\n")
+        return commands.EXIT_FAILED
     return code
--- a/plantainhook/foldplan.py
+++ b/plantainhook/foldplan.py
@@ -29,6 +29,8 @@
 class GoneDaemon:
     """Name an incarnation that serves no more requests.
 
+    ``gone_wall_s`` is fixed when the daemon is declared dead; a later time
+    for the same incarnation stands for a further declaration.
     ``started_wall_s`` is where its gap begins if it has written nothing.
     """
 
@@ -113,7 +115,8 @@
     """Return the head that ends the segments of a gone daemon.
 
     None where they have ended already. A daemon that died between two
-    segments, or before the first, gets an empty sealed one.
+    segments, before the first, or after it had been taken for dead before,
+    gets an empty sealed one, whose gap replaces an earlier one.
     """
     if last is None:
         return _empty_sealed(gone, 0, gone.started_wall_s)
@@ -124,7 +127,7 @@
             state=segments.SegmentState.SEALED,
             gone_wall_s=gone.gone_wall_s,
         )
-    if head.final or head.gone_wall_s:
+    if head.final or head.gone_wall_s >= gone.gone_wall_s:
         return None
     return _empty_sealed(gone, head.generation + 1, head.covered_to_wall_s)
 
--- a/plantainhook/messages.py
+++ b/plantainhook/messages.py
@@ -32,3 +32,7 @@
     "no index version of target {target!r} is served by any leaf"
 )
 NOT_AUTHORISED: typing.Final = "the token does not have the role {role!r}"
+PLOTS_MISSING: typing.Final = (
+    "The plots are missing because matplotlib is not installed; "
+    "install plantainhook with the extra 'plots'."
+)
--- a/plantainhook/report.py
+++ b/plantainhook/report.py
@@ -119,6 +119,8 @@
     value = figure_value(figure, data.month, rows)
     corrections = []
     for day in data.correction_days():
+        if not select_rows(figure, data.month, data.sections[day]):
+            continue
         rows = rows + data.sections[day]
         corrected = figure_value(figure, data.month, rows)
         corrections.append(Correction(day, corrected))
--- /dev/null
+++ b/plantainhook/reportcompare.py
@@ -0,0 +1,277 @@
+"""Comparison of the figures with the export of the old system.
+
+The export is CSV with the columns month, figure and value. Each value is
+compared with the figure of the report. Where they differ, the single rules of
+the figure's definition are changed one at a time; a rule under which the
+values agree explains the difference.
+"""
+
+import csv
+import dataclasses
+import decimal
+import enum
+import io
+import typing
+from collections import abc
+
+import result
+
+from plantainhook import (
+    errors,
+    figures,
+    report,
+    reportdata,
+    schema,
+    steps,
+)
+
+COLUMNS: typing.Final = ["month", "figure", "value"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OldValue:
+    """Hold one line of the export; an empty value is None."""
+
+    line: int
+    month: figures.Month
+    name: str
+    value: decimal.Decimal | None
+
+
+class Verdict(enum.StrEnum):
+    """State how a figure compares with the old system's."""
+
+    EQUAL = "equal"
+    WITHIN_RESOLUTION = "within resolution"
+    DIFFERS = "differs"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ComparedFigure:
+    """Hold a figure beside the old system's value."""
+
+    old: OldValue
+    value: report.FigureValue
+    verdict: Verdict
+    difference: decimal.Decimal | None
+    explanation: str
+
+
+class BadLineError(errors.PlantainhookError):
+    """Report one line of an export that cannot be read."""
+
+    def __init__(self, file: str, line: int, detail: str) -> None:
+        text = f"line {line}: {detail}"
+        super().__init__(steps.Step.FIGURES_CLOSE, file, text)
+        self.line = line
+
+
+def read_export(
+    content: bytes, file: str, known: abc.Container[str]
+) -> result.Result[list[OldValue], list[BadLineError]]:
+    """Read an export, or return the errors of all its lines."""
+    try:
+        text = content.decode("utf-8-sig")
+    except UnicodeDecodeError as error:
+        line = content[: error.start].count(b"\n") + 1
+        return result.Err([BadLineError(file, line, "the text is not UTF-8")])
+    reader = csv.reader(io.StringIO(text, newline=""), strict=True)
+    values: list[OldValue] = []
+    bad: list[BadLineError] = []
+    seen: set[tuple[figures.Month, str]] = set()
+    try:
+        if next(reader, None) != COLUMNS:
+            detail = f"the columns must be {','.join(COLUMNS)}"
+            return result.Err([BadLineError(file, 1, detail)])
+        for fields in reader:
+            parsed = _parse_line(reader.line_num, fields, known, seen)
+            if isinstance(parsed, OldValue):
+                values.append(parsed)
+            elif parsed:
+                bad.append(BadLineError(file, reader.line_num, parsed))
+    except csv.Error as error:
+        bad.append(BadLineError(file, reader.line_num, str(error)))
+    return result.Err(bad) if bad else result.Ok(values)
+
+
+def _parse_line(
+    line: int,
+    fields: list[str],
+    known: abc.Container[str],
+    seen: set[tuple[figures.Month, str]],
+) -> OldValue | str:
+    """Return the value of a line, or what is wrong with it.
+
+    An empty line is an empty text.
+    """
+    if not fields:
+        return ""
+    if len(fields) != len(COLUMNS):
+        return f"expected {len(COLUMNS)} columns, found {len(fields)}"
+    try:
+        month = figures.parse_month(fields[0].strip())
+        value = _parse_value(fields[2].strip())
+    except ValueError as error:
+        return str(error)
+    name = fields[1].strip()
+    if name not in known:
+        return f"there is no figure {name!r}"
+    if (month, name) in seen:
+        return f"{month} {name} stands twice"
+    seen.add((month, name))
+    return OldValue(line, month, name, value)
+
+
+def _parse_value(text: str) -> decimal.Decimal | None:
+    if text in ("", "-"):
+        return None
+    try:
+        value = decimal.Decimal(text)
+    except decimal.InvalidOperation:
+        raise ValueError(f"{text!r} is no decimal number") from None
+    if not value.is_finite():
+        raise ValueError(f"{text!r} is no decimal number")
+    return value
+
+
+def compare(
+    old: OldValue, figure: schema.Figure, data: reportdata.MonthData
+) -> ComparedFigure:
+    """Compare one value with the figure of a month."""
+    rows = data.closed_rows() + data.rows(data.correction_days())
+    value = report.figure_value(figure, old.month, rows)
+    difference = _difference(value.rounded, old.value)
+    verdict = _verdict(figure, value, old.value)
+    explanation = ""
+    if verdict is Verdict.DIFFERS:
+        explanation = _explain(old, figure, data, value)
+    return ComparedFigure(old, value, verdict, difference, explanation)
+
+
+def _difference(
+    new: decimal.Decimal | None, old: decimal.Decimal | None
+) -> decimal.Decimal | None:
+    if new is None or old is None:
+        return None
+    return new - old
+
+
+def _verdict(
+    figure: schema.Figure,
+    value: report.FigureValue,
+    old: decimal.Decimal | None,
+) -> Verdict:
+    if old is None or value.rounded is None or value.exact is None:
+        same = old is None and value.rounded is None
+        return Verdict.EQUAL if same else Verdict.DIFFERS
+    if value.rounded == old:
+        return Verdict.EQUAL
+    lowest, highest = (
+        figures.round_value(
+            value.exact + sign * value.resolution,
+            figure.digits,
+            figure.rounding,
+        )
+        for sign in (-1, 1)
+    )
+    if value.resolution and lowest <= old <= highest:
+        return Verdict.WITHIN_RESOLUTION
+    return Verdict.DIFFERS
+
+
+def _explain(
+    old: OldValue,
+    figure: schema.Figure,
+    data: reportdata.MonthData,
+    value: report.FigureValue,
+) -> str:
+    """Name the rules, corrections or gaps that explain a difference."""
+    found = _explaining_corrections(old, figure, data)
+    found.extend(_explaining_rules(old, figure, data))
+    if found:
+        return "agrees with " + "; or with ".join(found)
+    zone = [figure.time_zone]
+    gaps = report.gaps_of_month(data.gaps, old.month, zone)
+    if gaps and _gap_can_explain(old, figure, value):
+        texts = [report.gap_text(gap) for gap in gaps]
+        return "may be lost in a gap. " + " ".join(texts)
+    return "no single rule, correction or gap explains it"
+
+
+def _explaining_corrections(
+    old: OldValue, figure: schema.Figure, data: reportdata.MonthData
+) -> list[str]:
+    days = data.correction_days()
+    found = []
+    for count, day in enumerate(days):
+        rows = data.closed_rows() + data.rows(days[:count])
+        value = report.figure_value(figure, old.month, rows)
+        if _verdict(figure, value, old.value) is not Verdict.DIFFERS:
+            found.append(f"the value before the correction of {day}")
+    return found
+
+
+def _explaining_rules(
+    old: OldValue, figure: schema.Figure, data: reportdata.MonthData
+) -> list[str]:
+    rows = data.closed_rows() + data.rows(data.correction_days())
+    found = []
+    for changed, label in rule_variants(figure):
+        value = report.figure_value(changed, old.month, rows)
+        if _verdict(changed, value, old.value) is not Verdict.DIFFERS:
+            found.append(label)
+    return found
+
+
+def rule_variants(
+    figure: schema.Figure,
+) -> abc.Iterator[tuple[schema.Figure, str]]:
+    """Yield the definition with each single rule changed."""
+    choices: dict[str, list[typing.Any]] = {
+        "counted_at": list(schema.CountedAt),
+        "resends": list(schema.Resends),
+        "rounding": list(schema.Rounding),
+        "time_zone": ["UTC"],
+        "digits": [figure.digits - 1, figure.digits + 1],
+    }
+    if figure.measure in schema.PERCENTILE_MEASURES:
+        choices["percentile_method"] = list(schema.PercentileMethod)
+    for rule, options in choices.items():
+        for option in options:
+            if option == getattr(figure, rule) or option in (-1, 10):
+                continue
+            changed = figure.model_copy(update={rule: option})
+            yield changed, f"{rule} = {option}"
+
+
+def _gap_can_explain(
+    old: OldValue, figure: schema.Figure, value: report.FigureValue
+) -> bool:
+    """Tell whether lost requests can explain a difference.
+
+    They lower a count and may move a percentile either way.
+    """
+    if figure.measure in schema.PERCENTILE_MEASURES:
+        return True
+    return (
+        old.value is not None
+        and value.rounded is not None
+        and old.value > value.rounded
+    )
+
+
+def as_text(compared: abc.Iterable[ComparedFigure]) -> str:
+    """Return the comparison for reading, one line for each figure."""
+    lines = []
+    for item in compared:
+        old = "-" if item.old.value is None else str(item.old.value)
+        line = (
+            f"{item.old.month} {item.old.name}: old {old}, "
+            f"new {item.value.text()}, {item.verdict}"
+        )
+        if item.difference:
+            line += f", difference {item.difference:+}"
+        if item.explanation:
+            line += f"; {item.explanation}"
+        lines.append(line)
+    return "\n".join(lines) + "\n"
--- /dev/null
+++ b/plantainhook/reporthtml.py
@@ -0,0 +1,301 @@
+"""HTML page of a month with plots as inline SVG.
+
+matplotlib draws the plots and is optional (``pip install
+plantainhook[plots]``); without it the page holds the tables and says so.
+"""
+
+import dataclasses
+import html
+import importlib
+import io
+import typing
+
+from plantainhook import (
+    cells,
+    documents,
+    figures,
+    messages,
+    report,
+    reportdata,
+)
+
+PERCENTILES: typing.Final = (50, 99)
+FIGURE_SIZE_INCHES: typing.Final = (8.0, 3.2)
+
+PAGE: typing.Final = """<!DOCTYPE html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<title>Figures of {month}</title>
+<style>
+body {{ font-family: sans-serif; max-width: 60em; margin: 2em auto; }}
+table {{ border-collapse: collapse; }}
+th, td {{ border-bottom: 1px solid #ccc; padding: 0.3em 0.8em; }}
+td.number {{ text-align: right; font-variant-numeric: tabular-nums; }}
+svg {{ max-width: 100%; height: auto; }}
+</style>
+</head>
+<body>
+<h1>Figures of {month}</h1>
+<p>{state}</p>
+{table}
+<h2>Gaps</h2>
+{gaps}
+<h2>Plots</h2>
+{plots}
+</body>
+</html>
+"""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DayCounts:
+    """Hold the requests of a UTC day by outcome."""
+
+    day: str
+    complete_count: int
+    partial_count: int
+    refused_count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KindValues:
+    """Hold percentiles of one request kind.
+
+    ``latency_ms`` and ``coverage_ratio`` follow ``PERCENTILES``; the
+    coverage is the one that this share of the answers reaches.
+    """
+
+    kind: str
+    latency_ms: tuple[float, ...]
+    coverage_ratio: tuple[float, ...]
+
+
+def as_html(
+    built: report.Report,
+    last: report.Report,
+    data: reportdata.MonthData,
+) -> str:
+    """Return the page of a month beside the month before."""
+    state = "The month is open; the figures are preliminary."
+    if built.closed_wall_s:
+        state = f"Closed {report.utc_text(built.closed_wall_s)}."
+    return PAGE.format(
+        month=built.month,
+        state=state,
+        table=_table(built, last),
+        gaps=_gap_list(built),
+        plots=_plots(built, last, data),
+    )
+
+
+def _table(built: report.Report, last: report.Report) -> str:
+    last_values = {line.name: line.value.text() for line in last.lines}
+    rows = [
+        _row(
+            line.name,
+            str(line.figure.measure),
+            line.figure.time_zone,
+            line.value.text(),
+            line.corrections[-1].value.text() if line.corrections else "",
+            last_values.get(line.name, "-"),
+        )
+        for line in built.lines
+    ]
+    head = "".join(
+        f"<th>{title}</th>"
+        for title in (
+            "figure",
+            "measure",
+            "time zone",
+            str(built.month),
+            "corrected",
+            str(last.month),
+        )
+    )
+    return f"<table><tr>{head}</tr>\n" + "\n".join(rows) + "</table>"
+
+
+def _row(name: str, measure: str, zone: str, *values: str) -> str:
+    texts = "".join(
+        f"<td>{html.escape(t)}</td>" for t in (name, measure, zone)
+    )
+    numbers = "".join(
+        f'<td class="number">{html.escape(value)}</td>' for value in values
+    )
+    return f"<tr>{texts}{numbers}</tr>"
+
+
+def _gap_list(built: report.Report) -> str:
+    if not built.gaps:
+        return "<p>No gaps.</p>"
+    items = "".join(
+        f"<li>{html.escape(report.gap_text(gap))}</li>" for gap in built.gaps
+    )
+    return f"<ul>{items}</ul>"
+
+
+def _plots(
+    built: report.Report, last: report.Report, data: reportdata.MonthData
+) -> str:
+    try:
+        pyplot = importlib.import_module("matplotlib.figure")
+        importlib.import_module("matplotlib.backends.backend_svg")
+    except ImportError:
+        return f"<p>{html.escape(messages.PLOTS_MISSING)}</p>"
+    rows = _utc_month_rows(data)
+    kinds = kind_values(rows)
+    return "\n".join(
+        [
+            _plot(pyplot, "Requests by UTC day", _draw_days, day_counts(rows)),
+            _plot(pyplot, "Latency by kind", _draw_latency, kinds),
+            _plot(pyplot, "Coverage by kind", _draw_coverage, kinds),
+            _plot(
+                pyplot,
+                f"{built.month} as a share of {last.month}",
+                _draw_change,
+                monthly_changes(built, last),
+            ),
+        ]
+    )
+
+
+def _utc_month_rows(data: reportdata.MonthData) -> documents.Rows:
+    rows = data.closed_rows() + data.rows(data.correction_days())
+    quarters = figures.month_range(data.month, "UTC")
+    return [row for row in rows if quarters.holds(row.arrival_slice)]
+
+
+def day_counts(rows: documents.Rows) -> list[DayCounts]:
+    """Return the requests of each UTC day by outcome, at arrival."""
+    by_day = documents.rows_by_day(rows)
+    return [
+        DayCounts(
+            day,
+            sum(row.complete_count for row in by_day[day]),
+            sum(row.partial_count for row in by_day[day]),
+            sum(row.refused_count for row in by_day[day]),
+        )
+        for day in sorted(by_day)
+    ]
+
+
+def kind_values(rows: documents.Rows) -> list[KindValues]:
+    """Return the percentiles of each request kind that has answers."""
+    found = []
+    for kind in sorted({row.kind for row in rows}):
+        latency = cells.Histogram(cells.LATENCY_LIMIT_US)
+        shortfall = cells.Histogram(cells.SHORTFALL_LIMIT_PPM)
+        for row in rows:
+            if row.kind == kind:
+                latency.merge_encoded(row.latency)
+                shortfall.merge_encoded(row.shortfall)
+        if latency.count():
+            found.append(_kind_values(kind, latency, shortfall))
+    return found
+
+
+def _kind_values(
+    kind: str, latency: cells.Histogram, shortfall: cells.Histogram
+) -> KindValues:
+    latency_at, shortfall_at = (
+        latency.value_at_ranks(),
+        shortfall.value_at_ranks(),
+    )
+    ranks = [
+        max(1, -(-percent * latency.count() // 100)) for percent in PERCENTILES
+    ]
+    return KindValues(
+        kind,
+        tuple(latency_at(rank) / cells.US_PER_MS for rank in ranks),
+        tuple(1 - shortfall_at(rank) / report.PPM for rank in ranks),
+    )
+
+
+def monthly_changes(
+    built: report.Report, last: report.Report
+) -> list[tuple[str, float]]:
+    """Return each figure as a ratio to the last month's, where it has one."""
+    before = {line.name: line.value.exact for line in last.lines}
+    return [
+        (line.name, line.value.exact / reference)
+        for line in built.lines
+        if line.value.exact is not None
+        and (reference := before.get(line.name))
+    ]
+
+
+def _plot(
+    matplotlib_figure: typing.Any,
+    title: str,
+    draw: typing.Callable[[typing.Any, typing.Any], None],
+    values: typing.Any,
+) -> str:
+    if not values:
+        return f"<p>{html.escape(title)}: no values.</p>"
+    plot = matplotlib_figure.Figure(
+        figsize=FIGURE_SIZE_INCHES, layout="constrained"
+    )
+    axes = plot.subplots()
+    axes.set_title(title)
+    draw(axes, values)
+    stream = io.StringIO()
+    # Without a date the same report gives the same page.
+    plot.savefig(stream, format="svg", metadata={"Date": None})
+    svg = stream.getvalue()
+    return svg[svg.index("<svg") :]
+
+
+def _draw_days(axes: typing.Any, days: list[DayCounts]) -> None:
+    labels = [item.day[-2:] for item in days]
+    bottom = [0] * len(days)
+    for name, color in (
+        ("complete", "tab:blue"),
+        ("partial", "tab:orange"),
+        ("refused", "tab:red"),
+    ):
+        counts = [getattr(item, f"{name}_count") for item in days]
+        axes.bar(labels, counts, bottom=bottom, label=name, color=color)
+        bottom = [
+            low + count for low, count in zip(bottom, counts, strict=True)
+        ]
+    axes.set_xlabel("day")
+    axes.set_ylabel("requests")
+    axes.legend(loc="lower right")
+
+
+def _draw_latency(axes: typing.Any, kinds: list[KindValues]) -> None:
+    _draw_bars(axes, kinds, [item.latency_ms for item in kinds])
+    axes.set_yscale("log")
+    axes.set_ylabel("ms")
+
+
+def _draw_coverage(axes: typing.Any, kinds: list[KindValues]) -> None:
+    _draw_bars(axes, kinds, [item.coverage_ratio for item in kinds])
+    axes.set_ylim(0, 1.05)
+    axes.set_ylabel("coverage reached")
+
+
+def _draw_bars(
+    axes: typing.Any,
+    kinds: list[KindValues],
+    values: list[tuple[float, ...]],
+) -> None:
+    width = 0.8 / len(PERCENTILES)
+    for number, percent in enumerate(PERCENTILES):
+        positions = [index + number * width for index in range(len(kinds))]
+        heights = [value[number] for value in values]
+        axes.bar(positions, heights, width, label=f"{percent} % of answers")
+    middle = width * (len(PERCENTILES) - 1) / 2
+    axes.set_xticks(
+        [index + middle for index in range(len(kinds))],
+        [item.kind for item in kinds],
+    )
+    axes.legend(loc="lower right")
+
+
+def _draw_change(axes: typing.Any, changes: list[tuple[str, float]]) -> None:
+    names = [name for name, _ in changes]
+    axes.barh(names, [ratio for _, ratio in changes])
+    axes.axvline(1.0, color="black", linewidth=1)
+    axes.invert_yaxis()
--- /dev/null
+++ b/plantainhook/selfchecksim.py
@@ -0,0 +1,392 @@
+"""Simulated month of a fleet with faults, for the self-check.
+
+Daemons count generated traffic and write segments to a store that has
+outages and loses replies. Every daemon is replaced daily, some by a stop and
+some by a kill in the middle of a write. Others are declared dead while they
+are alive, and one is cut off from the store until after the month is closed.
+Folding passes crash or pause at any call, and the next holder takes over.
+"""
+
+import dataclasses
+import random
+import typing
+from collections import abc
+
+import result
+import trio
+import trio.testing
+
+from plantainhook import (
+    errors,
+    figures,
+    folding,
+    foldplan,
+    objectapi,
+    requestrecord,
+    segments,
+    selfcheckstore,
+    selfchecktraffic,
+)
+
+DAY_S: typing.Final = 86_400.0
+LOST_RATIO: typing.Final = 0.05
+OUTAGE_RATIO: typing.Final = 0.02
+OUTAGE_TICKS_MAX: typing.Final = 5
+KILL_RATIO: typing.Final = 0.6
+MID_WRITE_RATIO: typing.Final = 0.3
+FALSE_DEATH_RATIO: typing.Final = 0.005
+FOLD_FAULT_RATIO: typing.Final = 0.25
+FOLD_CALLS_MAX: typing.Final = 60
+DETECTION_MAX_S: typing.Final = 60.0
+# Days of traffic before and after the month, and the days after it until
+# the cut-off daemon returns, which is later than the closing of the month.
+MARGIN_DAYS: typing.Final = 1
+RETURN_DAYS: typing.Final = 4
+CUT_OFF_DAYS: typing.Final = 3
+
+Sink = abc.Callable[[requestrecord.RequestRecord], None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Fix the size of a run."""
+
+    month: figures.Month
+    seed: int
+    request_count: int
+    daemon_count: int = 7
+    tick_s: float = 3600.0
+
+
+class GateApi:
+    """Forward calls of the object API; stop at one call until released."""
+
+    reached: trio.Event
+    released: trio.Event
+    out: bool
+    _inner: selfcheckstore.FaultyStore
+    _stop_at: int
+    _calls_count: int
+
+    def __init__(
+        self, inner: selfcheckstore.FaultyStore, stop_at: int = 0
+    ) -> None:
+        self.reached = trio.Event()
+        self.released = trio.Event()
+        self.out = False
+        self._inner = inner
+        self._stop_at = stop_at
+        self._calls_count = 0
+
+    async def _pass(self) -> objectapi.ObjectApi:
+        self._calls_count += 1
+        if self._calls_count == self._stop_at:
+            self.reached.set()
+            await self.released.wait()
+        if self.out:
+            return selfcheckstore.FaultyStore.unreachable()
+        return self._inner
+
+    async def get(
+        self, key: str
+    ) -> result.Result[objectapi.StoredObject, errors.ObjectApiError]:
+        """Forward the call."""
+        return await (await self._pass()).get(key)
+
+    async def list(
+        self, prefix: str
+    ) -> result.Result[objectapi.Listing, errors.ObjectApiError]:
+        """Forward the call."""
+        return await (await self._pass()).list(prefix)
+
+    async def put(
+        self, key: str, value: typing.Any, if_version: int, request_id: str
+    ) -> result.Result[objectapi.StoredObject, errors.ObjectApiError]:
+        """Forward the call."""
+        api = await self._pass()
+        return await api.put(key, value, if_version, request_id)
+
+    async def delete(
+        self, key: str, if_version: int, request_id: str
+    ) -> result.Result[None, errors.ObjectApiError]:
+        """Forward the call."""
+        api = await self._pass()
+        return await api.delete(key, if_version, request_id)
+
+    async def watch(
+        self, prefix: str, from_version: int, timeout_s: float
+    ) -> result.Result[
+        abc.Sequence[objectapi.StoredObject], errors.ObjectApiError
+    ]:
+        """Forward the call."""
+        api = await self._pass()
+        return await api.watch(prefix, from_version, timeout_s)
+
+
+@dataclasses.dataclass(slots=True)
+class RunningDaemon:
+    """Hold one incarnation of a simulated daemon."""
+
+    name: str
+    incarnation: int
+    started_wall_s: float
+    api: GateApi
+    writer: segments.SegmentWriter
+    traffic: selfchecktraffic.Traffic
+    replace_at_wall_s: float
+    silent_ticks: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class PausedPass:
+    """Hold a folding pass that is stopped at a call."""
+
+    gate: GateApi
+    resume_at_wall_s: float
+
+
+class Simulation:
+    """Run the fleet over the month and the days around it."""
+
+    store: selfcheckstore.FaultyStore
+    killed: dict[str, foldplan.GoneDaemon]
+    record_count: int
+    _plan: Plan
+    _sink: Sink
+    _random: random.Random
+    _daemons: list[RunningDaemon]
+    _gone: list[foldplan.GoneDaemon]
+    _epoch: int
+    _outage_ticks: int
+    _paused: list[PausedPass]
+
+    def __init__(self, plan: Plan, sink: Sink) -> None:
+        self.store = selfcheckstore.FaultyStore(plan.seed, LOST_RATIO)
+        self.killed = {}
+        self.record_count = 0
+        self._plan = plan
+        self._sink = sink
+        self._random = random.Random(plan.seed)
+        self._gone = []
+        self._epoch = 1
+        self._outage_ticks = 0
+        self._paused = []
+        start_wall_s = self.start_wall_s()
+        self._daemons = [
+            self._start(f"daemon-{number}", start_wall_s)
+            for number in range(plan.daemon_count)
+        ]
+
+    def start_wall_s(self) -> float:
+        """Return the first moment of the run."""
+        first = self._plan.month.first_quarter() * figures.QUARTER_S
+        return first - MARGIN_DAYS * DAY_S
+
+    def month_end_wall_s(self) -> float:
+        """Return the end of the month in UTC."""
+        next_month = self._plan.month.shift(1)
+        return float(next_month.first_quarter() * figures.QUARTER_S)
+
+    async def run(self) -> None:
+        """Run to the end; afterwards every segment is folded."""
+        async with trio.open_nursery() as nursery:
+            wall_s = self.start_wall_s()
+            stop_wall_s = self.month_end_wall_s() + MARGIN_DAYS * DAY_S
+            count = self._requests_per_tick(stop_wall_s - wall_s)
+            while wall_s < stop_wall_s:
+                await self._tick(wall_s, count, nursery)
+                wall_s += self._plan.tick_s
+            await self._finish(wall_s)
+
+    def _requests_per_tick(self, length_s: float) -> int:
+        ticks = length_s / self._plan.tick_s
+        per_tick = self._plan.request_count / ticks / self._plan.daemon_count
+        return max(1, round(per_tick + 0.5))
+
+    async def _tick(
+        self, wall_s: float, count: int, nursery: trio.Nursery
+    ) -> None:
+        self._choose_outage()
+        end_wall_s = wall_s + self._plan.tick_s
+        for number, daemon in enumerate(self._daemons):
+            daemon.traffic.arrive(
+                max(wall_s, daemon.started_wall_s), end_wall_s, count
+            )
+            if wall_s <= daemon.replace_at_wall_s < end_wall_s:
+                self._daemons[number] = await self._replace(daemon)
+            else:
+                await self._work(daemon, end_wall_s)
+        self._cut_off(self._daemons[0], end_wall_s)
+        await self._fold(end_wall_s, nursery)
+
+    def _choose_outage(self) -> None:
+        if self._outage_ticks:
+            self._outage_ticks -= 1
+        elif self._random.random() < OUTAGE_RATIO:
+            self._outage_ticks = self._random.randint(1, OUTAGE_TICKS_MAX)
+        self.store.out = self._outage_ticks > 0
+
+    def _cut_off(self, daemon: RunningDaemon, wall_s: float) -> None:
+        """Cut the daemon off from the store near the month's end."""
+        if wall_s < self.month_end_wall_s() - CUT_OFF_DAYS * DAY_S:
+            return
+        if not daemon.api.out:
+            daemon.api.out = True
+            daemon.replace_at_wall_s = float("inf")
+            self._declare_gone(daemon, wall_s)
+
+    async def _work(self, daemon: RunningDaemon, wall_s: float) -> None:
+        self._count_answers(daemon, wall_s)
+        if daemon.silent_ticks:
+            daemon.silent_ticks -= 1
+            return
+        if self._random.random() < FALSE_DEATH_RATIO:
+            daemon.silent_ticks = self._random.randint(1, 3)
+            self._declare_gone(daemon, wall_s)
+            return
+        await daemon.writer.flush(wall_s)
+
+    def _count_answers(self, daemon: RunningDaemon, wall_s: float) -> None:
+        for record in daemon.traffic.answered(wall_s):
+            daemon.writer.record(record)
+            self.record_count += 1
+            self._sink(record)
+
+    def _declare_gone(
+        self, daemon: RunningDaemon, wall_s: float
+    ) -> foldplan.GoneDaemon:
+        gone = foldplan.GoneDaemon(
+            daemon.name,
+            daemon.incarnation,
+            daemon.started_wall_s,
+            wall_s + self._random.uniform(1, DETECTION_MAX_S),
+        )
+        self._gone.append(gone)
+        return gone
+
+    async def _replace(self, daemon: RunningDaemon) -> RunningDaemon:
+        wall_s = daemon.replace_at_wall_s
+        if self._random.random() < KILL_RATIO:
+            await self._kill(daemon, wall_s)
+        else:
+            wall_s = await self._stop(daemon, wall_s)
+        return self._start(daemon.name, wall_s + DETECTION_MAX_S)
+
+    async def _kill(self, daemon: RunningDaemon, wall_s: float) -> None:
+        self._count_answers(daemon, wall_s)
+        if self._random.random() < MID_WRITE_RATIO:
+            self.store.lost_ratio = 1.0
+            await daemon.writer.flush(wall_s)
+            self.store.lost_ratio = LOST_RATIO
+        gone = self._declare_gone(daemon, wall_s)
+        name = segments.incarnation_name(daemon.incarnation)
+        self.killed[name] = gone
+
+    async def _stop(self, daemon: RunningDaemon, wall_s: float) -> float:
+        """Stop in order; the daemon waits for the store if it must."""
+        end_wall_s = max(wall_s, daemon.traffic.last_answer_wall_s())
+        self._count_answers(daemon, end_wall_s)
+        out, self.store.out = self.store.out, False
+        while not daemon.writer.closed:
+            await daemon.writer.close(end_wall_s)
+        self.store.out = out
+        return end_wall_s
+
+    def _start(self, name: str, wall_s: float) -> RunningDaemon:
+        incarnation = self._random.getrandbits(64)
+        api = GateApi(self.store)
+        return RunningDaemon(
+            name=name,
+            incarnation=incarnation,
+            started_wall_s=wall_s,
+            api=api,
+            writer=segments.SegmentWriter(api, name, incarnation, wall_s),
+            traffic=selfchecktraffic.Traffic(
+                name, incarnation, random.Random(incarnation)
+            ),
+            replace_at_wall_s=wall_s + self._random.uniform(0.5, 1.2) * DAY_S,
+        )
+
+    async def _fold(self, wall_s: float, nursery: trio.Nursery) -> None:
+        recent = wall_s - 2 * DAY_S
+        gone = [item for item in self._gone if item.gone_wall_s > recent]
+        await self._resume_passes(wall_s)
+        if self._random.random() >= FOLD_FAULT_RATIO:
+            await self._run_pass(GateApi(self.store), wall_s, gone)
+            return
+        gate = GateApi(self.store, self._random.randint(1, FOLD_CALLS_MAX))
+        if self._random.random() < 0.5:
+            await self._crash_pass(gate, wall_s, gone)
+        else:
+            await self._pause_pass(gate, wall_s, gone, nursery)
+        self._epoch += 1
+        await self._run_pass(GateApi(self.store), wall_s, gone)
+
+    async def _run_pass(
+        self,
+        gate: GateApi,
+        wall_s: float,
+        gone: list[foldplan.GoneDaemon],
+    ) -> result.Result[folding.FoldSummary, errors.PlantainhookError]:
+        writer = selfcheckstore.EpochWriter(gate, self._epoch)
+        return await folding.Folder(gate, writer).fold(wall_s, gone)
+
+    async def _crash_pass(
+        self, gate: GateApi, wall_s: float, gone: list[foldplan.GoneDaemon]
+    ) -> None:
+        async with trio.open_nursery() as inner:
+            inner.start_soon(self._watched_pass, gate, wall_s, gone)
+            await gate.reached.wait()
+            inner.cancel_scope.cancel()
+
+    async def _pause_pass(
+        self,
+        gate: GateApi,
+        wall_s: float,
+        gone: list[foldplan.GoneDaemon],
+        nursery: trio.Nursery,
+    ) -> None:
+        nursery.start_soon(self._watched_pass, gate, wall_s, gone)
+        await gate.reached.wait()
+        pause_s = self._random.randint(1, 30) * self._plan.tick_s
+        self._paused.append(PausedPass(gate, wall_s + pause_s))
+
+    async def _watched_pass(
+        self, gate: GateApi, wall_s: float, gone: list[foldplan.GoneDaemon]
+    ) -> None:
+        await self._run_pass(gate, wall_s, gone)
+        gate.reached.set()
+
+    async def _resume_passes(self, wall_s: float) -> None:
+        due = [item for item in self._paused if item.resume_at_wall_s < wall_s]
+        for item in due:
+            self._paused.remove(item)
+            item.gate.released.set()
+            await trio.testing.wait_all_tasks_blocked()
+
+    async def _finish(self, wall_s: float) -> None:
+        """Stop all but the cut-off daemon, close the month, let it return."""
+        self.store.out = False
+        for daemon in self._daemons[1:]:
+            await self._stop(daemon, wall_s)
+        await self._resume_passes(float("inf"))
+        closed_wall_s = self.month_end_wall_s() + RETURN_DAYS * DAY_S
+        await self._fold_all(closed_wall_s)
+        late = self._daemons[0]
+        late.api.out = False
+        await self._stop(late, closed_wall_s)
+        self.store.deliver_late()
+        await self._fold_all(closed_wall_s + self._plan.tick_s)
+
+    async def _fold_all(self, wall_s: float) -> None:
+        """Fold until a pass finds nothing to do and nothing failed."""
+        while True:
+            outcome = await self._run_pass(
+                GateApi(self.store), wall_s, self._gone[-20:]
+            )
+            if isinstance(outcome, result.Err):
+                continue
+            summary = outcome.ok_value
+            work = summary.sealed_count + summary.folded_count
+            if not work and not summary.failures:
+                return
--- a/plantainhook/selfcheckstore.py
+++ b/plantainhook/selfcheckstore.py
@@ -121,6 +121,13 @@
             ]
         )
 
+    @classmethod
+    def unreachable(cls) -> "FaultyStore":
+        """Return a store that is always out."""
+        store = cls(0, 0.0)
+        store.out = True
+        return store
+
     def stored(self, key: str) -> objectapi.StoredObject:
         """Return an object as readers see it."""
         held = self.objects[key]
