--- a/plantainhook/messages.py
+++ b/plantainhook/messages.py
@@ -84,3 +84,7 @@
 SUSPECT_RUNNING: typing.Final = (
     "this request may have crashed a backend server and is already running"
 )
+PLOTS_MISSING: typing.Final = (
+    "The plots are missing because matplotlib is not installed; "
+    "install plantainhook with the extra 'plots'."
+)
