Add the benchmark of the query decisions

The policies need figures under load and faults before they reach a daemon.

bench runs the decisions against fake leafs on a virtual clock; an observer derives the safety counters from what the fakes ran and callers received.

--- /dev/null
+++ b/plantainhook/benchfaults.py
@@ -0,0 +1,59 @@
+"""Faults of benchmark scenarios, applied to the fake leafs."""
+
+import typing
+from collections import abc
+
+from plantainhook import benchleaf, benchtypes
+
+K = benchtypes.FaultKind
+
+
+class Target(typing.Protocol):
+    """Hold what faults change."""
+
+    leafs: dict[str, benchleaf.FakeLeaf]
+    world: benchleaf.World
+    declared: set[int]
+
+    def served_by(
+        self, leaf: str, versions: abc.Iterable[int]
+    ) -> dict[int, frozenset[str]]:
+        """Return the shards that the maps place on a leaf."""
+
+
+def applier(target: Target, fault: benchtypes.Fault) -> abc.Callable[[], None]:
+    """Return a function that applies a fault."""
+
+    def apply() -> None:
+        if fault.kind is K.LINK_LOSS:
+            target.world.link_loss[fault.data_centre] = fault.value
+        elif fault.kind is K.DECLARE:
+            target.declared.update(fault.versions)
+        for name in fault.leafs:
+            _apply_to_leaf(target, target.leafs[name], fault)
+
+    return apply
+
+
+def _apply_to_leaf(
+    target: Target, leaf: benchleaf.FakeLeaf, fault: benchtypes.Fault
+) -> None:
+    match fault.kind:
+        case K.SLOW:
+            leaf.slow_factor = fault.value
+        case K.REFUSE_CONNECTIONS:
+            leaf.crash(restarts=False)
+        case K.CRASH:
+            leaf.crash(restarts=True)
+        case K.HANG:
+            leaf.mode = benchleaf.LeafMode.HUNG
+        case K.DRAIN:
+            leaf.mode = benchleaf.LeafMode.DRAINING
+        case K.COLD:
+            leaf.cold = True
+        case K.RECOVER:
+            leaf.recover()
+        case K.SERVE:
+            leaf.serves = target.served_by(leaf.info.name, fault.versions)
+        case _:
+            raise ValueError(f"{fault.kind} does not apply to leafs")
--- a/plantainhook/cli.py
+++ b/plantainhook/cli.py
@@ -7,7 +7,7 @@
 import sys
 from collections import abc
 
-from plantainhook import commands
+from plantainhook import commands, commands_bench  # noqa: F401
 
 
 def build_parser() -> argparse.ArgumentParser:
