--- a/plantainhook/cli.py
+++ b/plantainhook/cli.py
@@ -10,12 +10,14 @@
 
 from plantainhook import (
     commands,
+    commands_bench,
     commands_report,
     commands_settings,
 )
 
 # Importing a module of commands registers its commands.
 COMMAND_MODULES: typing.Final = (
+    commands_bench,
     commands_report,
     commands_settings,
 )
