--- /dev/null
+++ b/plantainhook/deployments.py
@@ -0,0 +1,289 @@
+"""The two deployments of today, as the demo and the soak run them.
+
+A deployment is described without addresses; ``settings_of`` adds the
+addresses at which the stand-ins listen.
+"""
+
+import dataclasses
+import typing
+from collections import abc
+
+from plantainhook import schema
+
+DAEMON_COUNT: typing.Final = 7
+DATA_CENTRE_COUNT: typing.Final = 3
+SHARDS_PER_GROUP: typing.Final = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeafPlan:
+    """Describe a leaf that a deployment needs."""
+
+    name: str
+    group: str
+    service: str
+    data_centre: str
+    connection_limit_count: int
+    connect_ms: float
+    shards: tuple[str, ...]
+    slot_count: int = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupSize:
+    """Describe the shard groups of one query target."""
+
+    target: str
+    service_count: int
+    leaf_count: int
+    connection_limit_count: int
+    connect_ms: float
+    replica_count: int = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KindLoad:
+    """Describe a request kind, its rules and its part of the load."""
+
+    name: str
+    target: str
+    part: float
+    rules: schema.Rules
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Deployment:
+    """Describe a deployment at its size of today."""
+
+    name: str
+    zone_delay_ms: float
+    caller_delay_ms: float
+    groups: tuple[GroupSize, ...]
+    kinds: tuple[KindLoad, ...]
+
+
+UTILITY: typing.Final = Deployment(
+    name="utility",
+    zone_delay_ms=5.0,
+    caller_delay_ms=1.0,
+    groups=(
+        GroupSize("map-publishing", 20, 2, 25, 6.0),
+        GroupSize("survey-portal", 30, 2, 25, 6.0),
+        GroupSize("archive-reader", 1, 6, 100, 1.0),
+        GroupSize("fleet-feed", 1, 3, 100, 1.0, replica_count=3),
+    ),
+    kinds=(
+        KindLoad(
+            "grid",
+            "map-publishing",
+            0.4,
+            schema.Rules(
+                request_class=schema.RequestClass.INTERACTIVE,
+                min_coverage_ratio=0.9,
+                deadline_ms=2000,
+            ),
+        ),
+        KindLoad(
+            "correction",
+            "fleet-feed",
+            0.3,
+            schema.Rules(
+                request_class=schema.RequestClass.URGENT, deadline_ms=1000
+            ),
+        ),
+        KindLoad(
+            "survey",
+            "survey-portal",
+            0.2,
+            schema.Rules(
+                request_class=schema.RequestClass.SEARCH, deadline_ms=3000
+            ),
+        ),
+        KindLoad(
+            "station-history",
+            "archive-reader",
+            0.1,
+            schema.Rules(
+                request_class=schema.RequestClass.ARCHIVE,
+                idempotent=False,
+                deadline_ms=10_000,
+            ),
+        ),
+    ),
+)
+
+DASOM: typing.Final = Deployment(
+    name="dasom",
+    zone_delay_ms=4.0,
+    caller_delay_ms=3.0,
+    groups=(
+        GroupSize("counter-app", 20, 2, 25, 6.0),
+        GroupSize("intake-log", 30, 2, 25, 6.0),
+        GroupSize("archive-desk", 1, 10, 35, 1.0),
+        GroupSize("notice-board", 1, 5, 35, 1.0),
+    ),
+    kinds=(
+        KindLoad(
+            "template-hint",
+            "notice-board",
+            0.4,
+            schema.Rules(
+                request_class=schema.RequestClass.INTERACTIVE,
+                deadline_ms=1000,
+            ),
+        ),
+        KindLoad(
+            "case-search",
+            "counter-app",
+            0.3,
+            schema.Rules(
+                request_class=schema.RequestClass.SEARCH, deadline_ms=3000
+            ),
+        ),
+        KindLoad(
+            "archive-retrieval",
+            "archive-desk",
+            0.2,
+            schema.Rules(
+                request_class=schema.RequestClass.ARCHIVE, deadline_ms=30_000
+            ),
+        ),
+        KindLoad(
+            "submission",
+            "intake-log",
+            0.1,
+            schema.Rules(
+                request_class=schema.RequestClass.SEARCH,
+                idempotent=False,
+                deadline_ms=5000,
+            ),
+        ),
+    ),
+)
+
+DEPLOYMENTS: typing.Final = (UTILITY, DASOM)
+
+
+def data_centre_name(deployment: Deployment, number: int) -> str:
+    """Return the name of a data centre."""
+    return f"{deployment.name}-dc-{number % DATA_CENTRE_COUNT + 1}"
+
+
+def leafs_of(deployment: Deployment) -> list[LeafPlan]:
+    """Return every leaf of a deployment with the shards that it serves."""
+    return [
+        leaf
+        for size in deployment.groups
+        for number in range(size.service_count)
+        for leaf in _group_leafs(deployment, size, number)
+    ]
+
+
+def _group_leafs(
+    deployment: Deployment, size: GroupSize, number: int
+) -> abc.Iterator[LeafPlan]:
+    group = f"{size.target}-{number + 1}"
+    shards_of: dict[int, list[str]] = {n: [] for n in range(size.leaf_count)}
+    shard_count = SHARDS_PER_GROUP * max(1, size.leaf_count // 2)
+    for shard in range(shard_count):
+        for replica in range(size.replica_count):
+            leaf = (shard + replica) % size.leaf_count
+            shards_of[leaf].append(f"{group}.{shard}")
+    for leaf, shards in shards_of.items():
+        yield LeafPlan(
+            name=f"{group}-{leaf + 1}",
+            group=group,
+            service=size.target,
+            data_centre=data_centre_name(deployment, number + leaf),
+            connection_limit_count=size.connection_limit_count,
+            connect_ms=size.connect_ms,
+            shards=tuple(shards),
+        )
+
+
+def settings_of(
+    deployment: Deployment, addresses: abc.Mapping[str, str], version: int
+) -> schema.Settings:
+    """Build the settings of a deployment whose leafs have addresses."""
+    plans = leafs_of(deployment)
+    return schema.Settings(
+        data_centre={
+            data_centre_name(deployment, number): schema.DataCentre()
+            for number in range(DATA_CENTRE_COUNT)
+        },
+        service={plan.service: schema.Service() for plan in plans},
+        request_kind={
+            kind.name: schema.RequestKind(rules=kind.rules)
+            for kind in deployment.kinds
+        },
+        group=_groups(plans, addresses),
+        target={
+            size.target: schema.Target(
+                groups=sorted(
+                    {p.group for p in plans if p.service == size.target}
+                )
+            )
+            for size in deployment.groups
+        },
+        index={
+            index_key(size.target, version): index_of(
+                plans, size.target, version
+            )
+            for size in deployment.groups
+        },
+    )
+
+
+def index_key(target: str, version: int) -> str:
+    """Return the name of an index object in the settings."""
+    return f"{target}{schema.INDEX_KEY_SEPARATOR}{version}"
+
+
+def _groups(
+    plans: abc.Iterable[LeafPlan], addresses: abc.Mapping[str, str]
+) -> dict[str, schema.Group]:
+    groups: dict[str, schema.Group] = {}
+    for plan in plans:
+        leaf = schema.Leaf(
+            name=plan.name,
+            address=addresses[plan.name],
+            data_centre=plan.data_centre,
+            slot_count=plan.slot_count,
+            connection_limit_count=plan.connection_limit_count,
+            connect_ms=plan.connect_ms,
+        )
+        known = groups.get(plan.group)
+        if known is None:
+            groups[plan.group] = schema.Group(
+                service=plan.service, leafs=[leaf]
+            )
+        else:
+            known.leafs.append(leaf)
+    return groups
+
+
+def index_of(
+    plans: abc.Iterable[LeafPlan], target: str, version: int
+) -> schema.Index:
+    """Build an index version of a target; each shard holds one tile."""
+    leafs_by_shard: dict[str, list[str]] = {}
+    group_by_shard: dict[str, str] = {}
+    for plan in plans:
+        if plan.service != target:
+            continue
+        for shard in plan.shards:
+            leafs_by_shard.setdefault(shard, []).append(plan.name)
+            group_by_shard[shard] = plan.group
+    return schema.Index(
+        target=target,
+        version=version,
+        shards=[
+            schema.Shard(
+                name=shard,
+                group=group_by_shard[shard],
+                leafs=leafs,
+                tiles=[f"tile-{shard}"],
+            )
+            for shard, leafs in leafs_by_shard.items()
+        ],
+    )
