Avoid failing leafs and restart only where it gains

Link losses were not seen where packets were resent, and a restart was never taken when all leafs changed version at once.

Calls cancelled after three medians count as unanswered; five in a row mark the leaf as failing, one call at a time probes it, and failing near leafs do not hold calls back from other zones. They also count as losses of the link. A restart happens at once for a complete newer version, else instead of a partial answer where it promises more coverage. The hedge delay is three medians until 50 samples are known.

--- a/plantainhook/attempts.py
+++ b/plantainhook/attempts.py
@@ -7,7 +7,7 @@
 
 import dataclasses
 
-from plantainhook import errors, hedging, queryplan, querytypes
+from plantainhook import errors, hedging, queryplan, querytypes, replicas
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -18,14 +18,16 @@
     missing: set[str]
     estimate: hedging.LatencyEstimate
     live: list["Attempt"] = dataclasses.field(default_factory=list)
-    tried: list[str] = dataclasses.field(default_factory=list)
-    barred: set[str] = dataclasses.field(default_factory=set)
+    tried: tuple[str, ...] = ()
+    barred: frozenset[str] = frozenset()
     hedge_count: int = 0
     retry_count: int = 0
     settled: bool = False
 
     def lacking(self, attempt: "Attempt") -> set[str]:
         """Return the missing shards of an attempt that no other asks."""
+        if not self.missing:
+            return self.missing
         lacking = self.missing.intersection(attempt.shards)
         for other in self.live:
             lacking.difference_update(other.shards)
@@ -53,7 +55,7 @@
     """Hold one call to a leaf."""
 
     attempt_id: int
-    status: querytypes.LeafStatus
+    leaf: replicas.ReplicaState
     shards: tuple[str, ...]
     shard_set: ShardSet
     sent_s: float
@@ -90,17 +92,18 @@
     ) -> Attempt:
         """Open an attempt and count it in flight."""
         self._opened_count += 1
+        policies = self.policies
+        leaf = policies.replicas.on_sent(
+            status, self.plan.rules.cross_zone_max_ratio
+        )
         attempt = Attempt(
-            self._opened_count, status, shards, shard_set, now_s, version
+            self._opened_count, leaf, shards, shard_set, now_s, version
         )
         self.live[attempt.attempt_id] = attempt
         shard_set.live.append(attempt)
-        shard_set.tried.append(status.info.name)
-        self.policies.replicas.on_sent(
-            status, self.plan.rules.cross_zone_max_ratio
-        )
-        self.policies.quarantine.started(
-            status.info.name, self.plan.request.fingerprint, now_s
+        shard_set.tried += (leaf.name,)
+        policies.quarantine.started(
+            leaf.name, self.plan.request.fingerprint, now_s
         )
         return attempt
 
@@ -130,10 +133,10 @@
         latency_s = now_s - attempt.sent_s
         estimate.record(latency_s)
         self.policies.replicas.on_reply(
-            attempt.status, latency_s, estimate.quantile_s(0.5), now_s
+            attempt.leaf, latency_s, estimate.quantile_s(0.5), now_s
         )
         self.policies.quarantine.replied(
-            attempt.status.info.name,
+            attempt.leaf.name,
             self.plan.request.fingerprint,
             attempt.sent_s,
         )
@@ -143,10 +146,10 @@
     ) -> None:
         """Report a closed attempt that failed."""
         self.note_ran(failure.ran)
-        leaf = attempt.status.info.name
+        leaf = attempt.leaf.name
         fingerprint = self.plan.request.fingerprint
         self.policies.replicas.on_failure(
-            attempt.status, failure, attempt.snapshot, now_s
+            attempt.leaf, failure.kind, attempt.snapshot, now_s
         )
         if failure.kind is errors.LeafFailureKind.CONNECTION_LOST:
             self.lost_leafs.add(leaf)
@@ -165,9 +168,9 @@
         waited_s = now_s - attempt.sent_s
         estimate.record(waited_s)
         self.policies.replicas.on_cancelled(
-            attempt.status, waited_s, estimate.quantile_s(0.5), now_s
+            attempt.leaf, waited_s, estimate.quantile_s(0.5), now_s
         )
         self.policies.quarantine.ended(
-            attempt.status.info.name, self.plan.request.fingerprint
+            attempt.leaf.name, self.plan.request.fingerprint
         )
         return querytypes.Cancel(attempt.attempt_id)
--- a/plantainhook/coverage.py
+++ b/plantainhook/coverage.py
@@ -44,12 +44,6 @@
         merged = sum(shards[name].weight for name in self.results)
         return merged / sum(shards[name].weight for name in self.asked)
 
-    def ratio_without(self, lost: abc.Set[str]) -> float:
-        """Return the coverage if all but the lost shards still arrive."""
-        shards = self.shard_map.shards
-        asked = sum(shards[name].weight for name in self.asked)
-        return 1.0 - sum(shards[name].weight for name in lost) / asked
-
     def missing_shards(self) -> tuple[str, ...]:
         """Return the names of the shards not merged, in order."""
         return tuple(sorted(self.asked - self.results.keys()))
--- a/plantainhook/hedging.py
+++ b/plantainhook/hedging.py
@@ -16,7 +16,11 @@
 # After this many samples all counts are halved, so that old samples fade.
 WINDOW_COUNT: typing.Final = 4000
 REFRESH_COUNT: typing.Final = 50
+FIRST_REFRESH_COUNT: typing.Final = 5
 LEARNED_MIN_COUNT: typing.Final = 50
+# With fewer samples the tail is unknown and a multiple of the median serves.
+MEDIAN_MIN_COUNT: typing.Final = 5
+UNLEARNED_FACTOR: typing.Final = 3.0
 # Share of the extra-load budget that first hedges aim to use; the rest is
 # left for second hedges and retries.
 FIRST_HEDGE_SHARE: typing.Final = 0.6
@@ -60,7 +64,8 @@
 
     def quantile_s(self, quantile: float) -> float:
         """Return the latency below which a share of the samples lies."""
-        if self.since_refresh_count >= REFRESH_COUNT:
+        interval = REFRESH_COUNT if self.learned() else FIRST_REFRESH_COUNT
+        if self.since_refresh_count >= interval:
             self.quantiles.clear()
             self.since_refresh_count = 0
         known = self.quantiles.get(quantile)
@@ -178,8 +183,10 @@
         would use more than the budget: a budget that runs dry leaves the
         slowest calls without a hedge.
         """
-        if not estimate.learned():
+        if estimate.total < MEDIAN_MIN_COUNT:
             return rules.hedge_delay_ms / 1000.0
+        if not estimate.learned():
+            return UNLEARNED_FACTOR * estimate.quantile_s(0.5)
         affordable = 1.0 - FIRST_HEDGE_SHARE * rules.extra_load_ratio
         return estimate.quantile_s(max(rules.hedge_quantile, affordable))
 
--- a/plantainhook/query.py
+++ b/plantainhook/query.py
@@ -102,8 +102,8 @@
             return []
         self._ledger.failed(attempt, failure, now_s)
         if failure.kind is errors.LeafFailureKind.NOT_SERVED:
-            leaf = attempt.status.info.name
-            attempt.shard_set.barred.add(leaf)
+            leaf = attempt.leaf.name
+            attempt.shard_set.barred |= {leaf}
             self._work.learned[leaf] = frozenset(failure.served)
         return self._recover(attempt, failure.ran, [], now_s)
 
@@ -194,7 +194,7 @@
         self, attempt: attempts.Attempt, ran: errors.Ran, now_s: float
     ) -> Actions:
         """Treat an invalid reply as a failure of the attempt."""
-        leaf = attempt.status.info.name
+        leaf = attempt.leaf.name
         failure = errors.LeafError(
             steps.Step.QUERY_MERGE,
             leaf,
@@ -217,34 +217,60 @@
         lacking = shard_set.lacking(attempt)
         if lacking:
             self._work.retry(shard_set, lacking, ran, actions, now_s)
-            if shard_set.lacking(attempt) and shard_set.barred:
-                restart = self._restart(lacking, actions, now_s)
+            if shard_set.barred and shard_set.lacking(attempt):
+                restart = self._restart_if_complete(actions, now_s)
                 if restart is not None:
                     return restart
         self._work.settle(shard_set)
         return self._advance(actions, now_s)
 
-    def _restart(
-        self, lacking: set[str], actions: Actions, now_s: float
-    ) -> Actions | None:
-        """Start again on a newer version where that promises more."""
+    def _may_restart(self, now_s: float) -> bool:
+        """Return whether the rules and the time left allow a restart."""
         if self.restarted or self._work.one_at_a_time:
+            return False
+        idempotent = self.plan.rules.idempotent
+        if not idempotent and self._ledger.ran is not errors.Ran.NO:
+            return False
+        if not idempotent and self._ledger.live:
+            return False
+        return self._deadline_s - now_s > self._median_query_s()
+
+    def _restart_if_complete(
+        self, actions: Actions, now_s: float
+    ) -> Actions | None:
+        """Restart at once where a newer version is known to be complete."""
+        if not self._may_restart(now_s):
             return None
-        if not self.plan.rules.idempotent and (
-            self._ledger.live or self._ledger.ran is not errors.Ran.NO
-        ):
+        pinned = self._work.view.shard_map.version
+        newer = snapshot.select_complete(
+            self.plan.latest_view().versions, pinned
+        )
+        if newer is None:
             return None
-        if self._deadline_s - now_s <= self._median_query_s():
+        return self._restart(newer, actions, now_s)
+
+    def _restart_if_better(
+        self, actions: Actions, now_s: float
+    ) -> Actions | None:
+        """Restart instead of a partial answer where that promises more.
+
+        What the 409 replies of this query told counts, because polls may
+        not have seen the new version yet.
+        """
+        if not self._work.learned or not self._may_restart(now_s):
             return None
         newer = snapshot.select_newer(
             self.plan.latest_view(),
             self._work.view.shard_map.version,
             self._work.learned,
         )
-        if newer is None or newer.served_ratio() < self.merge.ratio_without(
-            lacking
-        ):
+        if newer is None or newer.served_ratio() <= self.merge.ratio():
             return None
+        return self._restart(newer, actions, now_s)
+
+    def _restart(
+        self, newer: snapshot.VersionView, actions: Actions, now_s: float
+    ) -> Actions:
         self.restarted = True
         self.policies.counters.restart_count += 1
         self._cancel_all(actions, now_s)
@@ -263,6 +289,8 @@
     def _cancel_losers(
         self, shard_set: attempts.ShardSet, actions: Actions, now_s: float
     ) -> None:
+        if not shard_set.live:
+            return
         for attempt in tuple(shard_set.live):
             if shard_set.missing.isdisjoint(attempt.shards):
                 actions.append(self._ledger.cancel(attempt, now_s))
@@ -281,8 +309,12 @@
             reason = querytypes.AttemptReason.FIRST
             self._work.send_first(self._waiting.pop(), reason, actions, now_s)
         if self._work.open_count == 0:
+            restart = self._restart_if_better(actions, now_s)
+            if restart is not None:
+                return restart
             return self._finish_with_merge(actions, now_s)
-        self._arm(actions)
+        if actions:
+            self._arm(actions)
         return actions
 
     def _plan_early_finish(self) -> None:
--- a/plantainhook/replicas.py
+++ b/plantainhook/replicas.py
@@ -20,9 +20,11 @@
 SPEED_MEMORY_S: typing.Final = 10.0
 COLD_FACTOR: typing.Final = 4.0
 FULL_FACTOR: typing.Final = 10.0
-PENALTY_FACTOR: typing.Final = 100.0
 # Above this cost a near replica is compared with those of other zones.
 SPILL_COST: typing.Final = 3.0
+# A call cancelled after this many medians counts as unanswered.
+UNANSWERED_FACTOR: typing.Final = 3.0
+UNANSWERED_MAX: typing.Final = 5
 PENALTY_FIRST_S: typing.Final = 0.25
 PENALTY_MAX_S: typing.Final = 4.0
 # Polling refreshes the versions that leafs serve every second.
@@ -42,7 +44,7 @@
 )
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class ReplicaState:
     """Hold what the calls of this daemon saw of one leaf.
 
@@ -50,28 +52,37 @@
     kind, so 1 is average and 2 is half as fast.
     """
 
+    name: str
     limit: concurrency.ConcurrencyLimit
     slot_count: int
+    link: zones.Link | None
     in_flight_count: int = 0
     speed: float = 1.0
     speed_s: float = 0.0
     penalty_s: float = 0.0
     penalised_until_s: float = 0.0
-    not_served_until_s: dict[int, float] = dataclasses.field(
-        default_factory=dict
-    )
+    unanswered_count: int = 0
 
-    def cost(self, cold: bool, now_s: float) -> float:
+    def cost(self, cold: bool) -> float:
         """Return the expected cost of one more call; lower is better."""
         cost = self.speed * (1.0 + self.in_flight_count / self.slot_count)
         if cold:
             cost *= COLD_FACTOR
-        if self.in_flight_count >= self.limit.limit_count:
+        if not self.limit.has_room(self.in_flight_count):
             cost *= FULL_FACTOR
-        if now_s < self.penalised_until_s:
-            cost *= PENALTY_FACTOR
+        if self.link is not None:
+            cost *= self.link.cost_factor()
         return cost
 
+    def failing(self, now_s: float) -> bool:
+        """Return whether the leaf is to be avoided.
+
+        After the penalty one call at a time probes the leaf until a reply.
+        """
+        if self.penalty_s == 0.0:
+            return False
+        return now_s < self.penalised_until_s or self.in_flight_count > 0
+
     def record_speed(self, speed: float, now_s: float) -> None:
         """Average a latency relative to the group median."""
         idle_s = now_s - self.speed_s
@@ -91,25 +102,35 @@
         self.penalised_until_s = now_s + self.penalty_s
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Choice:
+    """Hold a replica, its cost and whether it is failing."""
+
+    status: querytypes.LeafStatus
+    cost: float
+    failing: bool
+
+
 @dataclasses.dataclass(slots=True)
 class Replicas:
-    """Hold the state of all leafs and choose among replicas."""
+    """Hold the state of all leafs and choose among replicas.
+
+    ``troubled`` names the leafs with a penalty. ``not_served_until_s``
+    holds the leafs that answered 409 for a version.
+    """
 
     zone_policy: zones.ZonePolicy
     rng: random.Random
     states: dict[str, ReplicaState] = dataclasses.field(default_factory=dict)
+    troubled: set[str] = dataclasses.field(default_factory=set)
+    not_served_until_s: dict[tuple[str, int], float] = dataclasses.field(
+        default_factory=dict
+    )
 
     def state(self, status: querytypes.LeafStatus) -> ReplicaState:
         """Return the state of a leaf."""
-        info = status.info
-        state = self.states.get(info.name)
-        if state is None:
-            limit = concurrency.build_limit(
-                info.slot_count, info.connection_limit_count
-            )
-            state = ReplicaState(limit, info.slot_count)
-            self.states[info.name] = state
-        return state
+        state = self.states.get(status.info.name)
+        return self._add_state(status) if state is None else state
 
     def choose(
         self,
@@ -122,127 +143,174 @@
         """Return the leaf for the next attempt, or None.
 
         Leafs in ``avoid`` and leafs that recently answered 409 for the
-        version are left out.
+        version are left out. Another zone is used where no near leaf is
+        usable, and within the cap where a near leaf is dearer.
         """
-        best, cost = self._cheaper_of_two(near, avoid, version, now_s)
-        if not far or (best is not None and cost < SPILL_COST):
-            return best
-        if best is not None and not self.zone_policy.may_cross():
-            return best
-        other, far_cost = self._cheaper_of_two(far, avoid, version, now_s)
-        if best is None or (other is not None and far_cost < cost):
-            return other
-        return best
-
-    def on_sent(self, status: querytypes.LeafStatus, max_ratio: float) -> None:
+        best = self._pick(near, avoid, version, now_s)
+        if best is not None and (
+            not far or (best.cost < SPILL_COST and not best.failing)
+        ):
+            return best.status
+        other = self._pick(far, avoid, version, now_s)
+        if best is None:
+            return None if other is None else other.status
+        if other is None or other.failing:
+            return best.status
+        crosses = best.failing or (
+            other.cost < best.cost and self.zone_policy.may_cross()
+        )
+        return other.status if crosses else best.status
+
+    def on_sent(
+        self, status: querytypes.LeafStatus, max_ratio: float
+    ) -> ReplicaState:
         """Count a call in flight."""
-        self.state(status).in_flight_count += 1
-        self.zone_policy.note_sent(status.info.data_centre, max_ratio)
+        state = self.state(status)
+        state.in_flight_count += 1
+        self.zone_policy.note_sent(state.link is None, max_ratio)
+        return state
 
     def on_reply(
         self,
-        status: querytypes.LeafStatus,
+        state: ReplicaState,
         latency_s: float,
         median_s: float,
         now_s: float,
     ) -> None:
         """Record a reply and its latency."""
-        state = self.state(status)
         state.limit.on_success(state.in_flight_count)
         state.in_flight_count -= 1
-        state.penalty_s = 0.0
-        state.penalised_until_s = 0.0
+        state.unanswered_count = 0
+        if state.penalty_s > 0.0:
+            state.penalty_s = 0.0
+            state.penalised_until_s = 0.0
+            self.troubled.discard(state.name)
         if median_s > 0.0:
             state.record_speed(latency_s / median_s, now_s)
-        self._record_link(status, latency_s)
+        if state.link is not None:
+            state.link.record(lost=False)
 
     def on_cancelled(
         self,
-        status: querytypes.LeafStatus,
+        state: ReplicaState,
         waited_s: float,
         median_s: float,
         now_s: float,
     ) -> None:
         """Record the wait of a cancelled call as a lower bound."""
-        state = self.state(status)
         state.in_flight_count -= 1
         if median_s > 0.0 and waited_s > state.speed * median_s:
             state.record_speed(waited_s / median_s, now_s)
+        if waited_s < UNANSWERED_FACTOR * median_s:
+            return
+        if state.link is not None:
+            state.link.record(lost=True)
+        state.unanswered_count += 1
+        if state.unanswered_count >= UNANSWERED_MAX:
+            state.unanswered_count = 0
+            self._penalise(state, now_s)
 
     def on_failure(
         self,
-        status: querytypes.LeafStatus,
-        failure: errors.LeafError,
+        state: ReplicaState,
+        kind: errors.LeafFailureKind,
         version: int,
         now_s: float,
     ) -> None:
         """Record a failed call."""
-        state = self.state(status)
         state.in_flight_count -= 1
-        if failure.kind in PENALISED_KINDS:
-            state.penalise(now_s)
-        if failure.kind in OVERLOAD_KINDS:
+        if kind in PENALISED_KINDS:
+            self._penalise(state, now_s)
+        if kind in OVERLOAD_KINDS:
             state.limit.on_overload(now_s)
-        if failure.kind is errors.LeafFailureKind.NOT_SERVED:
-            state.not_served_until_s[version] = now_s + NOT_SERVED_S
-        if failure.kind is errors.LeafFailureKind.CONNECTION_LOST:
-            self._record_link(status, None)
+        if kind is errors.LeafFailureKind.NOT_SERVED:
+            self._note_not_served(state.name, version, now_s)
+        lost = kind is errors.LeafFailureKind.CONNECTION_LOST
+        if lost and state.link is not None:
+            state.link.record(lost=True)
 
-    def _cheaper_of_two(
+    def _penalise(self, state: ReplicaState, now_s: float) -> None:
+        state.penalise(now_s)
+        self.troubled.add(state.name)
+
+    def _note_not_served(self, name: str, version: int, now_s: float) -> None:
+        self.not_served_until_s = {
+            key: until_s
+            for key, until_s in self.not_served_until_s.items()
+            if until_s > now_s
+        }
+        until_s = now_s + NOT_SERVED_S
+        self.not_served_until_s[name, version] = until_s
+
+    def _add_state(self, status: querytypes.LeafStatus) -> ReplicaState:
+        info = status.info
+        link = None
+        if info.data_centre != self.zone_policy.data_centre:
+            link = self.zone_policy.link(info.data_centre)
+        limit = concurrency.build_limit(
+            info.slot_count, info.connection_limit_count
+        )
+        state = ReplicaState(info.name, limit, info.slot_count, link)
+        self.states[info.name] = state
+        return state
+
+    def _pick(
         self,
         statuses: Statuses,
         avoid: abc.Collection[str],
         version: int,
         now_s: float,
-    ) -> tuple[querytypes.LeafStatus | None, float]:
-        usable = [
-            status
-            for status in statuses
-            if self._usable(status, avoid, version, now_s)
-        ]
-        if not usable:
-            return None, 0.0
-        drawn = usable
-        if len(usable) > 2:
-            drawn = self.rng.sample(usable, 2)
-        best = drawn[0]
-        cost = self._cost(best, now_s)
-        for status in drawn[1:]:
-            other_cost = self._cost(status, now_s)
-            if self._prefer(other_cost, cost):
-                best, cost = status, other_cost
-        return best, cost
-
-    def _prefer(self, other_cost: float, cost: float) -> bool:
-        if other_cost == cost:
-            return self.rng.random() < 0.5
-        return other_cost < cost
-
-    def _cost(self, status: querytypes.LeafStatus, now_s: float) -> float:
-        cost = self.state(status).cost(status.cold, now_s)
-        data_centre = status.info.data_centre
-        if data_centre != self.zone_policy.data_centre:
-            cost *= self.zone_policy.link(data_centre).cost_factor()
-        return cost
+    ) -> Choice | None:
+        """Choose among the leafs that are not failing, else among all."""
+        failing = False
+        if avoid or self.troubled or self.not_served_until_s:
+            statuses = self._usable(statuses, avoid, version, now_s)
+            healthy = self._healthy(statuses, now_s)
+            failing = not healthy
+            statuses = healthy or statuses
+        if not statuses:
+            return None
+        status, cost = self._cheaper_of_two(statuses)
+        return Choice(status, cost, failing)
+
+    def _cheaper_of_two(
+        self, statuses: Statuses
+    ) -> tuple[querytypes.LeafStatus, float]:
+        count = len(statuses)
+        random_01 = self.rng.random
+        first = statuses[int(random_01() * count)]
+        cost = self.state(first).cost(first.cold)
+        if count == 1:
+            return first, cost
+        index = int(random_01() * (count - 1))
+        second = statuses[index]
+        if second is first:
+            second = statuses[-1]
+        second_cost = self.state(second).cost(second.cold)
+        if second_cost < cost:
+            return second, second_cost
+        return first, cost
 
     def _usable(
         self,
-        status: querytypes.LeafStatus,
+        statuses: Statuses,
         avoid: abc.Collection[str],
         version: int,
         now_s: float,
-    ) -> bool:
-        name = status.info.name
-        if name in avoid:
-            return False
-        state = self.states.get(name)
-        if state is None or not state.not_served_until_s:
-            return True
-        return now_s >= state.not_served_until_s.get(version, 0.0)
+    ) -> Statuses:
+        not_served = self.not_served_until_s
+        return [
+            status
+            for status in statuses
+            if status.info.name not in avoid
+            and not_served.get((status.info.name, version), 0.0) <= now_s
+        ]
 
-    def _record_link(
-        self, status: querytypes.LeafStatus, latency_s: float | None
-    ) -> None:
-        data_centre = status.info.data_centre
-        if data_centre != self.zone_policy.data_centre:
-            self.zone_policy.link(data_centre).record(latency_s)
+    def _healthy(self, statuses: Statuses, now_s: float) -> Statuses:
+        troubled = self.troubled
+        return [
+            status
+            for status in statuses
+            if status.info.name not in troubled
+            or not self.states[status.info.name].failing(now_s)
+        ]
--- a/plantainhook/snapshot.py
+++ b/plantainhook/snapshot.py
@@ -129,10 +129,9 @@
 
     Returns None where no leaf is known to serve any shard.
     """
-    for version in sorted(versions, reverse=True):
-        view = versions[version]
-        if view.routes and view.complete():
-            return version
+    complete = select_complete(versions, 0)
+    if complete is not None:
+        return complete.shard_map.version
     served = {
         version: view.served_ratio()
         for version, view in versions.items()
@@ -143,6 +142,17 @@
     return max(served, key=lambda version: (served[version], version))
 
 
+def select_complete(
+    versions: abc.Mapping[int, VersionView], above: int
+) -> VersionView | None:
+    """Return the highest complete version above another, or None."""
+    for version in sorted(versions, reverse=True):
+        view = versions[version]
+        if version > above and view.routes and view.complete():
+            return view
+    return None
+
+
 def select_newer(
     view: TargetView, pinned: int, learned: LearnedVersions
 ) -> VersionView | None:
--- a/plantainhook/zones.py
+++ b/plantainhook/zones.py
@@ -2,7 +2,8 @@
 
 Each near call earns a part of a token and each cross-zone call spends one,
 so the share of optional cross-zone calls stays under the cap. A shard with
-no usable near replica crosses in any case, because coverage comes first;
+no usable near replica crosses in any case (none fit, or all failing),
+because coverage comes first;
 such calls are counted and use up the allowance of optional ones.
 """
 
@@ -14,21 +15,22 @@
 # A lost call costs about as much as twenty ordinary ones (a hedge delay or
 # a timeout instead of a reply).
 LOSS_COST_FACTOR: typing.Final = 20.0
+# Keeps the quotient finite where the cap allows every call to cross.
+NEAR_RATIO_MIN: typing.Final = 1e-6
 
 
 @dataclasses.dataclass(slots=True)
 class Link:
-    """Hold what was observed of the link to one data centre."""
+    """Hold the losses observed on the link to one data centre.
+
+    Its latency is part of the latency of the leafs behind it.
+    """
 
-    latency_s: float = 0.0
     loss_ratio: float = 0.0
 
-    def record(self, latency_s: float | None) -> None:
-        """Record a call; None means that it was lost."""
-        lost = 1.0 if latency_s is None else 0.0
+    def record(self, lost: bool) -> None:
+        """Record a call that got a reply or was lost."""
         self.loss_ratio += LINK_WEIGHT * (lost - self.loss_ratio)
-        if latency_s is not None:
-            self.latency_s += LINK_WEIGHT * (latency_s - self.latency_s)
 
     def cost_factor(self) -> float:
         """Return by how much losses raise the cost of a call."""
@@ -56,14 +58,14 @@
         """Return whether an optional cross-zone call is within the cap."""
         return self.allowance_count >= 1.0
 
-    def note_sent(self, data_centre: str, max_ratio: float) -> None:
+    def note_sent(self, near: bool, max_ratio: float) -> None:
         """Count a call against the cap."""
-        if data_centre != self.data_centre:
+        if not near:
             self.cross_count += 1
-            self.allowance_count = max(
-                -BURST_COUNT, self.allowance_count - 1.0
-            )
+            left = self.allowance_count - 1.0
+            self.allowance_count = max(-BURST_COUNT, left)
             return
         self.near_count += 1
-        earned = max_ratio / max(1e-9, 1.0 - max_ratio)
-        self.allowance_count = min(BURST_COUNT, self.allowance_count + earned)
+        earned = max_ratio / max(NEAR_RATIO_MIN, 1.0 - max_ratio)
+        allowance = self.allowance_count + earned
+        self.allowance_count = min(BURST_COUNT, allowance)
