--- a/plantainhook/benchfaultscenarios.py
+++ b/plantainhook/benchfaultscenarios.py
@@ -107,14 +107,22 @@
 
 @benchscenarios.SCENARIOS.register("cold-start")
 def cold_start() -> benchtypes.Scenario:
-    """Start with cold leafs, which warm up one after another."""
+    """Start with cold leafs, which warm up one after another.
+
+    At half the usual rate the cold leafs can just serve the load.
+    """
+    base = medium()
+    kinds = tuple(
+        dataclasses.replace(kind, rate_per_s=kind.rate_per_s / 2.0)
+        for kind in base.kinds
+    )
     leafs = all_leafs()
     cold = [Fault(0.0, F.COLD, leafs)]
     warm = [
         Fault(1.0 + 0.3 * number, F.RECOVER, (leaf,))
         for number, leaf in enumerate(leafs)
     ]
-    return with_faults(*cold, *warm)
+    return dataclasses.replace(base, kinds=kinds, faults=(*cold, *warm))
 
 
 def rolling(
