--- a/plantainhook/errors.py
+++ b/plantainhook/errors.py
@@ -125,7 +125,20 @@
 
 
 class FencedError(PlantainhookError):
-    """Report a write with a lease epoch lower than that of the object."""
+    """Report a write with a lease epoch lower than that of the object.
+
+    ``object_epoch`` is 0 where the lease ended before any write was sent.
+    """
+
+    def __init__(
+        self,
+        step: steps.Step,
+        peer: str,
+        detail: str,
+        object_epoch: int = 0,
+    ) -> None:
+        super().__init__(step, peer, detail)
+        self.object_epoch = object_epoch
 
 
 class PeerError(PlantainhookError):
--- /dev/null
+++ b/plantainhook/leaserunner.py
@@ -0,0 +1,65 @@
+"""Waiting for a lease and running a job while it is held."""
+
+import random
+import typing
+from collections import abc
+
+import result
+import trio
+
+from plantainhook import lease
+
+RENEWALS_PER_DURATION: typing.Final = 3
+
+
+async def wait_acquire(
+    own: lease.Lease, keys: abc.Sequence[str], chance: random.Random
+) -> None:
+    """Wait until the lease is acquired.
+
+    A contender reads the lease once in each expected term of the holder,
+    with jitter, so that waiting costs about one call per duration.
+    """
+    while True:
+        acquired = await own.acquire(keys)
+        if isinstance(acquired, result.Ok):
+            return
+        wait_s = own.duration_s
+        if isinstance(acquired.err_value, lease.LeaseHeldError):
+            wait_s = max(wait_s / 2, acquired.err_value.left_s)
+        await trio.sleep(wait_s + chance.uniform(0, own.duration_s / 2))
+
+
+async def run_held(
+    own: lease.Lease,
+    keys: abc.Sequence[str],
+    job: abc.Callable[[lease.Lease], abc.Awaitable[None]],
+    chance: random.Random,
+) -> None:
+    """Run a job while the lease is held, again after each loss.
+
+    The job is cancelled at the deadline of the lease; it is renewed three
+    times in its duration. Runs until cancelled; a job that returns gives
+    the lease up until the next turn.
+    """
+    while True:
+        await wait_acquire(own, keys, chance)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_keep_until_lost, own, nursery.cancel_scope)
+            await job(own)
+            nursery.cancel_scope.cancel()
+        await own.release()
+        await trio.sleep(own.duration_s * chance.uniform(0.5, 1.5))
+
+
+async def _keep_until_lost(own: lease.Lease, scope: trio.CancelScope) -> None:
+    """Renew a lease; cancel the job once it is not held any more."""
+    while True:
+        left_s = own.left_s()
+        if left_s <= 0:
+            scope.cancel()
+            return
+        interval_s = own.duration_s / RENEWALS_PER_DURATION
+        await trio.sleep(min(left_s, interval_s))
+        with trio.move_on_after(own.left_s()):
+            await own.renew()
--- a/plantainhook/objectapifake.py
+++ b/plantainhook/objectapifake.py
@@ -226,8 +226,7 @@
     ) -> errors.ObjectApiError | None:
         """Count a call and apply delay, outage and rate limit."""
         self.counters.add(method)
-        if self.faults.delay_s > 0:
-            await trio.sleep(self.faults.delay_s)
+        await trio.sleep(self.faults.delay_s)
         if self.faults.outage:
             return self._unavailable(key)
         if self._over_limit():
--- a/plantainhook/objectapihttp.py
+++ b/plantainhook/objectapihttp.py
@@ -318,8 +318,12 @@
     timeout_s: float,
     calls_per_s: float,
     own_clock: clock.Clock,
+    transport: httpx.AsyncBaseTransport | None = None,
 ) -> abc.AsyncIterator[HttpObjectApi]:
-    """Open a client of an object API; close its connections at the end."""
+    """Open a client of an object API; close its connections at the end.
+
+    A transport replaces the network, for programs that embed the platform.
+    """
     headers = {"Authorization": f"Bearer {token}"} if token else {}
     limits = httpx.Limits(
         max_connections=CONNECTIONS_COUNT,
@@ -330,6 +334,7 @@
         headers=headers,
         timeout=httpx.Timeout(None),
         limits=limits,
+        transport=transport,
         trust_env=False,
     ) as client:
         yield HttpObjectApi(client, timeout_s, calls_per_s, own_clock)
--- a/plantainhook/settingschunks.py
+++ b/plantainhook/settingschunks.py
@@ -26,6 +26,7 @@
 
 T = typing.TypeVar("T")
 Failure = errors.PlantainhookError
+Chain = list[tuple[str, revisions.Manifest]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,6 +132,33 @@
         return result.Err(_damaged(key, str(error)))
 
 
+async def load_chain(
+    api: objectapi.ObjectApi, head: Head, lowest: int
+) -> result.Result[Chain, Failure]:
+    """Walk from the head down to a revision, newest first.
+
+    The walk follows the hashes, so it never meets a manifest that lost its
+    race. It ends early at a revision that is no longer kept.
+    """
+    found: Chain = []
+    revision, text_hash = head.revision, head.manifest_hash
+    while revision >= max(lowest, 1):
+        loaded = await load_manifest(api, revision, text_hash)
+        if isinstance(loaded, result.Err):
+            error = loaded.err_value
+            gone = isinstance(error, errors.ObjectNotFoundError)
+            return result.Ok(found) if gone and found else loaded
+        manifest = loaded.ok_value
+        found.append((text_hash, manifest))
+        revision, text_hash = revision - 1, manifest.info.previous_hash
+    return result.Ok(found)
+
+
+def infos_of(chain: Chain) -> list[revisions.Info]:
+    """Return who made the revisions of a chain."""
+    return [manifest.info for _, manifest in chain]
+
+
 async def load_records(
     api: objectapi.ObjectApi,
     manifest: revisions.Manifest,
--- a/plantainhook/settingsfile.py
+++ b/plantainhook/settingsfile.py
@@ -83,7 +83,7 @@
             found_text = repr(detail["input"])[:FOUND_LIMIT_CHARS]
             expected = f"{expected}, found {found_text}"
         found.append(_problem(file, lines, path, expected))
-    return found
+    return sorted(found, key=lambda problem: problem.line)
 
 
 def check_all(
@@ -94,10 +94,11 @@
     if not problems:
         return []
     lines = settingslines.scan(text)
-    return [
+    found = [
         _problem(file, lines, problem.key_path, problem.expected)
         for problem in problems
     ]
+    return sorted(found, key=lambda problem: problem.line)
 
 
 def _problem(
--- a/plantainhook/settingsstore.py
+++ b/plantainhook/settingsstore.py
@@ -62,16 +62,21 @@
         self, revision: int
     ) -> result.Result[revisions.Revision, Failure]:
         """Return a revision that is still kept."""
-        infos = await self._chain(revision)
-        if isinstance(infos, result.Err):
-            return infos
         if revision == revisions.NO_REVISION:
             return result.Ok(revisions.empty())
-        text_hash, info = infos.ok_value[-1] if infos.ok_value else ("", None)
-        if info is None or info.revision != revision:
+        loaded = await self._chain(revision)
+        if isinstance(loaded, result.Err):
+            return loaded
+        chain = loaded.ok_value
+        if revision < 1 or not chain:
             return result.Err(
                 failure(messages.REVISION_UNKNOWN.format(revision=revision))
             )
+        text_hash, manifest = chain[-1]
+        if manifest.info.revision != revision:
+            return result.Err(
+                failure(messages.REVISION_NOT_KEPT.format(revision=revision))
+            )
         return await self._load(revision, text_hash)
 
     async def history(
@@ -82,8 +87,8 @@
         if isinstance(head, result.Err):
             return head
         lowest = max(1, head.ok_value.revision - count + 1)
-        chain = await self._chain(lowest, head.ok_value, tolerant=True)
-        return chain.map(lambda found: [info for _, info in found])
+        chain = await self._chain(lowest, head.ok_value)
+        return chain.map(settingschunks.infos_of)
 
     async def diff(
         self, old: int, new: int
@@ -194,32 +199,15 @@
         return result.Ok(self._cached)
 
     async def _chain(
-        self,
-        lowest: int,
-        head: settingschunks.Head | None = None,
-        tolerant: bool = False,
-    ) -> result.Result[list[tuple[str, revisions.Info]], Failure]:
-        """Walk from the head down to a revision by the hashes."""
+        self, lowest: int, head: settingschunks.Head | None = None
+    ) -> result.Result[settingschunks.Chain, Failure]:
+        """Walk from the head down to a revision."""
         if head is None:
             loaded = await self.load_head()
             if isinstance(loaded, result.Err):
                 return loaded
             head = loaded.ok_value
-        found: list[tuple[str, revisions.Info]] = []
-        revision, text_hash = head.revision, head.manifest_hash
-        while revision >= max(lowest, 1):
-            manifest = await settingschunks.load_manifest(
-                self.api, revision, text_hash
-            )
-            if isinstance(manifest, result.Err):
-                gone = isinstance(
-                    manifest.err_value, errors.ObjectNotFoundError
-                )
-                return result.Ok(found) if gone and tolerant else manifest
-            info = manifest.ok_value.info
-            found.append((text_hash, info))
-            revision, text_hash = revision - 1, info.previous_hash
-        return result.Ok(found)
+        return await settingschunks.load_chain(self.api, head, lowest)
 
     async def _prepare(
         self, request: settingsapply.Request
@@ -321,7 +309,7 @@
         chain = await self._chain(number, head)
         if isinstance(chain, result.Err):
             return result.Err(_outcome_unknown(attempt.revision.info))
-        if chain.ok_value[-1][0] == attempt.revision.hash:
+        if attempt.revision.hash in (h for h, _ in chain.ok_value):
             return result.Ok(self._applied(attempt))
         current = await self._load(head.revision, head.manifest_hash)
         if isinstance(current, result.Err):
@@ -331,7 +319,7 @@
                 attempt.base,
                 current.ok_value,
                 attempt.revision,
-                [info for _, info in chain.ok_value],
+                settingschunks.infos_of(chain.ok_value),
             )
         )
 
@@ -372,7 +360,7 @@
             seen.ok_value,
             current,
             built.ok_value.revision,
-            [entry for _, entry in newer.ok_value],
+            settingschunks.infos_of(newer.ok_value),
         )
 
     def _applied(
--- /dev/null
+++ b/tests/pausingapi.py
@@ -0,0 +1,47 @@
+"""Object API whose writes can be paused while others act."""
+
+import typing
+from collections import abc
+
+import result
+
+from plantainhook import errors, objectapi, objectapifake
+
+Hook = abc.Callable[[], abc.Awaitable[None]]
+OnWrite = abc.Callable[[str, typing.Any], None]
+
+
+class PausingApi(objectapifake.FakeObjectApi):
+    """Run a hook before the next write to a key reaches the store.
+
+    ``on_write`` is called for each write that took effect, whatever its
+    caller was told.
+    """
+
+    pause_key: str
+    on_write: OnWrite
+    hook: Hook | None = None
+
+    def __init__(
+        self,
+        store: objectapifake.MemoryStore,
+        pause_key: str,
+        on_write: OnWrite,
+    ) -> None:
+        super().__init__(store)
+        self.pause_key = pause_key
+        self.on_write = on_write
+        self.hook = None
+
+    async def put(
+        self, key: str, value: typing.Any, if_version: int, request_id: str
+    ) -> result.Result[objectapi.StoredObject, errors.ObjectApiError]:
+        """Let the others act first, then write."""
+        if key == self.pause_key and self.hook is not None:
+            hook, self.hook = self.hook, None
+            await hook()
+        version = self.store.version
+        outcome = await super().put(key, value, if_version, request_id)
+        if self.store.version > version:
+            self.on_write(key, value)
+        return outcome
--- /dev/null
+++ b/tests/test_lease_machine.py
@@ -0,0 +1,263 @@
+"""Leases under pauses, lost replies and stale reads.
+
+Holders add 1 to a shared object. While one holder's write is paused on its
+way to the store, time passes and the other holders act.
+"""
+
+import dataclasses
+import functools
+import typing
+from collections import abc
+
+import hypothesis
+import result
+import testtools
+from hypothesis import stateful, strategies
+
+from plantainhook import clock, errors, lease, objectapifake
+from tests import pausingapi, virtualtime
+
+OBJECT_KEY: typing.Final = "figures/month"
+HOLDERS_COUNT: typing.Final = 3
+DURATION_S: typing.Final = 10.0
+PAST_EXPIRY_S: typing.Final = DURATION_S + lease.MAX_CLOCK_SKEW_S + 1.0
+MACHINE_SETTINGS: typing.Final = hypothesis.settings(
+    max_examples=100, stateful_step_count=20
+)
+DEFECT_SETTINGS: typing.Final = hypothesis.settings(
+    MACHINE_SETTINGS, phases=[hypothesis.Phase.generate]
+)
+
+HOLDERS = strategies.integers(0, HOLDERS_COUNT - 1)
+ACTIONS = strategies.sampled_from(["acquire", "add", "renew", "release"])
+DURING = strategies.lists(strategies.tuples(HOLDERS, ACTIONS), max_size=3)
+PAUSES_S = strategies.sampled_from([0.0, 1.0, PAST_EXPIRY_S])
+FAULTS = strategies.sampled_from(
+    ["lost_replies_count", "lost_requests_count", "stale_reads_count"]
+)
+
+
+@dataclasses.dataclass
+class World:
+    """Hold the store, the holders and what really happened."""
+
+    lease_class: type[lease.Lease]
+    store: objectapifake.MemoryStore = dataclasses.field(
+        default_factory=objectapifake.MemoryStore
+    )
+    own_clock: clock.ManualClock = dataclasses.field(
+        default_factory=clock.ManualClock
+    )
+    holders: list[lease.Lease] = dataclasses.field(default_factory=list)
+    apis: list[pausingapi.PausingApi] = dataclasses.field(default_factory=list)
+    adding: set[int] = dataclasses.field(default_factory=set)
+    owner: int | None = None
+    added_count: int = 0
+    violations: list[str] = dataclasses.field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        for number in range(HOLDERS_COUNT):
+            api = pausingapi.PausingApi(
+                self.store,
+                OBJECT_KEY,
+                functools.partial(self.note_write, number),
+            )
+            self.apis.append(api)
+            self.holders.append(
+                self.lease_class(
+                    api, "job", f"h{number}", DURATION_S, self.own_clock
+                )
+            )
+
+    def note_write(self, number: int, key: str, value: typing.Any) -> None:
+        """Record a write that took effect."""
+        if key != OBJECT_KEY or number not in self.adding:
+            return
+        if value["value"] is None:
+            return
+        self.added_count += 1
+        if number != self.owner:
+            self.violations.append(f"h{number} wrote after h{self.owner}")
+
+    async def act(self, number: int, action: str) -> None:
+        """Let a holder do one thing."""
+        own = self.holders[number]
+        if action == "acquire":
+            acquired = await own.acquire([OBJECT_KEY])
+            if isinstance(acquired, result.Ok):
+                self.owner = number
+        elif action == "renew":
+            await own.renew()
+        elif action == "release":
+            await own.release()
+        elif number not in self.adding:
+            await self.add(number)
+
+    async def add(self, number: int) -> None:
+        """Add 1 to the shared object."""
+        own = self.holders[number]
+        read = await own.fenced_get(OBJECT_KEY)
+        if isinstance(read, result.Err):
+            return
+        self.adding.add(number)
+        await own.fenced_put(OBJECT_KEY, (read.ok_value or 0) + 1)
+        self.adding.discard(number)
+
+    async def act_paused(
+        self,
+        number: int,
+        action: str,
+        pause_s: float,
+        during: abc.Sequence[tuple[int, str]],
+    ) -> None:
+        """Pause a holder's write while time passes and others act."""
+
+        async def others() -> None:
+            self.own_clock.advance(pause_s)
+            for other, other_action in during:
+                if other != number:
+                    await self.act(other, other_action)
+
+        self.apis[number].hook = others
+        await self.act(number, action)
+        self.apis[number].hook = None
+
+
+class LeaseMachine(stateful.RuleBasedStateMachine):
+    """Check that a holder that was replaced changes nothing."""
+
+    lease_class: type[lease.Lease] = lease.Lease
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.world = World(self.lease_class)
+
+    @stateful.rule(
+        number=HOLDERS, action=ACTIONS, pause_s=PAUSES_S, during=DURING
+    )
+    def act(
+        self,
+        number: int,
+        action: str,
+        pause_s: float,
+        during: list[tuple[int, str]],
+    ) -> None:
+        virtualtime.run(
+            functools.partial(
+                self.world.act_paused, number, action, pause_s, during
+            )
+        )
+
+    @stateful.precondition(lambda self: self.world.owner is not None)
+    @stateful.rule(pause_s=PAUSES_S, during=DURING)
+    def pause_owner(
+        self, pause_s: float, during: list[tuple[int, str]]
+    ) -> None:
+        """Pause the addition of the holder that has the lease."""
+        virtualtime.run(
+            functools.partial(
+                self.world.act_paused,
+                typing.cast(int, self.world.owner),
+                "add",
+                pause_s,
+                during,
+            )
+        )
+
+    @stateful.precondition(lambda self: self.world.owner is not None)
+    @stateful.rule(other=HOLDERS)
+    def replace_owner(self, other: int) -> None:
+        """Pause the addition of the owner until another one replaced it."""
+        virtualtime.run(
+            functools.partial(
+                self.world.act_paused,
+                typing.cast(int, self.world.owner),
+                "add",
+                PAST_EXPIRY_S,
+                [(other, "acquire")],
+            )
+        )
+
+    @stateful.rule(pause_s=PAUSES_S)
+    def wait(self, pause_s: float) -> None:
+        self.world.own_clock.advance(pause_s)
+
+    @stateful.rule(number=HOLDERS, fault=FAULTS)
+    def break_one_call(self, number: int, fault: str) -> None:
+        setattr(self.world.apis[number].faults, fault, 1)
+
+    @stateful.invariant()
+    def no_fenced_write(self) -> None:
+        """Guards against writes by a holder that another one replaced."""
+        assert self.world.violations == []
+
+    @stateful.invariant()
+    def nothing_lost(self) -> None:
+        """Guards against additions that a second holder overwrites."""
+        entry = self.world.store.changes(OBJECT_KEY, 0)
+        value = entry[0].value["value"] if entry else None
+        assert (value or 0) == self.world.added_count
+
+
+class WithoutEpoch(lease.Lease):
+    """Write at the newest version and without looking at the epoch."""
+
+    async def fenced_put(self, key: str, value: typing.Any) -> lease.Outcome:
+        """Write whatever the epoch of the object is."""
+        if not self.is_held(self._clock.now_s()):
+            return result.Err(self._not_held())
+        return await self._write_newest(key, value)
+
+    async def _write_newest(
+        self, key: str, value: typing.Any
+    ) -> lease.Outcome:
+        """Write again at each newer version, as long as it is refused."""
+        written = await self._put_enveloped(key, value, self._seen.get(key, 0))
+        while isinstance(written, result.Err):
+            if not isinstance(written.err_value, errors.ObjectConflictError):
+                return written
+            version = written.err_value.current_version
+            written = await self._put_enveloped(key, value, version)
+        return result.Ok(None)
+
+
+class WithoutRaise(lease.Lease):
+    """Take the lease without raising the epoch on its objects."""
+
+    async def acquire(self, keys: abc.Sequence[str] = ()) -> lease.Outcome:
+        """Leave the objects at the epoch that they have."""
+        return await super().acquire(())
+
+
+class WithoutEpochMachine(LeaseMachine):
+    """Run the holders that ignore the epoch."""
+
+    lease_class = WithoutEpoch
+
+
+class WithoutRaiseMachine(LeaseMachine):
+    """Run the holders that do not raise the epoch."""
+
+    lease_class = WithoutRaise
+
+
+class LeaseMachineTest(testtools.TestCase):
+    """Run the machine on the lease and on leases with a defect."""
+
+    def run_defect(self, machine: type[LeaseMachine]) -> None:
+        """Run a machine that has to fail."""
+        stateful.run_state_machine_as_test(machine, settings=DEFECT_SETTINGS)
+
+    def test_lease(self) -> None:
+        """Guards against a fenced holder whose write takes effect."""
+        stateful.run_state_machine_as_test(
+            LeaseMachine, settings=MACHINE_SETTINGS
+        )
+
+    def test_machine_finds_write_without_epoch(self) -> None:
+        """Guards against a check that passes without the epoch."""
+        self.assertRaises(AssertionError, self.run_defect, WithoutEpochMachine)
+
+    def test_machine_finds_missing_raise(self) -> None:
+        """Guards against a check that passes without raising the epoch."""
+        self.assertRaises(AssertionError, self.run_defect, WithoutRaiseMachine)
--- /dev/null
+++ b/tests/test_objectapi.py
@@ -0,0 +1,267 @@
+"""Tests of the object API: the fake, and the HTTP client over the stand-in.
+
+Both implementations run the same cases.
+"""
+
+import contextlib
+import typing
+from collections import abc
+
+import httpx
+import result
+import testtools
+import trio
+
+from plantainhook import (
+    clock,
+    errors,
+    objectapi,
+    objectapifake,
+    objectapihttp,
+    standin_platform,
+)
+from tests import virtualtime
+
+TIMEOUT_S: typing.Final = 2.0
+Case = abc.Callable[
+    [objectapi.ObjectApi, objectapifake.FakeObjectApi], abc.Awaitable[None]
+]
+
+
+@contextlib.asynccontextmanager
+async def http_client(
+    fake: objectapifake.FakeObjectApi,
+    calls_per_s: float = 1000.0,
+    token: str = "",
+) -> abc.AsyncIterator[objectapihttp.HttpObjectApi]:
+    """Open a client whose transport calls the stand-in in this process."""
+    app = standin_platform.build_app(fake, "secret-token" if token else "")
+    transport = httpx.ASGITransport(app=typing.cast(typing.Any, app))
+    async with objectapihttp.open_object_api(
+        "http://standin",
+        token,
+        TIMEOUT_S,
+        calls_per_s,
+        clock.TrioClock(),
+        transport,
+    ) as api:
+        yield api
+
+
+class BothApisTest(testtools.TestCase):
+    """Run cases on the fake and on the client of the stand-in."""
+
+    def run_both(self, case: Case) -> None:
+        """Run a case on each implementation, with a store of its own."""
+
+        async def on_fake() -> None:
+            fake = objectapifake.FakeObjectApi()
+            await case(fake, fake)
+
+        async def on_http() -> None:
+            fake = objectapifake.FakeObjectApi()
+            async with http_client(fake) as api:
+                await case(api, fake)
+
+        virtualtime.run(on_fake)
+        virtualtime.run(on_http)
+
+    def assert_error(
+        self, kind: type[errors.ObjectApiError], outcome: typing.Any
+    ) -> typing.Any:
+        """Return the error of an outcome, which has to be of a type."""
+        self.assertIsInstance(outcome, result.Err)
+        self.assertIs(kind, type(outcome.err_value))
+        return outcome.err_value
+
+    def test_conditions(self) -> None:
+        """Guards against writes that ignore their condition."""
+
+        async def case(
+            api: objectapi.ObjectApi, fake: objectapifake.FakeObjectApi
+        ) -> None:
+            made = (await api.put("a/b c", {"x": 1.5}, 0, "r1")).unwrap()
+            again = await api.put("a/b c", {"x": 2}, 0, "r2")
+            conflict = self.assert_error(errors.ObjectConflictError, again)
+            self.assertEqual(made.version, conflict.current_version)
+            self.assertEqual("r1", conflict.current_request_id)
+            self.assertEqual(made, (await api.get("a/b c")).unwrap())
+            late = await api.delete("a/b c", made.version + 1, "r3")
+            self.assert_error(errors.ObjectConflictError, late)
+            (await api.delete("a/b c", made.version, "r4")).unwrap()
+            gone = await api.put("a/b c", {}, made.version, "r5")
+            conflict = self.assert_error(errors.ObjectConflictError, gone)
+            self.assertEqual(0, conflict.current_version)
+            absent = await api.get("a/b c")
+            self.assert_error(errors.ObjectNotFoundError, absent)
+
+        self.run_both(case)
+
+    def test_list_and_watch(self) -> None:
+        """Guards against watches that miss a change or a removal."""
+
+        async def case(
+            api: objectapi.ObjectApi, fake: objectapifake.FakeObjectApi
+        ) -> None:
+            first = (await api.put("p/1", 1, 0, "r1")).unwrap()
+            (await api.put("q/1", 1, 0, "r2")).unwrap()
+            listing = (await api.list("p/")).unwrap()
+            self.assertEqual((first,), listing.objects)
+            started_s = trio.current_time()
+            none = (await api.watch("p/", listing.version, 5.0)).unwrap()
+            self.assertEqual(0, len(none))
+            self.assertEqual(5.0, trio.current_time() - started_s)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(api.delete, "p/1", first.version, "r3")
+                seen = (await api.watch("p/", listing.version, 50.0)).unwrap()
+            self.assertEqual(["p/1"], [change.key for change in seen])
+            self.assertIsNone(seen[0].value)
+
+        self.run_both(case)
+
+    def test_outage_and_size(self) -> None:
+        """Guards against failures without a type of their own."""
+
+        async def case(
+            api: objectapi.ObjectApi, fake: objectapifake.FakeObjectApi
+        ) -> None:
+            large = "x" * objectapi.VALUE_LIMIT_BYTES
+            outcome: typing.Any = await api.put("k", large, 0, "r1")
+            self.assert_error(errors.ObjectTooLargeError, outcome)
+            fake.faults.outage = True
+            outcome = await api.get("k")
+            self.assert_error(errors.ObjectApiUnavailableError, outcome)
+            outcome = await api.put("k", 1, 0, "r2")
+            self.assert_error(errors.ObjectApiUnavailableError, outcome)
+
+        self.run_both(case)
+
+    def test_lost_reply_is_resolved(self) -> None:
+        """Guards against a second write after a reply that was lost."""
+
+        async def case(
+            api: objectapi.ObjectApi, fake: objectapifake.FakeObjectApi
+        ) -> None:
+            fake.store.log = []
+            fake.faults.lost_replies_count = 1
+            fake.faults.stale_reads_count = 1
+            written = await objectapi.write_resolved(api, "k", 7, 0, "r1")
+            self.assertEqual(1, written.unwrap().version)
+            fake.faults.lost_requests_count = 2
+            written = await objectapi.write_resolved(api, "k", 8, 1, "r2")
+            self.assertEqual(8, written.unwrap().value)
+            self.assertEqual([7, 8], [entry.value for entry in fake.store.log])
+
+        self.run_both(case)
+
+    def test_replaced_write_stays_unknown(self) -> None:
+        """Guards against calling a write refused that took effect."""
+
+        async def case(
+            api: objectapi.ObjectApi, fake: objectapifake.FakeObjectApi
+        ) -> None:
+            fake.faults.lost_replies_count = 1
+            fake.faults.delay_s = 0.1
+            outcomes = []
+
+            async def write() -> None:
+                outcomes.append(
+                    await objectapi.write_resolved(api, "k", 1, 0, "r1")
+                )
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(write)
+                await fake.store.changed.wait()
+                fake.store.write("k", b"2", "r2")
+            self.assert_error(errors.ObjectOutcomeUnknownError, outcomes[0])
+
+        self.run_both(case)
+
+
+class HttpClientTest(testtools.TestCase):
+    """Check what only the HTTP client does."""
+
+    def test_waits_for_retry_after(self) -> None:
+        """Guards against calls that ignore Retry-After."""
+
+        async def main() -> None:
+            fake = objectapifake.FakeObjectApi()
+            fake.faults.calls_per_s = 2.0
+            async with http_client(fake) as api:
+                for number in range(6):
+                    (await api.put(f"k/{number}", 1, 0, "r")).unwrap()
+            self.assertEqual(2, fake.counters.limited_count)
+            self.assertEqual(2.0, round(trio.current_time(), 3))
+
+        virtualtime.run(main)
+
+    def test_budget(self) -> None:
+        """Guards against a client that exceeds its budget."""
+
+        async def main() -> None:
+            fake = objectapifake.FakeObjectApi()
+            async with http_client(fake, calls_per_s=10.0) as api:
+                started_s = trio.current_time()
+                for _ in range(50):
+                    await api.list("k")
+                took_s = trio.current_time() - started_s
+            self.assertEqual(3.0, round(took_s, 3))
+
+        virtualtime.run(main)
+
+    def test_timeout_of_a_read_and_a_write(self) -> None:
+        """Guards against calls that wait for ever."""
+
+        async def main() -> None:
+            fake = objectapifake.FakeObjectApi()
+            fake.faults.delay_s = 60.0
+            async with http_client(fake) as api:
+                started_s = trio.current_time()
+                read = await api.get("k")
+                wrote = await api.put("k", 1, 0, "r")
+                took_s = trio.current_time() - started_s
+            self.assertEqual(2 * TIMEOUT_S, round(took_s, 3))
+            self.assertIsInstance(
+                read.unwrap_err(), errors.ObjectApiUnavailableError
+            )
+            self.assertIsInstance(
+                wrote.unwrap_err(), errors.ObjectOutcomeUnknownError
+            )
+
+        virtualtime.run(main)
+
+    def test_token(self) -> None:
+        """Guards against a token that is not sent or not checked."""
+
+        async def main() -> None:
+            fake = objectapifake.FakeObjectApi()
+            async with http_client(fake, token="secret-token") as api:
+                (await api.put("k", 1, 0, "r")).unwrap()
+            async with http_client(fake, token="other-token") as api:
+                refused = (await api.get("k")).unwrap_err()
+            self.assertIn("401", refused.detail)
+
+        virtualtime.run(main)
+
+    def test_admin_endpoints(self) -> None:
+        """Guards against faults that cannot be switched from outside."""
+
+        async def main() -> None:
+            fake = objectapifake.FakeObjectApi()
+            app = standin_platform.build_app(fake)
+            transport = httpx.ASGITransport(app=typing.cast(typing.Any, app))
+            async with httpx.AsyncClient(
+                transport=transport, base_url="http://standin"
+            ) as client:
+                url = "/admin/faults"
+                done = await client.put(url, json={"outage": True})
+                self.assertEqual(200, done.status_code)
+                self.assertEqual(
+                    503, (await client.get("/v1/objects/k")).status_code
+                )
+                wrong = await client.put(url, json={"outage": "much"})
+                self.assertEqual(400, wrong.status_code)
+                counters = (await client.get("/admin/counters")).json()
+                self.assertEqual({"get": 1}, counters["calls"])
+
+        virtualtime.run(main)
--- /dev/null
+++ b/tests/test_revisions_machine.py
@@ -0,0 +1,305 @@
+"""Revisions under racing operators, lost replies and stale reads.
+
+Operators change settings, one of them paused before it moves the head.
+Daemons read the object API and exchange differences with each other.
+"""
+
+import functools
+import typing
+from collections import abc
+from unittest import mock
+
+import hypothesis
+import result
+import testtools
+import trio
+from hypothesis import stateful, strategies
+
+from plantainhook import (
+    clock,
+    errors,
+    objectapi,
+    objectapifake,
+    revisions,
+    settingsapply,
+    settingschunks,
+    settingscleanup,
+    settingsobjects,
+    settingsstore,
+)
+from tests import pausingapi, virtualtime
+
+OPERATORS_COUNT: typing.Final = 3
+DAEMONS_COUNT: typing.Final = 3
+KEPT_COUNT: typing.Final = 4
+MACHINE_SETTINGS: typing.Final = hypothesis.settings(
+    max_examples=60, stateful_step_count=25
+)
+DEFECT_SETTINGS: typing.Final = hypothesis.settings(
+    MACHINE_SETTINGS, phases=[hypothesis.Phase.generate]
+)
+
+OPERATORS = strategies.integers(0, OPERATORS_COUNT - 1)
+DAEMONS = strategies.integers(0, DAEMONS_COUNT - 1)
+KINDS = strategies.sampled_from(["grid", "hint", "archive"])
+CHANGES = strategies.tuples(OPERATORS, KINDS, strategies.integers(1, 4))
+FAULTS = strategies.sampled_from(
+    ["lost_replies_count", "lost_requests_count", "stale_reads_count"]
+)
+COUNTS = strategies.integers(1, 3)
+
+
+class Operators:
+    """Let operators change settings, and record what they were told."""
+
+    def __init__(self) -> None:
+        self.store = objectapifake.MemoryStore()
+        self.heads: list[int] = []
+        self.done: list[str] = []
+        self.refused: list[str] = []
+        self.apis = [
+            pausingapi.PausingApi(
+                self.store, settingschunks.HEAD_KEY, self.note_write
+            )
+            for _ in range(OPERATORS_COUNT)
+        ]
+        self.stores = [
+            settingsstore.SettingsStore(api, clock.ManualClock())
+            for api in self.apis
+        ]
+        self.changes_count = 0
+
+    def note_write(self, key: str, value: typing.Any) -> None:
+        """Record each revision that the head named."""
+        if key == settingschunks.HEAD_KEY:
+            self.heads.append(value["revision"])
+
+    async def change(self, number: int, kind: str, value: int) -> None:
+        """Let an operator set a deadline."""
+        self.changes_count += 1
+        comment = f"change {self.changes_count}"
+        spec = {"rules": {"deadline_ms": value}}
+        change = settingsobjects.Change({f"request_kind/{kind}": spec})
+        outcome = await self.stores[number].apply(
+            settingsapply.Request(change, f"operator {number}", comment)
+        )
+        if isinstance(outcome, result.Ok):
+            if outcome.ok_value.differences:
+                self.done.append(comment)
+        elif isinstance(outcome.err_value, errors.SettingsConflictError):
+            self.refused.append(comment)
+
+    async def race(
+        self,
+        first: tuple[int, str, int],
+        during: abc.Sequence[tuple[int, str, int]],
+        cleans_up: bool,
+    ) -> None:
+        """Pause an operator before the head moves; let others act."""
+
+        async def others() -> None:
+            if cleans_up:
+                await self.clean_up()
+            for other in during:
+                if other[0] != first[0]:
+                    await self.change(*other)
+
+        self.apis[first[0]].hook = others
+        await self.change(*first)
+        self.apis[first[0]].hook = None
+
+    async def clean_up(self) -> None:
+        """Remove what the last revisions do not name."""
+        api = objectapifake.FakeObjectApi(self.store)
+        await settingscleanup.clean_up(api, KEPT_COUNT)
+
+    async def comments(self) -> list[str]:
+        """Return the comments of all revisions that are kept."""
+        api = objectapifake.FakeObjectApi(self.store)
+        head = await settingschunks.load_head(api)
+        chain = await settingschunks.load_chain(api, head.unwrap(), 1)
+        infos = settingschunks.infos_of(chain.unwrap())
+        return [info.comment for info in infos]
+
+
+class RevisionMachine(stateful.RuleBasedStateMachine):
+    """Check that no revision reverts, forks or is lost."""
+
+    keeper_class: type[revisions.Keeper] = revisions.Keeper
+    cleans_up: bool = False
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.operators = Operators()
+        self.apis = [
+            objectapifake.FakeObjectApi(self.operators.store)
+            for _ in range(DAEMONS_COUNT)
+        ]
+        self.readers = [
+            settingsstore.SettingsStore(api, clock.ManualClock())
+            for api in self.apis
+        ]
+        self.keepers = [self.keeper_class() for _ in self.apis]
+        self.highest = [0 for _ in self.apis]
+        self.hashes: dict[int, str] = {}
+
+    @stateful.rule(
+        first=CHANGES,
+        during=strategies.lists(CHANGES, max_size=2),
+        cleaning=strategies.booleans(),
+    )
+    def change(
+        self,
+        first: tuple[int, str, int],
+        during: list[tuple[int, str, int]],
+        cleaning: bool,
+    ) -> None:
+        cleans_up = self.cleans_up and cleaning
+        virtualtime.run(
+            functools.partial(self.operators.race, first, during, cleans_up)
+        )
+
+    @stateful.rule(number=OPERATORS, fault=FAULTS, count=COUNTS)
+    def break_operator_calls(
+        self, number: int, fault: str, count: int
+    ) -> None:
+        setattr(self.operators.apis[number].faults, fault, count)
+
+    @stateful.rule(number=DAEMONS, count=COUNTS)
+    def break_daemon_reads(self, number: int, count: int) -> None:
+        self.apis[number].faults.stale_reads_count = count
+
+    @stateful.rule(number=DAEMONS)
+    def read(self, number: int) -> None:
+        loaded = virtualtime.run(self.readers[number].load_current)
+        if isinstance(loaded, result.Ok):
+            self.keepers[number].adopt(loaded.ok_value)
+
+    @stateful.rule(source=DAEMONS, sink=DAEMONS)
+    def exchange(self, source: int, sink: int) -> None:
+        current = self.keepers[sink].current
+        difference = self.keepers[source].delta_from(current.info.revision)
+        built = revisions.apply_delta(current, difference)
+        self.keepers[sink].adopt(built.unwrap())
+
+    @stateful.precondition(lambda self: self.cleans_up)
+    @stateful.rule()
+    def clean_up(self) -> None:
+        virtualtime.run(self.operators.clean_up)
+
+    @stateful.invariant()
+    def never_lower(self) -> None:
+        """Guards against daemons that go back to an older revision."""
+        for number, keeper in enumerate(self.keepers):
+            revision = keeper.current.info.revision
+            assert revision >= self.highest[number]
+            self.highest[number] = revision
+
+    @stateful.invariant()
+    def one_content(self) -> None:
+        """Guards against two contents under one revision number."""
+        for keeper in self.keepers:
+            number = keeper.current.info.revision
+            known = self.hashes.setdefault(number, keeper.current.hash)
+            assert known == keeper.current.hash
+
+    @stateful.invariant()
+    def head_never_reverts(self) -> None:
+        """Guards against a head that skips or repeats a revision."""
+        heads = self.operators.heads
+        assert heads == list(range(1, len(heads) + 1))
+
+    @stateful.invariant()
+    def told_the_truth(self) -> None:
+        """Guards against lost changes and refusals that are in force."""
+        comments = virtualtime.run(self.operators.comments)
+        assert len(comments) == len(set(comments))
+        assert not set(comments) & set(self.operators.refused)
+        if not self.cleans_up:
+            assert set(self.operators.done) <= set(comments)
+
+
+class CleaningMachine(RevisionMachine):
+    """Run the clean-up job among the changes."""
+
+    cleans_up = True
+
+    @stateful.invariant()
+    def current_is_readable(self) -> None:
+        """Guards against the removal of a chunk that is in use."""
+        api = objectapifake.FakeObjectApi(self.operators.store)
+        store = settingsstore.SettingsStore(api, clock.ManualClock())
+        assert isinstance(virtualtime.run(store.load_current), result.Ok)
+
+
+class AdoptAnything(revisions.Keeper):
+    """Adopt every revision that comes along."""
+
+    def adopt(self, revision: revisions.Revision) -> bool:
+        """Put a revision in force whatever its number."""
+        self.current = revision
+        return True
+
+
+class AdoptingMachine(RevisionMachine):
+    """Run daemons that adopt every revision."""
+
+    keeper_class = AdoptAnything
+
+
+async def write_blindly(
+    api: objectapi.ObjectApi,
+    key: str,
+    value: typing.Any,
+    if_version: int,
+    request_id: str,
+) -> result.Result[objectapi.StoredObject, errors.ObjectApiError]:
+    """Repeat a write at whatever version the object has."""
+    while True:
+        written = await api.put(key, value, if_version, request_id)
+        if isinstance(written, result.Ok):
+            return written
+        if isinstance(written.err_value, errors.ObjectConflictError):
+            if_version = written.err_value.current_version
+        await trio.sleep(1)
+
+
+async def leave_head(
+    api: objectapi.ObjectApi, head: settingschunks.Head
+) -> result.Result[None, errors.ObjectApiError]:
+    """Delete without making the changes under way start again."""
+    return result.Ok(None)
+
+
+class RevisionMachineTest(testtools.TestCase):
+    """Run the machine on the rules and on rules with a defect."""
+
+    def run_defect(self, machine: type[RevisionMachine]) -> None:
+        """Run a machine that has to fail."""
+        stateful.run_state_machine_as_test(machine, settings=DEFECT_SETTINGS)
+
+    def test_revisions(self) -> None:
+        """Guards against revisions that revert, fork or get lost."""
+        stateful.run_state_machine_as_test(
+            RevisionMachine, settings=MACHINE_SETTINGS
+        )
+
+    def test_clean_up(self) -> None:
+        """Guards against a clean-up that breaks a revision in use."""
+        stateful.run_state_machine_as_test(
+            CleaningMachine, settings=MACHINE_SETTINGS
+        )
+
+    def test_machine_finds_adoption_of_lower_revisions(self) -> None:
+        """Guards against a check that passes without the adoption rule."""
+        self.assertRaises(AssertionError, self.run_defect, AdoptingMachine)
+
+    def test_machine_finds_blind_repeats(self) -> None:
+        """Guards against a check that passes with repeated writes."""
+        with mock.patch.object(objectapi, "write_resolved", write_blindly):
+            self.assertRaises(AssertionError, self.run_defect, RevisionMachine)
+
+    def test_machine_finds_clean_up_without_new_head(self) -> None:
+        """Guards against a check that passes while changes are broken."""
+        with mock.patch.object(settingscleanup, "renew_head", leave_head):
+            self.assertRaises(AssertionError, self.run_defect, CleaningMachine)
--- /dev/null
+++ b/tests/test_settingsfile.py
@@ -0,0 +1,79 @@
+"""Tests of settings files and of the rules that they put in force."""
+
+import dataclasses
+import pathlib
+import typing
+
+import result
+import testtools
+
+from plantainhook import (
+    errors,
+    settingsfile,
+    settingsobjects,
+    settingstree,
+)
+from tests import datacases
+
+
+def problems_of(text: str) -> list[errors.SettingsError]:
+    """Return every error of a settings file."""
+    parsed = settingsfile.parse("f.toml", text)
+    if isinstance(parsed, result.Err):
+        return list(parsed.err_value)
+    return settingsfile.check_all(parsed.ok_value.settings, "f.toml", text)
+
+
+class SettingsFileTest(testtools.TestCase):
+    """Run the cases of ``settingsfile.toml``."""
+
+    def test_cases(self) -> None:
+        """Guards against errors that are missed or at the wrong line."""
+        for case in datacases.load("settingsfile")["case"]:
+            found = problems_of(case["text"])
+            self.assertEqual(
+                len(case["errors"]), len(found), f"{case['name']}: {found}"
+            )
+            for wanted, problem in zip(case["errors"], found, strict=True):
+                line, key_path, expected = wanted.split(": ", 2)
+                place = (problem.line, problem.key_path)
+                self.assertEqual((int(line), key_path), place, case["name"])
+                self.assertIn(expected, problem.expected)
+
+    def test_file_that_cannot_be_read(self) -> None:
+        """Guards against a traceback for a file that is not there."""
+        loaded = settingsfile.read(pathlib.Path("/nonexistent.toml"))
+        problem = loaded.unwrap_err()[0]
+        self.assertIn("cannot read the file", problem.expected)
+
+    def test_specs_survive_a_round_trip(self) -> None:
+        """Guards against values that operators did not write."""
+        text = datacases.load("settingstree")["settings"]
+        settings = settingsfile.parse("f", text).unwrap().settings
+        specs = settingsobjects.specs_of(settings)
+        self.assertEqual(
+            {"deadline_ms": 900, "hedge_delay_ms": 20}, specs["defaults"]
+        )
+        tree = settingsobjects.tree_of(specs)
+        self.assertEqual(settings, type(settings).model_validate(tree))
+
+
+class SettingsTreeTest(testtools.TestCase):
+    """Run the cases of ``settingstree.toml``."""
+
+    def test_cases(self) -> None:
+        """Guards against a level that does not win or is not named."""
+        data = datacases.load("settingstree")
+        settings = settingsfile.parse("f", data["settings"]).unwrap().settings
+        for case in data["case"]:
+            place = settingstree.Place(**case["place"])
+            rules: dict[str, typing.Any] = dataclasses.asdict(
+                settingstree.resolve(
+                    settings, place.data_centre, place.service, place.kind
+                )
+            )
+            explained = settingstree.explain(settings, {}, place)
+            origins = {e.rule: [e.value, e.level] for e in explained}
+            for rule, expected in case["expected"].items():
+                self.assertEqual(expected, origins[rule], case["name"])
+                self.assertEqual(expected[0], rules[rule], case["name"])
