--- a/plantainhook/cli.py
+++ b/plantainhook/cli.py
@@ -11,15 +11,19 @@
 from plantainhook import (
     commands,
     commands_bench,
+    commands_client,
     commands_report,
     commands_settings,
+    openapi,
 )
 
 # Importing a module of commands registers its commands.
 COMMAND_MODULES: typing.Final = (
     commands_bench,
+    commands_client,
     commands_report,
     commands_settings,
+    openapi,
 )
 
 
