Compute group values of a query once

A profile of fan-out 160 showed that the latency estimate, budget and hedge delay of a group were looked up for every shard set, and that the median was looked up for every reply.

--- a/plantainhook/attempts.py
+++ b/plantainhook/attempts.py
@@ -41,7 +41,7 @@
         """
         if not self.estimate.learned():
             return True
-        median_s = self.estimate.quantile_s(0.5)
+        median_s = self.estimate.median_s
         if now_s + median_s <= deadline_s:
             return True
         return any(
@@ -133,7 +133,7 @@
         latency_s = now_s - attempt.sent_s
         estimate.record(latency_s)
         self.policies.replicas.on_reply(
-            attempt.leaf, latency_s, estimate.quantile_s(0.5), now_s
+            attempt.leaf, latency_s, estimate.median_s, now_s
         )
         self.policies.quarantine.replied(
             attempt.leaf.name,
@@ -168,7 +168,7 @@
         waited_s = now_s - attempt.sent_s
         estimate.record(waited_s)
         self.policies.replicas.on_cancelled(
-            attempt.leaf, waited_s, estimate.quantile_s(0.5), now_s
+            attempt.leaf, waited_s, estimate.median_s, now_s
         )
         self.policies.quarantine.ended(
             attempt.leaf.name, self.plan.request.fingerprint
--- a/plantainhook/dispatch.py
+++ b/plantainhook/dispatch.py
@@ -4,7 +4,9 @@
 attempts the rules, the policy and the load budget allow.
 """
 
+import dataclasses
 import heapq
+import math
 import typing
 from collections import abc
 
@@ -12,6 +14,7 @@
     attempts,
     errors,
     hedging,
+    loadbudget,
     quarantine,
     queryplan,
     querytypes,
@@ -24,6 +27,15 @@
 HEDGE_DELAY_MIN_S: typing.Final = 0.001
 
 
+@dataclasses.dataclass(slots=True)
+class Group:
+    """Hold what the shard sets of a group share during a query."""
+
+    estimate: hedging.LatencyEstimate
+    budget: loadbudget.LoadBudget
+    delay_s: float
+
+
 class Dispatcher:
     """Send the work of one query to leafs.
 
@@ -54,6 +66,7 @@
         self._policies = policies
         self._policy = policy
         self._hedges: list[tuple[float, int]] = []
+        self._groups: dict[str, Group] = {}
         self._restarted = False
 
     def pin(self, view: snapshot.VersionView) -> None:
@@ -91,19 +104,31 @@
         now_s: float,
     ) -> None:
         """Send a new shard set and schedule its hedge."""
-        group = assignment.group
-        rules = self._plan.rules
-        estimate = self._policies.latencies.of(group, self._plan.request.kind)
-        shard_set = attempts.ShardSet(group, set(assignment.shards), estimate)
+        group = self._group(assignment.group)
+        shard_set = attempts.ShardSet(
+            assignment.group, set(assignment.shards), group.estimate
+        )
         self.sets.append(shard_set)
         self.open_count += 1
         if reason is querytypes.AttemptReason.FIRST:
             self._policies.counters.first_count += 1
-            self._policies.budgets.of(group).earn(1, rules.extra_load_ratio)
+            group.budget.earn(1, self._plan.rules.extra_load_ratio)
         self._send(shard_set, assignment, reason, actions, now_s)
-        if self._may_hedge():
-            delay_s = self._policy.hedge_delay_s(estimate, rules)
-            self._schedule_hedge(len(self.sets) - 1, now_s + delay_s)
+        self._schedule_hedge(len(self.sets) - 1, now_s + group.delay_s)
+
+    def _group(self, name: str) -> Group:
+        """Return what all shard sets of a group share."""
+        group = self._groups.get(name)
+        if group is None:
+            kind = self._plan.request.kind
+            estimate = self._policies.latencies.of(name, kind)
+            delay_s = math.inf
+            if self._may_hedge():
+                rules = self._plan.rules
+                delay_s = self._policy.hedge_delay_s(estimate, rules)
+            budget = self._policies.budgets.of(name)
+            group = self._groups[name] = Group(estimate, budget, delay_s)
+        return group
 
     def _send(
         self,
--- a/plantainhook/hedging.py
+++ b/plantainhook/hedging.py
@@ -16,7 +16,6 @@
 # After this many samples all counts are halved, so that old samples fade.
 WINDOW_COUNT: typing.Final = 4000
 REFRESH_COUNT: typing.Final = 50
-FIRST_REFRESH_COUNT: typing.Final = 5
 LEARNED_MIN_COUNT: typing.Final = 50
 # With fewer samples the tail is unknown and a multiple of the median serves.
 MEDIAN_MIN_COUNT: typing.Final = 5
@@ -43,7 +42,8 @@
         default_factory=lambda: [0.0] * BUCKET_COUNT
     )
     total: float = 0.0
-    since_refresh_count: int = REFRESH_COUNT
+    median_s: float = 0.0
+    refresh_at: float = MEDIAN_MIN_COUNT
     quantiles: dict[float, float] = dataclasses.field(default_factory=dict)
 
     def record(self, latency_s: float) -> None:
@@ -53,26 +53,32 @@
             index = int(math.log(latency_s / LOWEST_S) / _LOG_GROWTH) + 1
         self.counts[min(index, BUCKET_COUNT - 1)] += 1.0
         self.total += 1.0
-        self.since_refresh_count += 1
-        if self.total > WINDOW_COUNT:
-            self.counts = [count * 0.5 for count in self.counts]
-            self.total *= 0.5
+        if self.total >= self.refresh_at:
+            self._refresh()
 
     def learned(self) -> bool:
-        """Return whether there are enough samples to trust."""
+        """Return whether there are enough samples to trust the tail."""
         return self.total >= LEARNED_MIN_COUNT
 
     def quantile_s(self, quantile: float) -> float:
-        """Return the latency below which a share of the samples lies."""
-        interval = REFRESH_COUNT if self.learned() else FIRST_REFRESH_COUNT
-        if self.since_refresh_count >= interval:
-            self.quantiles.clear()
-            self.since_refresh_count = 0
+        """Return the latency below which a share of the samples lies.
+
+        Quantiles are computed again after every few samples only.
+        """
         known = self.quantiles.get(quantile)
         if known is None:
             known = self.quantiles[quantile] = self._compute(quantile)
         return known
 
+    def _refresh(self) -> None:
+        if self.total > WINDOW_COUNT:
+            self.counts = [count * 0.5 for count in self.counts]
+            self.total *= 0.5
+        interval = REFRESH_COUNT if self.learned() else MEDIAN_MIN_COUNT
+        self.refresh_at = self.total + interval
+        self.quantiles.clear()
+        self.median_s = self._compute(0.5)
+
     def _compute(self, quantile: float) -> float:
         wanted = quantile * self.total
         seen = 0.0
@@ -183,10 +189,10 @@
         would use more than the budget: a budget that runs dry leaves the
         slowest calls without a hedge.
         """
-        if estimate.total < MEDIAN_MIN_COUNT:
+        if estimate.median_s == 0.0:
             return rules.hedge_delay_ms / 1000.0
         if not estimate.learned():
-            return UNLEARNED_FACTOR * estimate.quantile_s(0.5)
+            return UNLEARNED_FACTOR * estimate.median_s
         affordable = 1.0 - FIRST_HEDGE_SHARE * rules.extra_load_ratio
         return estimate.quantile_s(max(rules.hedge_quantile, affordable))
 
--- a/plantainhook/query.py
+++ b/plantainhook/query.py
@@ -286,7 +286,7 @@
 
     def _median_query_s(self) -> float:
         estimate = self._query_estimate()
-        return estimate.quantile_s(0.5) if estimate.learned() else 0.0
+        return estimate.median_s if estimate.learned() else 0.0
 
     def _cancel_losers(
         self, shard_set: attempts.ShardSet, actions: Actions, now_s: float
@@ -324,7 +324,7 @@
         if not self._policy.finishes_early or not self.plan.rules.idempotent:
             return
         medians = {
-            shard_set.group: shard_set.estimate.quantile_s(0.5)
+            shard_set.group: shard_set.estimate.median_s
             for shard_set in self._work.sets
             if shard_set.estimate.learned()
         }
--- a/plantainhook/replicas.py
+++ b/plantainhook/replicas.py
@@ -102,7 +102,7 @@
         self.penalised_until_s = now_s + self.penalty_s
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Choice:
     """Hold a replica, its cost and whether it is failing."""
 
--- a/plantainhook/routing.py
+++ b/plantainhook/routing.py
@@ -6,7 +6,7 @@
 from plantainhook import attempts, querytypes, replicas, snapshot
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Assignment:
     """Give some shards to a leaf."""
 
