--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,191 @@
+"""Tests of leases: deadlines, waiting and jobs under a lease."""
+
+import functools
+import random
+import typing
+from collections import abc
+
+import result
+import testtools
+import trio
+
+from plantainhook import clock, errors, lease, leaserunner, objectapifake
+from tests import virtualtime
+
+DURATION_S: typing.Final = 10.0
+
+
+class VirtualClock(clock.TrioClock):
+    """Take the wall time from the virtual clock of the test."""
+
+    skew_s: float
+
+    def __init__(self, skew_s: float = 0.0) -> None:
+        self.skew_s = skew_s
+
+    def wall_s(self) -> float:
+        """Return the wall time of a VM whose clock is off."""
+        return trio.current_time() + self.skew_s
+
+
+class Fixture:
+    """Hold a store and the leases on it."""
+
+    def __init__(self) -> None:
+        self.memory = objectapifake.MemoryStore(log=[])
+
+    def holder(self, holder: str, skew_s: float = 0.0) -> lease.Lease:
+        """Return the lease of a holder with an object API of its own."""
+        api = objectapifake.FakeObjectApi(self.memory)
+        return lease.Lease(
+            api, "job", holder, DURATION_S, VirtualClock(skew_s)
+        )
+
+    def faults(self, own: lease.Lease) -> objectapifake.Faults:
+        """Return the faults of a holder's object API."""
+        return self.api(own).faults
+
+    def api(self, own: lease.Lease) -> objectapifake.FakeObjectApi:
+        """Return the object API of a holder."""
+        assert isinstance(own._api, objectapifake.FakeObjectApi)
+        return own._api
+
+
+class LeaseTest(testtools.TestCase):
+    """Check one or two holders on virtual time."""
+
+    def run_scenario(
+        self, scenario: abc.Callable[[Fixture], abc.Awaitable[None]]
+    ) -> None:
+        """Run a scenario on a new store."""
+        virtualtime.run(functools.partial(scenario, Fixture()))
+
+    def test_deadline_counts_from_before_the_request(self) -> None:
+        """Guards against a holder that outlives its lease on slow calls."""
+
+        async def scenario(it: Fixture) -> None:
+            own = it.holder("a")
+            it.faults(own).delay_s = 3.0
+            start_s = trio.current_time()
+            (await own.acquire()).unwrap()
+            end_s = start_s + 3.0 + DURATION_S
+            self.assertTrue(own.is_held(end_s - 0.1))
+            self.assertFalse(own.is_held(end_s))
+            (await own.renew()).unwrap()
+            self.assertFalse(own.is_held(start_s + 6.0 + DURATION_S))
+
+        self.run_scenario(scenario)
+
+    def test_renewal_during_an_outage(self) -> None:
+        """Guards against a holder that trusts a renewal without a reply."""
+
+        async def scenario(it: Fixture) -> None:
+            own = it.holder("a")
+            (await own.acquire()).unwrap()
+            it.faults(own).outage = True
+            await trio.sleep(6.0)
+            self.assertIsInstance(await own.renew(), result.Err)
+            self.assertEqual(4.0, round(own.left_s(), 6))
+            await trio.sleep(4.0)
+            refused = (await own.fenced_put("x", 1)).unwrap_err()
+            self.assertIsInstance(refused, errors.FencedError)
+
+        self.run_scenario(scenario)
+
+    def test_takeover_waits_for_expiry_and_skew(self) -> None:
+        """Guards against a takeover while the holder may still act."""
+
+        async def scenario(it: Fixture) -> None:
+            first, second = it.holder("a"), it.holder("b", 1.9)
+            (await first.acquire(["x"])).unwrap()
+            await trio.sleep(DURATION_S)
+            refused = (await second.acquire(["x"])).unwrap_err()
+            self.assertIsInstance(refused, lease.LeaseHeldError)
+            await trio.sleep(lease.MAX_CLOCK_SKEW_S)
+            (await second.acquire(["x"])).unwrap()
+            self.assertEqual((1, 2), (first.epoch, second.epoch))
+            (await second.fenced_put("x", "new")).unwrap()
+            value = it.memory.changes("x", 0)[0].value
+            self.assertEqual({"epoch": 2, "value": "new"}, value)
+
+        self.run_scenario(scenario)
+
+    def test_holder_with_a_clock_far_ahead(self) -> None:
+        """Guards against a wrong clock that blocks a lease for ever."""
+
+        async def scenario(it: Fixture) -> None:
+            first, second = it.holder("a", 1e6), it.holder("b")
+            (await first.acquire()).unwrap()
+            start_s = trio.current_time()
+            await leaserunner.wait_acquire(second, [], random.Random(0))
+            waited_s = trio.current_time() - start_s
+            self.assertLess(waited_s, 3 * DURATION_S)
+
+        self.run_scenario(scenario)
+
+    def test_deleted_lease_object(self) -> None:
+        """Guards against objects that no new holder can write again."""
+
+        async def scenario(it: Fixture) -> None:
+            first = it.holder("a")
+            for _ in range(3):
+                (await first.acquire(["x"])).unwrap()
+            it.memory.write(first.key, None, "r")
+            second = it.holder("b")
+            await leaserunner.wait_acquire(second, ["x"], random.Random(0))
+            self.assertEqual(4, second.epoch)
+
+        self.run_scenario(scenario)
+
+    def test_contenders_call_rarely(self) -> None:
+        """Guards against contenders that load the object API."""
+
+        async def scenario(it: Fixture) -> None:
+            calls_counts: list[int] = []
+
+            async def contend(number: int) -> None:
+                own = it.holder(f"c{number}")
+                with trio.move_on_after(100.0):
+                    await leaserunner.wait_acquire(
+                        own, [], random.Random(number)
+                    )
+                calls_counts.append(it.api(own).counters.total())
+
+            async def keep(own: lease.Lease) -> None:
+                await trio.sleep_forever()
+
+            first = it.holder("a")
+            (await first.acquire()).unwrap()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    leaserunner.run_held, first, (), keep, random.Random(1)
+                )
+                for number in range(10):
+                    nursery.start_soon(contend, number)
+                await trio.sleep(101.0)
+                nursery.cancel_scope.cancel()
+            self.assertEqual(10, len(calls_counts))
+            self.assertLessEqual(max(calls_counts), 100.0 / DURATION_S * 2)
+
+        self.run_scenario(scenario)
+
+    def test_job_ends_with_the_lease(self) -> None:
+        """Guards against a job that runs on without the lease."""
+
+        async def scenario(it: Fixture) -> None:
+            own = it.holder("a")
+            spans: list[float] = []
+
+            async def job(held: lease.Lease) -> None:
+                started_s = trio.current_time()
+                it.faults(own).outage = True
+                try:
+                    await trio.sleep_forever()
+                finally:
+                    spans.append(trio.current_time() - started_s)
+
+            with trio.move_on_after(3 * DURATION_S):
+                await leaserunner.run_held(own, (), job, random.Random(0))
+            self.assertEqual([DURATION_S], [round(s, 6) for s in spans])
+
+        self.run_scenario(scenario)
--- /dev/null
+++ b/tests/test_settingsstore.py
@@ -0,0 +1,302 @@
+"""Tests of the settings store: apply, conflict, undo, history, difference."""
+
+import functools
+import typing
+from collections import abc
+
+import testtools
+
+from plantainhook import (
+    clock,
+    errors,
+    objectapifake,
+    revisions,
+    settingsapply,
+    settingschunks,
+    settingsobjects,
+    settingsstore,
+)
+from tests import pausingapi, virtualtime
+
+SERVICES_COUNT: typing.Final = 200
+
+
+def kind_change(
+    **deadlines_ms: int | None,
+) -> settingsobjects.Change:
+    """Return a change of the deadlines of request kinds; None removes."""
+    specs = {
+        f"request_kind/{kind}": {"rules": {"deadline_ms": deadline_ms}}
+        for kind, deadline_ms in deadlines_ms.items()
+        if deadline_ms is not None
+    }
+    removed = frozenset(
+        f"request_kind/{k}" for k, d in deadlines_ms.items() if d is None
+    )
+    return settingsobjects.Change(specs, removed)
+
+
+class Fixture:
+    """Hold a store of settings with one operator and its object API."""
+
+    def __init__(self) -> None:
+        self.memory = objectapifake.MemoryStore(log=[])
+        self.api = pausingapi.PausingApi(
+            self.memory, settingschunks.HEAD_KEY, lambda key, value: None
+        )
+        self.clock = clock.ManualClock()
+        self.store = settingsstore.SettingsStore(self.api, self.clock)
+        self.other = settingsstore.SettingsStore(
+            objectapifake.FakeObjectApi(self.memory), self.clock
+        )
+
+    async def apply(self, **deadlines_ms: int | None) -> settingsapply.Applied:
+        """Apply a change that has to succeed."""
+        request = settingsapply.Request(kind_change(**deadlines_ms), "anna")
+        return (await self.store.apply(request)).unwrap()
+
+    async def apply_other(self, **deadlines_ms: int | None) -> None:
+        """Let another operator apply a change."""
+        request = settingsapply.Request(kind_change(**deadlines_ms), "bela")
+        (await self.other.apply(request)).unwrap()
+
+    async def current(self) -> abc.Mapping[str, bytes]:
+        """Return the records in force."""
+        return (await self.other.load_current()).unwrap().records
+
+
+Scenario = abc.Callable[[Fixture], abc.Awaitable[None]]
+
+
+class SettingsStoreTest(testtools.TestCase):
+    """Check the store against an object API with faults."""
+
+    def run_scenario(self, scenario: Scenario) -> None:
+        """Run a scenario on a new store."""
+        virtualtime.run(functools.partial(scenario, Fixture()))
+
+    def test_undo_is_a_new_revision(self) -> None:
+        """Guards against an undo that takes later changes back too."""
+
+        async def scenario(it: Fixture) -> None:
+            await it.apply(grid=300)
+            await it.apply(grid=250, hint=90)
+            await it.apply(archive=9000)
+            undone = (await it.store.undo(2, "chan")).unwrap()
+            self.assertEqual(4, undone.revision.info.revision)
+            self.assertEqual(2, undone.revision.info.undo_of)
+            self.assertEqual(
+                {"request_kind/grid", "request_kind/archive"},
+                set(await it.current()),
+            )
+            texts = [d.text() for d in (await it.store.diff(2, 4)).unwrap()]
+            self.assertIn(
+                "request_kind/grid rules.deadline_ms: 250 -> 300", texts
+            )
+
+        self.run_scenario(scenario)
+
+    def test_undo_of_objects_changed_later(self) -> None:
+        """Guards against an undo that overwrites a later change."""
+
+        async def scenario(it: Fixture) -> None:
+            await it.apply(grid=300)
+            await it.apply(grid=250)
+            refused = (await it.store.undo(1, "chan")).unwrap_err()
+            self.assertIn("request_kind/grid", refused.detail)
+            missing = (await it.store.undo(9, "chan")).unwrap_err()
+            self.assertIn("no revision 9", missing.detail)
+
+        self.run_scenario(scenario)
+
+    def test_invalid_change_writes_nothing(self) -> None:
+        """Guards against settings that are in part in force."""
+
+        async def scenario(it: Fixture) -> None:
+            await it.apply(grid=300)
+            version = it.memory.version
+            specs: dict[str, settingsobjects.Spec] = {
+                "request_kind/hint": {"rules": {"deadline_ms": 100}},
+                "target/maps": {"groups": ["gone"]},
+                "service/s": {"rules": {"hedge_policy": "psychic"}},
+            }
+            request = settingsapply.Request(
+                settingsobjects.Change(specs), "anna"
+            )
+            error = (await it.store.apply(request)).unwrap_err()
+            assert isinstance(error, errors.SettingsInvalidError)
+            self.assertEqual(2, len(error.problems))
+            self.assertEqual(version, it.memory.version)
+
+        self.run_scenario(scenario)
+
+    def test_removal_of_an_object_in_use(self) -> None:
+        """Guards against a removal that leaves a name behind."""
+
+        async def scenario(it: Fixture) -> None:
+            request = settingsapply.Request(kind_change(grid=None), "anna")
+            error = (await it.store.apply(request)).unwrap_err()
+            self.assertIn("existing object to remove", error.detail)
+
+        self.run_scenario(scenario)
+
+    def test_conflict_with_a_base(self) -> None:
+        """Guards against conflicts that do not say what to do."""
+
+        async def scenario(it: Fixture) -> None:
+            await it.apply(grid=300, hint=50)
+            await it.apply_other(grid=250)
+            request = settingsapply.Request(
+                kind_change(grid=400), "anna", base_revision=1
+            )
+            error = (await it.store.apply(request)).unwrap_err()
+            assert isinstance(error, errors.SettingsConflictError)
+            for text in (
+                "revision 2 by bela",
+                "request_kind/grid rules.deadline_ms: 300 -> 250",
+                "request_kind/grid rules.deadline_ms: 300 -> 400",
+                "--base 2",
+                "settings show request_kind/grid",
+            ):
+                self.assertIn(text, error.report)
+            request = settingsapply.Request(
+                kind_change(hint=60), "anna", base_revision=1
+            )
+            error = (await it.store.apply(request)).unwrap_err()
+            assert isinstance(error, errors.SettingsConflictError)
+            self.assertIn("other objects", error.report)
+
+        self.run_scenario(scenario)
+
+    def test_race_for_the_head(self) -> None:
+        """Guards against a change that overwrites a concurrent one."""
+
+        async def scenario(it: Fixture) -> None:
+            await it.apply(grid=300)
+            it.api.hook = functools.partial(it.apply_other, grid=250)
+            request = settingsapply.Request(kind_change(grid=400), "anna")
+            error = (await it.store.apply(request)).unwrap_err()
+            self.assertIsInstance(error, errors.SettingsConflictError)
+            record = (await it.current())["request_kind/grid"]
+            self.assertIn(b"250", record)
+
+        self.run_scenario(scenario)
+
+    def test_lost_reply_of_the_head(self) -> None:
+        """Guards against a change that is made twice or called lost."""
+
+        async def lose(it: Fixture) -> None:
+            it.api.faults.lost_replies_count = 1
+
+        async def scenario(it: Fixture) -> None:
+            it.api.hook = functools.partial(lose, it)
+            applied = await it.apply(grid=300)
+            self.assertEqual(1, applied.revision.info.revision)
+            infos = (await it.store.history()).unwrap()
+            self.assertEqual(["anna"], [info.author for info in infos])
+
+        self.run_scenario(scenario)
+
+    def test_outage_before_the_head_moves(self) -> None:
+        """Guards against a change that an outage puts in force in part."""
+
+        async def fail(it: Fixture) -> None:
+            it.api.faults.outage = True
+
+        async def scenario(it: Fixture) -> None:
+            await it.apply(grid=300, hint=50)
+            before = await it.current()
+            it.api.hook = functools.partial(fail, it)
+            request = settingsapply.Request(
+                kind_change(grid=1, hint=2), "anna"
+            )
+            error = (await it.store.apply(request)).unwrap_err()
+            self.assertIsInstance(error, errors.ObjectApiUnavailableError)
+            self.assertEqual(before, await it.current())
+            it.api.faults.outage = False
+            await it.apply(grid=1, hint=2)
+
+        self.run_scenario(scenario)
+
+    def test_one_change_is_one_chunk(self) -> None:
+        """Guards against applies whose cost grows with the settings."""
+
+        async def scenario(it: Fixture) -> None:
+            await it.apply(**{f"k{i}": 100 for i in range(SERVICES_COUNT)})
+            it.api.counters = objectapifake.Counters()
+            await it.apply(k7=101)
+            self.assertEqual({"get": 1, "put": 3}, it.api.counters.calls)
+
+        self.run_scenario(scenario)
+
+    def test_nothing_to_change(self) -> None:
+        """Guards against revisions without a difference."""
+
+        async def scenario(it: Fixture) -> None:
+            await it.apply(grid=300)
+            again = await it.apply(grid=300)
+            self.assertEqual((), again.differences)
+            self.assertEqual(1, again.revision.info.revision)
+
+        self.run_scenario(scenario)
+
+    def test_stamps_keep_the_author_of_each_rule(self) -> None:
+        """Guards against naming the wrong author of a rule."""
+
+        async def scenario(it: Fixture) -> None:
+            await it.apply(grid=300)
+            spec = {"rules": {"deadline_ms": 300, "max_hedges_count": 1}}
+            change = settingsobjects.Change({"request_kind/grid": spec})
+            request = settingsapply.Request(change, "bela")
+            (await it.store.apply(request)).unwrap()
+            record = settingsobjects.decode(
+                (await it.current())["request_kind/grid"]
+            )
+            self.assertEqual("anna", record.stamps["deadline_ms"].author)
+            self.assertEqual("bela", record.stamps["max_hedges_count"].author)
+
+        self.run_scenario(scenario)
+
+    def test_delta_builds_the_same_revision(self) -> None:
+        """Guards against peers that pass on damaged settings."""
+
+        async def scenario(it: Fixture) -> None:
+            await it.apply(grid=300, hint=50)
+            old = (await it.store.load_current()).unwrap()
+            await it.apply(grid=250, hint=None, archive=9000)
+            difference = (await it.store.delta(1, 2)).unwrap()
+            built = revisions.apply_delta(old, difference).unwrap()
+            current = (await it.store.load_current()).unwrap()
+            self.assertEqual(current.hash, built.hash)
+            difference.objects["request_kind/grid"] = b'{"spec":{}}'
+            damaged = revisions.apply_delta(old, difference)
+            self.assertIn("hash", damaged.unwrap_err().detail)
+            wrong = revisions.apply_delta(current, difference)
+            self.assertIn("starts at", wrong.unwrap_err().detail)
+
+        self.run_scenario(scenario)
+
+    def test_damaged_chunk_is_refused(self) -> None:
+        """Guards against settings whose text was changed in the store."""
+
+        async def scenario(it: Fixture) -> None:
+            await it.apply(grid=300)
+            keys = [k for k in it.memory.entries if "chunk" in k]
+            it.memory.write(keys[0], b'"{}"', "r")
+            error = (await it.other.load_current()).unwrap_err()
+            self.assertIn("damaged", error.detail)
+
+        self.run_scenario(scenario)
+
+    def test_large_object_is_refused(self) -> None:
+        """Guards against objects that the object API does not hold."""
+
+        async def scenario(it: Fixture) -> None:
+            tiles = ["x" * 1000] * 500
+            figure = {"measure": "count", "tiles": tiles}
+            change = settingsobjects.Change({"figure/f": figure})
+            request = settingsapply.Request(change, "anna")
+            error = (await it.store.apply(request)).unwrap_err()
+            self.assertIn("at most", error.detail)
+
+        self.run_scenario(scenario)
