Add calls to leafs: protocol, client, pool, gateway and stand-in

The executor needs a way to run attempts on backend servers that says truthfully whether a request may have run. LeafGateway.call lends a connection from the pool of the leaf, sends one HTTP/1.1 request for several shards and classifies every failure.

--- a/plantainhook/cli.py
+++ b/plantainhook/cli.py
@@ -5,9 +5,12 @@
 
 import argparse
 import sys
+import typing
 from collections import abc
 
-from plantainhook import commands
+from plantainhook import commands, commands_standin
+
+COMMAND_MODULES: typing.Final = (commands_standin,)
 
 
 def build_parser() -> argparse.ArgumentParser:
--- /dev/null
+++ b/plantainhook/leafconnect.py
@@ -0,0 +1,86 @@
+"""Set-up of connections to leafs, and the options of the pools.
+
+A new connection is checked by one health request, so that the set-up time of
+the leaf and a refusal by its connection limit are met before a search is
+sent.
+"""
+
+import dataclasses
+
+import result
+import trio
+
+from plantainhook import (
+    errors,
+    leafclient,
+    leafprotocol,
+    leaftransport,
+    steps,
+)
+
+Failure = errors.LeafFailureKind
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PoolOptions:
+    """Hold the limits and waiting times of every pool."""
+
+    connect_timeout_s: float = 1.0
+    warm_jitter_s: float = 0.5
+    connects_per_leaf_count: int = 2
+    backoff_min_s: float = 0.05
+    backoff_max_s: float = 1.0
+    settle_timeout_s: float = 0.25
+    close_timeout_s: float = 1.0
+
+
+async def open_client(
+    connector: leaftransport.Connector,
+    leaf: str,
+    address: str,
+    timeout_s: float,
+) -> leafclient.LeafResult[leafclient.LeafClient]:
+    """Open and check a connection."""
+    deadline_s = trio.current_time() + timeout_s
+    transport: leaftransport.Transport | None = None
+    with trio.CancelScope(deadline=deadline_s):
+        try:
+            transport = await connector(address)
+        except OSError as error:
+            return result.Err(connect_error(address, str(error)))
+    if transport is None:
+        return result.Err(connect_error(address, "the connect timed out"))
+    client = leafclient.LeafClient(transport, leaf, address)
+    try:
+        greeting = await client.request(
+            "GET", leafprotocol.HEALTH_PATH, b"", deadline_s
+        )
+    except trio.Cancelled:
+        client.close()
+        raise
+    if isinstance(greeting, result.Ok) and client.reusable():
+        return result.Ok(client)
+    client.close()
+    return result.Err(connect_error(address, "the health check failed"))
+
+
+def no_connection(address: str, detail: str) -> errors.LeafError:
+    """Return the error of a call that got no connection."""
+    return errors.LeafError(
+        steps.Step.QUERY_CONNECT,
+        address,
+        detail,
+        Failure.NO_CONNECTION,
+        errors.Ran.NO,
+    )
+
+
+def connect_error(address: str, detail: str) -> errors.LeafError:
+    """Return the error of a connect that failed."""
+    return errors.LeafError(
+        steps.Step.QUERY_CONNECT,
+        address,
+        detail,
+        Failure.CONNECT,
+        errors.Ran.NO,
+    )
--- /dev/null
+++ b/plantainhook/leafpool.py
@@ -0,0 +1,385 @@
+"""Connections of this daemon to one leaf.
+
+The pool never holds more connections than its allotment, and a connection
+counts until the leaf has closed its side, so that the leaf's limit holds
+even while connections are replaced. The allotment may shrink to zero while
+calls are in flight: idle connections close at once, busy ones after their
+call. New connections are checked by one health request before use, which
+moves their set-up time out of the calls.
+"""
+
+import dataclasses
+import heapq
+import itertools
+import random
+import typing
+
+import result
+import trio
+
+from plantainhook import (
+    errors,
+    leafclient,
+    leafconnect,
+    leaftransport,
+    logs,
+    metrics,
+)
+
+PEAK_WINDOW_S: typing.Final = 30.0
+
+
+@dataclasses.dataclass(slots=True)
+class Waiter:
+    """Wait for a connection; ``outcome`` is set before the event."""
+
+    event: trio.Event = dataclasses.field(default_factory=trio.Event)
+    outcome: leafclient.LeafResult[leafclient.LeafClient] | None = None
+
+    def resolve(
+        self, outcome: leafclient.LeafResult[leafclient.LeafClient]
+    ) -> None:
+        """Wake the waiter."""
+        self.outcome = outcome
+        self.event.set()
+
+
+class LeafPool:
+    """Lend connections to one leaf within an allotment.
+
+    ``connect_gate`` is shared by all pools of a daemon and bounds the
+    connections that are set up at the same time.
+    """
+
+    leaf: str
+    address: str
+    allotment_count: int
+    busy_count: int
+    connecting_count: int
+    closing_count: int
+
+    def __init__(
+        self,
+        leaf: str,
+        address: str,
+        options: leafconnect.PoolOptions,
+        connector: leaftransport.Connector,
+        connect_gate: trio.Semaphore,
+        instruments: metrics.LeafMetrics,
+        rng: random.Random,
+    ) -> None:
+        self.leaf = leaf
+        self.address = address
+        self.allotment_count = 0
+        self.busy_count = 0
+        self.connecting_count = 0
+        self.closing_count = 0
+        self._options = options
+        self._connector = connector
+        self._connect_gate = connect_gate
+        self._metrics = instruments
+        self._rng = rng
+        self._idle: list[leafclient.LeafClient] = []
+        self._waiters: list[tuple[float, int, Waiter]] = []
+        self._sequence = itertools.count()
+        self._nursery: trio.Nursery | None = None
+        self._backoff_s = 0.0
+        self._retry_s = 0.0
+        self._warm = False
+        self._peak_count = 0
+        self._peak_s = 0.0
+        self._logger = logs.part_logger("leafpool")
+
+    @property
+    def open_count(self) -> int:
+        """Return the connections that the leaf may count as open."""
+        return (
+            len(self._idle)
+            + self.busy_count
+            + self.connecting_count
+            + self.closing_count
+        )
+
+    @property
+    def idle_count(self) -> int:
+        """Return the connections that wait for a request."""
+        return len(self._idle)
+
+    @property
+    def waiting_count(self) -> int:
+        """Return the callers that wait for a connection."""
+        return len(self._waiters)
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve the pool until cancelled; then close all connections."""
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                task_status.started()
+                jitter_s = self._options.warm_jitter_s
+                await trio.sleep(self._rng.uniform(0, jitter_s))
+                self._warm = True
+                self._open_more()
+                await trio.sleep_forever()
+        finally:
+            self._nursery = None
+            self._stop()
+
+    def set_allotment(self, count: int) -> None:
+        """Change the number of connections that may be open."""
+        if count == self.allotment_count:
+            return
+        self._logger.info(
+            "Allotment to {} is {}, was {}.",
+            self.leaf,
+            count,
+            self.allotment_count,
+        )
+        self.allotment_count = count
+        while self._idle and self._excess_count() > 0:
+            self._close(self._idle.pop(0))
+        if count == 0:
+            self._fail_waiters(
+                leafconnect.no_connection(self.address, "the allotment is 0")
+            )
+        self._open_more()
+
+    async def acquire(
+        self, deadline_s: float
+    ) -> leafclient.LeafResult[leafclient.LeafClient]:
+        """Lend a connection; waiting callers are served by deadline.
+
+        The caller gives it back by ``release`` or ``abandon``.
+        """
+        client = self._take_idle()
+        if client is not None:
+            return result.Ok(client)
+        refusal = self._refuse_at_once()
+        if refusal is not None:
+            return result.Err(refusal)
+        waiter = Waiter()
+        entry = (deadline_s, next(self._sequence), waiter)
+        heapq.heappush(self._waiters, entry)
+        self._open_more()
+        return await self._wait(waiter, deadline_s)
+
+    def release(self, client: leafclient.LeafClient) -> None:
+        """Take back a connection whose exchange ended or failed."""
+        if not client.reusable() or self._excess_count() > 0:
+            self.busy_count -= 1
+            self._close(client)
+        elif not self._serve_waiter(client):
+            self.busy_count -= 1
+            self._idle.append(client)
+
+    def abandon(
+        self, client: leafclient.LeafClient, cancel_id: str = ""
+    ) -> None:
+        """Take back a connection on which a request is still in flight.
+
+        With ``cancel_id`` the leaf is told to stop; without it the leaf is
+        expected to stop at the deadline of the request.
+        """
+        if client.phase is not leafclient.Phase.WAITING:
+            self.release(client)
+        elif self._nursery is None:
+            client.close()
+            self.release(client)
+        else:
+            self._nursery.start_soon(self._settle, client, cancel_id)
+
+    def sweep(self) -> None:
+        """Drop idle connections that the leaf closed; open new ones."""
+        stale = [client for client in self._idle if client.is_stale()]
+        for client in stale:
+            self._idle.remove(client)
+            self._close(client)
+        self._open_more()
+
+    def _refuse_at_once(self) -> errors.LeafError | None:
+        if self._nursery is None:
+            return leafconnect.no_connection(
+                self.address, "the pool does not run"
+            )
+        if self.allotment_count == 0:
+            return leafconnect.no_connection(
+                self.address, "the allotment is 0"
+            )
+        in_backoff = trio.current_time() < self._retry_s
+        if in_backoff and self.open_count == 0:
+            return leafconnect.connect_error(
+                self.address, "the last connect failed"
+            )
+        return None
+
+    async def _wait(
+        self, waiter: Waiter, deadline_s: float
+    ) -> leafclient.LeafResult[leafclient.LeafClient]:
+        started_s = trio.current_time()
+        try:
+            with trio.CancelScope(deadline=deadline_s):
+                await waiter.event.wait()
+        except trio.Cancelled:
+            self._forget(waiter)
+            raise
+        self._metrics.wait_seconds.observe(trio.current_time() - started_s)
+        if waiter.outcome is None:
+            self._forget(waiter)
+            detail = "no connection was free before the deadline"
+            return result.Err(leafconnect.no_connection(self.address, detail))
+        return waiter.outcome
+
+    def _forget(self, waiter: Waiter) -> None:
+        """Remove a waiter; pass on what it was given at the same time."""
+        if waiter.outcome is None:
+            self._waiters = [e for e in self._waiters if e[2] is not waiter]
+            heapq.heapify(self._waiters)
+        elif isinstance(waiter.outcome, result.Ok):
+            self.release(waiter.outcome.ok_value)
+
+    def _take_idle(self) -> leafclient.LeafClient | None:
+        while self._idle:
+            client = self._idle.pop()
+            if not client.is_stale():
+                self.busy_count += 1
+                self._note_peak()
+                return client
+            self._close(client)
+        return None
+
+    def _note_peak(self) -> None:
+        now_s = trio.current_time()
+        if now_s - self._peak_s > PEAK_WINDOW_S:
+            self._peak_count = 0
+        if self.busy_count >= self._peak_count:
+            self._peak_count = self.busy_count
+            self._peak_s = now_s
+
+    def _excess_count(self) -> int:
+        return self.open_count - self.allotment_count
+
+    def _serve_waiter(self, client: leafclient.LeafClient) -> bool:
+        """Give a counted busy connection to the most urgent waiter."""
+        if not self._waiters:
+            return False
+        _, _, waiter = heapq.heappop(self._waiters)
+        waiter.resolve(result.Ok(client))
+        return True
+
+    def _fail_waiters(self, error: errors.LeafError) -> None:
+        for _, _, waiter in self._waiters:
+            waiter.resolve(result.Err(error))
+        self._waiters.clear()
+
+    def _open_more(self) -> None:
+        """Start the connects that waiters and warming need."""
+        if self._nursery is None or trio.current_time() < self._retry_s:
+            return
+        for _ in range(self._connects_wanted()):
+            self.connecting_count += 1
+            self._nursery.start_soon(self._connect)
+
+    def _connects_wanted(self) -> int:
+        wanted = len(self._waiters)
+        if self._warm:
+            ready = len(self._idle) + self.busy_count
+            wanted = max(wanted, max(1, self._peak_count + 1) - ready)
+        limit = self._options.connects_per_leaf_count
+        allowed = min(-self._excess_count(), limit - self.connecting_count)
+        return max(0, min(wanted - self.connecting_count, allowed))
+
+    async def _connect(self) -> None:
+        opened: leafclient.LeafResult[leafclient.LeafClient]
+        opened = result.Err(
+            leafconnect.connect_error(self.address, "the pool stopped")
+        )
+        try:
+            async with self._connect_gate:
+                opened = await leafconnect.open_client(
+                    self._connector,
+                    self.leaf,
+                    self.address,
+                    self._options.connect_timeout_s,
+                )
+        finally:
+            self.connecting_count -= 1
+            if isinstance(opened, result.Ok):
+                self._add(opened.ok_value)
+        if isinstance(opened, result.Err):
+            self._on_connect_failed(opened.err_value)
+
+    def _add(self, client: leafclient.LeafClient) -> None:
+        """Take a new connection into service."""
+        self._backoff_s = 0.0
+        self._metrics.count_connect("ok")
+        self.busy_count += 1
+        self.release(client)
+        self._open_more()
+
+    def _on_connect_failed(self, error: errors.LeafError) -> None:
+        """Back off; waiters fail where nothing else can serve them."""
+        self._metrics.count_connect("failed")
+        options = self._options
+        doubled_s = max(options.backoff_min_s, self._backoff_s * 2)
+        self._backoff_s = min(options.backoff_max_s, doubled_s)
+        delay_s = self._backoff_s * self._rng.uniform(0.5, 1.0)
+        self._retry_s = trio.current_time() + delay_s
+        if self.busy_count == 0 and self.connecting_count == 0:
+            self._fail_waiters(error)
+        if self._nursery is not None:
+            self._nursery.start_soon(self._retry_later, delay_s)
+
+    async def _retry_later(self, delay_s: float) -> None:
+        await trio.sleep(delay_s)
+        self._open_more()
+
+    def _close(self, client: leafclient.LeafClient) -> None:
+        """Close a connection that is no longer counted idle or busy."""
+        if self._nursery is None:
+            client.close()
+            return
+        self.closing_count += 1
+        self._nursery.start_soon(self._close_gracefully, client)
+
+    async def _close_gracefully(self, client: leafclient.LeafClient) -> None:
+        try:
+            await client.close_gracefully(self._options.close_timeout_s)
+        finally:
+            client.close()
+            self.closing_count -= 1
+        self._open_more()
+
+    async def _settle(
+        self, client: leafclient.LeafClient, cancel_id: str
+    ) -> None:
+        """Wait shortly for the reply, so that the connection stays open."""
+        deadline_s = trio.current_time() + self._options.settle_timeout_s
+        try:
+            told = not cancel_id or await self._tell(cancel_id, deadline_s)
+            with trio.CancelScope(deadline=deadline_s):
+                if told:
+                    await client.finish_reply()
+        except errors.LeafError:
+            client.phase = leafclient.Phase.BROKEN
+        finally:
+            self.release(client)
+
+    async def _tell(self, cancel_id: str, deadline_s: float) -> bool:
+        """Cancel a request by an idle connection, if there is one."""
+        other = self._take_idle()
+        if other is None:
+            return False
+        try:
+            reply = await other.cancel(cancel_id, deadline_s)
+        finally:
+            self.release(other)
+        return isinstance(reply, result.Ok)
+
+    def _stop(self) -> None:
+        self._fail_waiters(
+            leafconnect.no_connection(self.address, "the pool stopped")
+        )
+        while self._idle:
+            self._idle.pop().close()
--- /dev/null
+++ b/plantainhook/leaftransport.py
@@ -0,0 +1,91 @@
+"""Byte streams to leafs.
+
+``Transport`` is the seam under the leaf client. ``SocketTransport``
+implements it over a trio socket and tests implement it in memory.
+``send_some`` returns after the first write, so that the client knows whether
+any byte of a request has left.
+"""
+
+import select
+import socket
+import typing
+from collections import abc
+
+import trio
+
+
+class Transport(typing.Protocol):
+    """Carry bytes to and from one leaf.
+
+    The methods that fail raise OSError or trio.BrokenResourceError.
+    """
+
+    async def send_some(self, data: bytes) -> int:
+        """Write at least one byte and return the count of bytes written."""
+
+    async def receive_some(self, max_bytes: int) -> bytes:
+        """Return received bytes, or none at the end of the stream."""
+
+    def is_readable(self) -> bool:
+        """Return whether bytes, an end of stream or an error wait."""
+
+    def send_eof(self) -> None:
+        """Close the sending side."""
+
+    def close(self) -> None:
+        """Close both sides at once; a second call does nothing."""
+
+
+Connector = abc.Callable[[str], abc.Awaitable[Transport]]
+
+
+class SocketTransport:
+    """Carry bytes over a connected TCP socket."""
+
+    def __init__(self, connected: trio.socket.SocketType) -> None:
+        self._socket = connected
+
+    async def send_some(self, data: bytes) -> int:
+        """Write at least one byte and return the count of bytes written."""
+        return await self._socket.send(data)
+
+    async def receive_some(self, max_bytes: int) -> bytes:
+        """Return received bytes, or none at the end of the stream."""
+        return await self._socket.recv(max_bytes)
+
+    def is_readable(self) -> bool:
+        """Return whether bytes, an end of stream or an error wait."""
+        poller = select.poll()
+        poller.register(self._socket.fileno(), select.POLLIN)
+        return bool(poller.poll(0))
+
+    def send_eof(self) -> None:
+        """Close the sending side."""
+        self._socket.shutdown(socket.SHUT_WR)
+
+    def close(self) -> None:
+        """Close both sides at once; a second call does nothing."""
+        self._socket.close()
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``host:port``; an IPv6 host stands in brackets."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+async def connect(address: str) -> SocketTransport:
+    """Open a TCP connection to an IP address and port.
+
+    Raises OSError.
+    """
+    host, port = split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    opened = trio.socket.socket(family, socket.SOCK_STREAM)
+    try:
+        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        await opened.connect((host, port))
+    except BaseException:
+        opened.close()
+        raise
+    return SocketTransport(opened)
--- /dev/null
+++ b/plantainhook/leafwork.py
@@ -0,0 +1,285 @@
+"""Calls from a daemon to leafs: ``LeafGateway`` hides pools and clients.
+
+The gateway keeps one pool per leaf of the settings view. It follows changes
+of the settings and of the shares. A call is sent again only where no byte of
+the first try was written. A call whose caller is cancelled is cancelled at
+the leaf in the background.
+"""
+
+import dataclasses
+import functools
+import random
+import typing
+from collections import abc
+
+import result
+import trio
+
+from plantainhook import (
+    blackboard,
+    errors,
+    leafclient,
+    leafconnect,
+    leafpool,
+    leafprotocol,
+    leaftransport,
+    metrics,
+    querytypes,
+    shardmap,
+)
+
+SEND_TRIES_COUNT: typing.Final = 3
+CONNECTS_AT_ONCE_COUNT: typing.Final = 16
+UNKNOWN_LEAF: typing.Final = "the settings have no such leaf"
+TOPICS: typing.Final = (blackboard.Topic.SETTINGS, blackboard.Topic.SHARES)
+
+ReplyResult = result.Result[querytypes.LeafReply, errors.LeafError]
+AllotmentOf = abc.Callable[[shardmap.LeafInfo], int]
+
+
+class Observer(typing.Protocol):
+    """Learn from calls; ``leafhealth`` implements it."""
+
+    def on_refusal(self, leaf: str, reason: leafprotocol.Refusal) -> None:
+        """Take note of a refusal."""
+
+    def on_connection_lost(self, leaf: str) -> None:
+        """Take note of a broken connection or a failed connect."""
+
+
+class NullObserver:
+    """Ignore what calls tell."""
+
+    def on_refusal(self, leaf: str, reason: leafprotocol.Refusal) -> None:
+        """Ignore a refusal."""
+
+    def on_connection_lost(self, leaf: str) -> None:
+        """Ignore a broken connection."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestFields:
+    """Hold the fields that all attempts of a query share.
+
+    ``params`` is JSON text, encoded once per query.
+    """
+
+    request_id: str
+    kind: str
+    fingerprint: str
+    params: bytes
+
+
+def wire_id(request_id: str, attempt_id: int) -> str:
+    """Return the id of an attempt on the wire.
+
+    Attempts of one query may be at the same leaf, and cancelling one must
+    not cancel another.
+    """
+    return f"{request_id}.{attempt_id}"
+
+
+class LeafGateway:
+    """Run attempts on leafs.
+
+    ``allotment_of`` returns how many connections this daemon may open to a
+    leaf; it is asked again after each change of the settings or the shares.
+    """
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        allotment_of: AllotmentOf,
+        instruments: metrics.LeafMetrics,
+        rng: random.Random,
+        connector: leaftransport.Connector = leaftransport.connect,
+        options: leafconnect.PoolOptions | None = None,
+        observer: Observer | None = None,
+    ) -> None:
+        self._board = board
+        self._allotment_of = allotment_of
+        self._metrics = instruments
+        self._rng = rng
+        self._connector = connector
+        self._options = options or leafconnect.PoolOptions()
+        self._gate = trio.Semaphore(CONNECTS_AT_ONCE_COUNT)
+        self._pools: dict[str, leafpool.LeafPool] = {}
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self.observer: Observer = observer or NullObserver()
+        instruments.connections.set_function(self._connection_count)
+
+    def pool(self, leaf: str) -> leafpool.LeafPool | None:
+        """Return the pool of a leaf."""
+        return self._pools.get(leaf)
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Keep the pools in step with the blackboard until cancelled."""
+        async with trio.open_nursery() as nursery:
+            started = False
+            while True:
+                events = [self._board.changed(topic) for topic in TOPICS]
+                await self._update(nursery)
+                if not started:
+                    task_status.started()
+                    started = True
+                await wait_any(events)
+
+    async def call(
+        self,
+        leaf: str,
+        send: querytypes.Send,
+        fields: RequestFields,
+        deadline_s: float,
+    ) -> ReplyResult:
+        """Run one attempt; the reply carries the id of the query.
+
+        ``deadline_s`` is on the trio clock. After cancellation of the
+        calling task the leaf is told to stop in the background.
+        """
+        started_s = trio.current_time()
+        outcome = await self._call(
+            leaf,
+            leafclient.LeafCall(
+                request_id=wire_id(fields.request_id, send.attempt_id),
+                kind=fields.kind,
+                fingerprint=fields.fingerprint,
+                snapshot=send.snapshot,
+                shards=send.shards,
+                params=fields.params,
+                deadline_s=deadline_s,
+            ),
+        )
+        if isinstance(outcome, result.Err):
+            self._on_failure(leaf, outcome.err_value)
+            return outcome
+        self._metrics.count_ok(trio.current_time() - started_s)
+        reply = dataclasses.replace(
+            outcome.ok_value, request_id=fields.request_id
+        )
+        return result.Ok(reply)
+
+    async def get(
+        self,
+        leaf: str,
+        read: abc.Callable[
+            [leafclient.LeafClient], abc.Awaitable[leafclient.LeafResult[None]]
+        ],
+        deadline_s: float,
+    ) -> leafclient.LeafResult[None]:
+        """Lend a connection to a reader of the state endpoints."""
+        pool = self._pools.get(leaf)
+        if pool is None:
+            return result.Err(leafconnect.no_connection(leaf, UNKNOWN_LEAF))
+        pool.sweep()
+        acquired = await pool.acquire(deadline_s)
+        if isinstance(acquired, result.Err):
+            return acquired
+        try:
+            return await read(acquired.ok_value)
+        finally:
+            pool.abandon(acquired.ok_value)
+
+    async def _call(self, leaf: str, call: leafclient.LeafCall) -> ReplyResult:
+        pool = self._pools.get(leaf)
+        if pool is None:
+            return result.Err(leafconnect.no_connection(leaf, UNKNOWN_LEAF))
+        outcome = await self._try_once(pool, call)
+        for _ in range(SEND_TRIES_COUNT - 1):
+            if not may_resend(outcome):
+                break
+            self._metrics.resends.inc()
+            outcome = await self._try_once(pool, call)
+        return outcome
+
+    async def _try_once(
+        self, pool: leafpool.LeafPool, call: leafclient.LeafCall
+    ) -> ReplyResult:
+        acquired = await pool.acquire(call.deadline_s)
+        if isinstance(acquired, result.Err):
+            return acquired
+        client = acquired.ok_value
+        cancel_id = call.request_id
+        try:
+            outcome = await client.search(call)
+            cancel_id = ""
+            return outcome
+        finally:
+            pool.abandon(client, cancel_id)
+
+    def _on_failure(self, leaf: str, error: errors.LeafError) -> None:
+        self._metrics.count_failure(error)
+        if isinstance(error, leafclient.RefusedError):
+            self.observer.on_refusal(leaf, error.reason)
+        elif error.kind in (
+            errors.LeafFailureKind.CONNECTION_LOST,
+            errors.LeafFailureKind.CONNECT,
+        ):
+            self.observer.on_connection_lost(leaf)
+
+    async def _update(self, nursery: trio.Nursery) -> None:
+        leafs = self._board.settings.leafs
+        for name, pool in list(self._pools.items()):
+            info = leafs.get(name)
+            if info is None or info.address != pool.address:
+                self._remove(name)
+        for name, info in leafs.items():
+            if name not in self._pools:
+                await self._add(nursery, info)
+            self._pools[name].set_allotment(self._allotment_of(info))
+
+    async def _add(
+        self, nursery: trio.Nursery, info: shardmap.LeafInfo
+    ) -> None:
+        pool = leafpool.LeafPool(
+            info.name,
+            info.address,
+            self._options,
+            self._connector,
+            self._gate,
+            self._metrics,
+            self._rng,
+        )
+        scope = trio.CancelScope()
+        await nursery.start(functools.partial(run_in, scope, pool))
+        self._pools[info.name] = pool
+        self._scopes[info.name] = scope
+
+    def _remove(self, leaf: str) -> None:
+        self._pools.pop(leaf)
+        self._scopes.pop(leaf).cancel()
+
+    def _connection_count(self) -> float:
+        return sum(pool.open_count for pool in self._pools.values())
+
+
+async def wait_any(events: abc.Iterable[trio.Event]) -> None:
+    """Wait until one of the events is set."""
+
+    async def wait_one(event: trio.Event) -> None:
+        await event.wait()
+        nursery.cancel_scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        for event in events:
+            nursery.start_soon(wait_one, event)
+
+
+async def run_in(
+    scope: trio.CancelScope,
+    pool: leafpool.LeafPool,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run a pool inside a scope that ends it."""
+    with scope:
+        await pool.run(task_status=task_status)
+
+
+def may_resend(outcome: ReplyResult) -> bool:
+    """Return whether a broken connection took nothing of the request."""
+    if isinstance(outcome, result.Ok):
+        return False
+    error = outcome.err_value
+    lost = error.kind is errors.LeafFailureKind.CONNECTION_LOST
+    return lost and error.ran is errors.Ran.NO
--- /dev/null
+++ b/plantainhook/standin_faults.py
@@ -0,0 +1,101 @@
+"""Faulty replies of the stand-in leaf, by name.
+
+Each fault gets the body of the correct reply and returns what goes on the
+wire. The work has run before the fault.
+"""
+
+import typing
+from collections import abc
+
+from plantainhook import standinhttp
+
+OVERSIZED_BYTES: typing.Final = 5_000_000
+ReplyFault = typing.Literal[
+    "none",
+    "delay",
+    "drop",
+    "malformed",
+    "not_json",
+    "truncated",
+    "oversized",
+    "wrong_id",
+    "wrong_snapshot",
+    "missing_shard",
+]
+Body = dict[str, typing.Any]
+Fault = abc.Callable[[Body], standinhttp.HttpReply]
+
+_FAULTS: typing.Final[dict[str, Fault]] = {}
+
+
+def fault(name: str) -> abc.Callable[[Fault], Fault]:
+    """Return a decorator that registers a fault."""
+
+    def add(function: Fault) -> Fault:
+        _FAULTS[name] = function
+        return function
+
+    return add
+
+
+def reply_with(name: ReplyFault, body: Body) -> standinhttp.HttpReply:
+    """Return the reply that a fault makes of a body."""
+    return _FAULTS[name](body)
+
+
+@fault("none")
+@fault("delay")
+def whole(body: Body) -> standinhttp.HttpReply:
+    """Send the correct reply; the delay has passed already."""
+    return standinhttp.json_reply(200, body)
+
+
+@fault("drop")
+def drop(body: Body) -> standinhttp.HttpReply:
+    """Close the connection without a reply."""
+    return standinhttp.HttpReply(200, raw=b"")
+
+
+@fault("malformed")
+def malformed(body: Body) -> standinhttp.HttpReply:
+    """Send bytes that are no HTTP."""
+    return standinhttp.HttpReply(200, raw=b"\x00\x01 no http\r\n\r\n")
+
+
+@fault("not_json")
+def not_json(body: Body) -> standinhttp.HttpReply:
+    """Send a body that is no JSON."""
+    return standinhttp.HttpReply(200, b"{")
+
+
+@fault("truncated")
+def truncated(body: Body) -> standinhttp.HttpReply:
+    """Close the connection in the middle of the body."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n"
+    return standinhttp.HttpReply(200, raw=head + b'{"request_id"')
+
+
+@fault("oversized")
+def oversized(body: Body) -> standinhttp.HttpReply:
+    """Send a body over the limit of the client."""
+    return standinhttp.HttpReply(200, b" " * OVERSIZED_BYTES)
+
+
+@fault("wrong_id")
+def wrong_id(body: Body) -> standinhttp.HttpReply:
+    """Send the reply under the id of another request."""
+    return standinhttp.json_reply(200, {**body, "request_id": "other.0"})
+
+
+@fault("wrong_snapshot")
+def wrong_snapshot(body: Body) -> standinhttp.HttpReply:
+    """Send the reply of another snapshot."""
+    snapshot = body["snapshot"] + 1
+    return standinhttp.json_reply(200, {**body, "snapshot": snapshot})
+
+
+@fault("missing_shard")
+def missing_shard(body: Body) -> standinhttp.HttpReply:
+    """Leave out the last shard."""
+    results = dict(list(body["results"].items())[:-1])
+    return standinhttp.json_reply(200, {**body, "results": results})
--- /dev/null
+++ b/plantainhook/standin_journal.py
@@ -0,0 +1,105 @@
+"""Journal of the stand-in leaf: what really ran, and when.
+
+Tests compare what callers were told with this journal. A run is recorded
+when it takes a slot, so a request without an entry has not run.
+"""
+
+import collections
+import dataclasses
+import typing
+
+import trio
+
+T = typing.TypeVar("T")
+
+HISTORY_LIMIT_COUNT: typing.Final = 1000
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """Record one run of one shard for one request.
+
+    ``ended_s`` is None while the run goes on; ``completed`` is False where
+    it was cancelled or the leaf crashed.
+    """
+
+    request_id: str
+    kind: str
+    fingerprint: str
+    shard: str
+    snapshot: int
+    started_s: float
+    ended_s: float | None = None
+    completed: bool = False
+
+
+class Journal:
+    """Record the runs of a leaf in order."""
+
+    def __init__(self) -> None:
+        self.runs: list[Run] = []
+
+    def start(
+        self,
+        request_id: str,
+        kind: str,
+        fingerprint: str,
+        shards: tuple[str, ...],
+        snapshot: int,
+    ) -> list[Run]:
+        """Record that a request took a slot."""
+        now_s = trio.current_time()
+        started = [
+            Run(request_id, kind, fingerprint, shard, snapshot, now_s)
+            for shard in shards
+        ]
+        self.runs.extend(started)
+        return started
+
+    def finish(self, runs: list[Run], completed: bool) -> None:
+        """Record that a request gave its slot back."""
+        now_s = trio.current_time()
+        for run in runs:
+            run.ended_s = now_s
+            run.completed = completed
+
+    def counts(self) -> dict[str, dict[str, int]]:
+        """Return the count of runs by query id and shard.
+
+        The id of an attempt is the id of its query, a point and the number
+        of the attempt.
+        """
+        counted: dict[str, dict[str, int]] = {}
+        for run in self.runs:
+            query_id = run.request_id.rpartition(".")[0] or run.request_id
+            by_shard = counted.setdefault(query_id, {})
+            by_shard[run.shard] = by_shard.get(run.shard, 0) + 1
+        return counted
+
+    def runs_of(self, query_id: str) -> int:
+        """Return the count of shard runs of all attempts of a query."""
+        return sum(self.counts().get(query_id, {}).values())
+
+
+class History(typing.Generic[T]):
+    """Keep past values, so that an endpoint can report an old one."""
+
+    def __init__(self, value: T) -> None:
+        self._values: collections.deque[tuple[float, T]] = collections.deque(
+            [(-float("inf"), value)], maxlen=HISTORY_LIMIT_COUNT
+        )
+
+    def append(self, value: T) -> None:
+        """Record the value from now on."""
+        self._values.append((trio.current_time(), value))
+
+    def at(self, time_s: float) -> T:
+        """Return the value at a time."""
+        for since_s, value in reversed(self._values):
+            if since_s <= time_s:
+                return value
+        return self._values[0][1]
+
+    def now(self) -> T:
+        """Return the last value."""
+        return self._values[-1][1]
--- /dev/null
+++ b/plantainhook/standin_model.py
@@ -0,0 +1,304 @@
+"""Model of a backend server: slots, queue, versions, states and faults.
+
+``LeafModel`` answers the requests of the leaf protocol without any socket;
+``standin_leaf`` serves it on connections. ``Behaviour`` holds what can be
+changed while it runs.
+"""
+
+import dataclasses
+import math
+import random
+import typing
+from collections import abc
+
+import msgspec
+import trio
+
+from plantainhook import (
+    leafprotocol,
+    standin_faults,
+    standin_journal,
+    standinhttp,
+)
+
+FOREVER: typing.Final = -1
+RAN_NO: typing.Final = (("Plantainhook-Ran", "no"),)
+RAN_YES: typing.Final = (("Plantainhook-Ran", "yes"),)
+
+_SEARCH_DECODER: typing.Final = msgspec.json.Decoder(
+    leafprotocol.SearchRequest
+)
+
+
+class Behaviour(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+    """Hold what the stand-in does; times are in milliseconds.
+
+    ``fault_count`` is how many of the next searches meet ``reply_fault``;
+    FOREVER means all. ``health_says`` and ``load_says`` replace the truth.
+    """
+
+    slot_count: int = 2
+    queue_limit_count: int = 8
+    connection_limit_count: int = 25
+    connect_ms: float = 0.0
+    service_median_ms: float = 5.0
+    service_sigma: float = 0.3
+    shard_extra_ms: float = 0.0
+    items_per_shard_count: int = 3
+    cold_ms: float = 0.0
+    cold_factor: float = 5.0
+    cold_refuses: bool = False
+    down_ms: float = 1000.0
+    health_lag_ms: float = 0.0
+    versions_lag_ms: float = 0.0
+    state_delay_ms: float = 0.0
+    health_says: leafprotocol.HealthState | None = None
+    load_says: int | None = None
+    gives_reason: bool = True
+    crash_fingerprints: list[str] = []
+    crash_param: str = ""
+    drop_requests_count: int = 0
+    reply_fault: standin_faults.ReplyFault = "none"
+    fault_count: int = FOREVER
+    reply_delay_ms: float = 1000.0
+
+
+@dataclasses.dataclass(slots=True)
+class Work:
+    """Hold one accepted search."""
+
+    search: leafprotocol.SearchRequest
+    scope: trio.CancelScope
+    started: bool = False
+    cancelled: bool = False
+
+
+class LeafModel:
+    """Answer the requests of the leaf protocol and record what ran."""
+
+    name: str
+    behaviour: Behaviour
+    journal: standin_journal.Journal
+    down: bool
+
+    def __init__(
+        self,
+        name: str,
+        versions: dict[int, set[str]],
+        behaviour: Behaviour | None = None,
+        seed: int = 0,
+    ) -> None:
+        self.name = name
+        self.behaviour = behaviour or Behaviour()
+        self.journal = standin_journal.Journal()
+        self.down = False
+        self._rng = random.Random(seed)
+        self._versions = standin_journal.History(versions)
+        self._state = standin_journal.History(leafprotocol.HealthState.LIVE)
+        self._cold_until_s = -math.inf
+        self._slots = trio.Semaphore(self.behaviour.slot_count)
+        self._works: dict[str, Work] = {}
+
+    def start_cold(self) -> None:
+        """Begin the cold phase of a fresh start."""
+        self._cold_until_s = trio.current_time() + self.behaviour.cold_ms / 1e3
+        self._state.append(leafprotocol.HealthState.LIVE)
+
+    def crash(self) -> None:
+        """Go down; the server drops every connection."""
+        self.down = True
+
+    def drain(self) -> None:
+        """Refuse new searches; those accepted are finished."""
+        self._state.append(leafprotocol.HealthState.DRAINING)
+
+    def undrain(self) -> None:
+        """Accept searches again."""
+        self._state.append(leafprotocol.HealthState.LIVE)
+
+    def set_versions(self, versions: dict[int, set[str]]) -> None:
+        """Replace the served versions and their shards."""
+        self._versions.append(versions)
+
+    def update(self, changes: dict[str, object]) -> None:
+        """Change some fields of the behaviour; raises ValidationError."""
+        merged = {**msgspec.to_builtins(self.behaviour), **changes}
+        slot_count = self.behaviour.slot_count
+        self.behaviour = msgspec.convert(merged, Behaviour)
+        if self.behaviour.slot_count != slot_count:
+            self._slots = trio.Semaphore(self.behaviour.slot_count)
+
+    def state(self) -> leafprotocol.HealthState:
+        """Return the true state."""
+        state = self._state.now()
+        cold = trio.current_time() < self._cold_until_s
+        if state is leafprotocol.HealthState.LIVE and cold:
+            return leafprotocol.HealthState.COLD
+        return state
+
+    def in_flight_count(self) -> int:
+        """Return the searches that run or wait for a slot."""
+        return len(self._works)
+
+    async def report(self, path: str) -> standinhttp.HttpReply:
+        """Answer a state endpoint, late or wrongly where told so."""
+        await trio.sleep(self.behaviour.state_delay_ms / 1000)
+        reports: dict[str, abc.Callable[[], object]] = {
+            leafprotocol.HEALTH_PATH: self._health,
+            leafprotocol.LOAD_PATH: self._load,
+            leafprotocol.VERSIONS_PATH: self._served_versions,
+        }
+        report = reports.get(path)
+        if report is None:
+            return standinhttp.HttpReply(404)
+        return standinhttp.json_reply(200, report())
+
+    def _health(self) -> leafprotocol.HealthReply:
+        lag_s = self.behaviour.health_lag_ms / 1000
+        state = self.behaviour.health_says
+        if state is None and lag_s:
+            state = self._state.at(trio.current_time() - lag_s)
+        return leafprotocol.HealthReply(state or self.state())
+
+    def _load(self) -> leafprotocol.LoadReply:
+        said = self.behaviour.load_says
+        in_flight_count = self.in_flight_count() if said is None else said
+        return leafprotocol.LoadReply(
+            in_flight_count, self.behaviour.slot_count
+        )
+
+    def _served_versions(self) -> leafprotocol.VersionsReply:
+        lag_s = self.behaviour.versions_lag_ms / 1000
+        versions = self._versions.at(trio.current_time() - lag_s)
+        return leafprotocol.VersionsReply(
+            {version: sorted(shards) for version, shards in versions.items()}
+        )
+
+    def cancel(self, request_id: str) -> standinhttp.HttpReply:
+        """Cancel a search that runs or waits for a slot."""
+        work = self._works.get(request_id)
+        if work is not None:
+            work.cancelled = True
+            work.scope.cancel()
+        return standinhttp.json_reply(200, {"found": work is not None})
+
+    async def search(self, body: bytes) -> standinhttp.HttpReply:
+        """Run a search, or refuse it."""
+        try:
+            search = _SEARCH_DECODER.decode(body)
+        except msgspec.DecodeError as error:
+            detail = {"detail": str(error)}
+            return standinhttp.json_reply(400, detail, RAN_NO)
+        if self.behaviour.drop_requests_count:
+            self.behaviour.drop_requests_count -= 1
+            return standinhttp.HttpReply(200, raw=b"")
+        refused = self._refuse(search)
+        if refused is not None:
+            return refused
+        return await self._accept(search)
+
+    def _refuse(
+        self, search: leafprotocol.SearchRequest
+    ) -> standinhttp.HttpReply | None:
+        state = self.state()
+        if state is leafprotocol.HealthState.DRAINING:
+            return self._refusal(leafprotocol.Refusal.DRAINING)
+        cold = state is leafprotocol.HealthState.COLD
+        if cold and self.behaviour.cold_refuses:
+            return self._refusal(leafprotocol.Refusal.COLD)
+        versions = self._versions.now()
+        if not versions.get(search.snapshot, set()).issuperset(search.shards):
+            served = {"served": sorted(versions)}
+            return standinhttp.json_reply(409, served, RAN_NO)
+        limit = self.behaviour.slot_count + self.behaviour.queue_limit_count
+        if self.in_flight_count() >= limit:
+            return self._refusal(leafprotocol.Refusal.OVERLOADED)
+        return None
+
+    def _refusal(self, reason: leafprotocol.Refusal) -> standinhttp.HttpReply:
+        if not self.behaviour.gives_reason:
+            reason = leafprotocol.Refusal.UNKNOWN
+        body = leafprotocol.RefusalBody(reason)
+        return standinhttp.json_reply(503, body, RAN_NO)
+
+    async def _accept(
+        self, search: leafprotocol.SearchRequest
+    ) -> standinhttp.HttpReply:
+        deadline_s = trio.current_time() + search.deadline_ms / 1000
+        work = Work(search, trio.CancelScope(deadline=deadline_s))
+        self._works[search.request_id] = work
+        try:
+            with work.scope:
+                async with self._slots:
+                    work.started = True
+                    await self._run(search)
+        finally:
+            del self._works[search.request_id]
+        if work.scope.cancelled_caught:
+            status = 410 if work.cancelled else 504
+            ran = RAN_YES if work.started else RAN_NO
+            return standinhttp.json_reply(status, {}, ran)
+        return await self._reply(search)
+
+    async def _run(self, search: leafprotocol.SearchRequest) -> None:
+        """Hold a slot for the service time."""
+        runs = self.journal.start(
+            search.request_id,
+            search.kind,
+            search.fingerprint,
+            search.shards,
+            search.snapshot,
+        )
+        completed = False
+        try:
+            if self._is_poison(search):
+                self.crash()
+            await trio.sleep(self._service_s(len(search.shards)))
+            completed = True
+        finally:
+            self.journal.finish(runs, completed)
+
+    def _is_poison(self, search: leafprotocol.SearchRequest) -> bool:
+        if search.fingerprint in self.behaviour.crash_fingerprints:
+            return True
+        param = self.behaviour.crash_param
+        return bool(param) and param.encode() in bytes(search.params)
+
+    def _service_s(self, shard_count: int) -> float:
+        """Draw a lognormal service time in seconds."""
+        behaviour = self.behaviour
+        drawn = self._rng.lognormvariate(0.0, behaviour.service_sigma)
+        time_ms = behaviour.service_median_ms * drawn
+        time_ms += behaviour.shard_extra_ms * (shard_count - 1)
+        if self.state() is leafprotocol.HealthState.COLD:
+            time_ms *= behaviour.cold_factor
+        return time_ms / 1000
+
+    def _items(self, search: leafprotocol.SearchRequest, shard: str) -> object:
+        """Return items that tell their shard and snapshot."""
+        items = [
+            {"shard": shard, "snapshot": search.snapshot, "rank": rank}
+            for rank in range(self.behaviour.items_per_shard_count)
+        ]
+        return {"items": items, "weight": 1.0}
+
+    async def _reply(
+        self, search: leafprotocol.SearchRequest
+    ) -> standinhttp.HttpReply:
+        body: dict[str, typing.Any] = {
+            "request_id": search.request_id,
+            "snapshot": search.snapshot,
+            "results": {s: self._items(search, s) for s in search.shards},
+        }
+        fault = self._take_fault()
+        if fault == "delay":
+            await trio.sleep(self.behaviour.reply_delay_ms / 1000)
+        return standin_faults.reply_with(fault, body)
+
+    def _take_fault(self) -> standin_faults.ReplyFault:
+        if self.behaviour.fault_count == 0:
+            return "none"
+        fault = self.behaviour.reply_fault
+        if fault != "none" and self.behaviour.fault_count > 0:
+            self.behaviour.fault_count -= 1
+        return fault
--- /dev/null
+++ b/tests/leafhelp.py
@@ -0,0 +1,170 @@
+"""Helpers of the tests of leaf calls: settings, network and fixtures.
+
+The network joins client and stand-in by socket pairs. The kernel delivers on
+a socket pair at once, so a mock clock that jumps when all tasks wait gives
+the same verdict on every run.
+"""
+
+import contextlib
+import random
+import socket
+import typing
+from collections import abc
+
+import prometheus_client
+import trio
+
+from plantainhook import (
+    blackboard,
+    leafconnect,
+    leaftransport,
+    leafwork,
+    metrics,
+    querytypes,
+    schema,
+    standin_leaf,
+    standin_model,
+)
+
+SHARDS: typing.Final = ("s0", "s1")
+NO_JITTER: typing.Final = leafconnect.PoolOptions(warm_jitter_s=0.0)
+
+
+class Servable(typing.Protocol):
+    """Serve one connection."""
+
+    async def serve_stream(self, stream: trio.abc.Stream) -> None:
+        """Serve a stream until it ends."""
+
+
+class Network:
+    """Connect addresses to stand-ins by socket pairs."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        self.servers: dict[str, Servable] = {}
+        self.connects: list[str] = []
+        self.connect_delay_s = 0.0
+        self.connecting_count = 0
+        self.connecting_max_count = 0
+        self.unreachable: set[str] = set()
+        self._nursery = nursery
+
+    async def connect(self, address: str) -> leaftransport.SocketTransport:
+        """Open a connection as ``leaftransport.connect`` does."""
+        self.connects.append(address)
+        self.connecting_count += 1
+        self.connecting_max_count = max(
+            self.connecting_max_count, self.connecting_count
+        )
+        try:
+            await trio.sleep(self.connect_delay_s)
+        finally:
+            self.connecting_count -= 1
+        server = self.servers.get(address)
+        if server is None or address in self.unreachable:
+            raise ConnectionRefusedError("connection refused")
+        if isinstance(server, standin_model.LeafModel) and server.down:
+            raise ConnectionRefusedError("connection refused")
+        near, far = trio.socket.socketpair(socket.AF_UNIX)
+        stream = trio.SocketStream(far)
+        self._nursery.start_soon(server.serve_stream, stream)
+        return leaftransport.SocketTransport(near)
+
+
+def settings(count: int, limit_count: int = 8) -> schema.Settings:
+    """Return settings with some leafs ``leaf-0``... of one group."""
+    leafs = [
+        schema.Leaf(
+            name=f"leaf-{number}",
+            address=f"10.0.0.{number}:80",
+            data_centre="dc-1",
+            slot_count=2,
+            connection_limit_count=limit_count,
+        )
+        for number in range(count)
+    ]
+    return schema.Settings(group={"g": schema.Group(service="s", leafs=leafs)})
+
+
+def board_of(found: schema.Settings) -> blackboard.Blackboard:
+    """Return a blackboard with a settings view."""
+    board = blackboard.Blackboard(1)
+    board.settings = blackboard.settings_view(1, found, 0.0, "test")
+    return board
+
+
+def send(
+    attempt_id: int = 0, shards: tuple[str, ...] = SHARDS
+) -> querytypes.Send:
+    """Return the action that sends shards of snapshot 1."""
+    return querytypes.Send(
+        attempt_id, "leaf-0", shards, 1, 0.0, querytypes.AttemptReason.FIRST
+    )
+
+
+def fields(request_id: str = "q1", fingerprint: str = "f") -> typing.Any:
+    """Return the fields of a request."""
+    return leafwork.RequestFields(request_id, "search", fingerprint, b"{}")
+
+
+class Rig:
+    """Hold a gateway and its stand-in leafs."""
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        leaf_count: int = 1,
+        allotment_count: int = 2,
+        options: leafconnect.PoolOptions = NO_JITTER,
+        **behaviour: typing.Any,
+    ) -> None:
+        self.allotment_count = allotment_count
+        self.network = Network(nursery)
+        self.board = board_of(settings(leaf_count))
+        self.leafs: list[standin_leaf.StandinLeaf] = []
+        for info in self.board.settings.leafs.values():
+            leaf = standin_leaf.StandinLeaf(
+                info.name,
+                {1: set(SHARDS)},
+                standin_model.Behaviour(service_sigma=0.0, **behaviour),
+            )
+            self.network.servers[info.address] = leaf
+            self.leafs.append(leaf)
+        self.metrics = metrics.LeafMetrics(
+            prometheus_client.CollectorRegistry()
+        )
+        self.gateway = leafwork.LeafGateway(
+            self.board,
+            lambda info: self.allotment_count,
+            self.metrics,
+            random.Random(0),
+            self.network.connect,
+            options,
+        )
+
+    def change_allotment(self, count: int) -> None:
+        """Change the allotment to every leaf."""
+        self.allotment_count = count
+        self.board.notify(blackboard.Topic.SHARES)
+
+    async def call(
+        self, timeout_s: float = 1.0, **given: typing.Any
+    ) -> leafwork.ReplyResult:
+        """Call the first leaf."""
+        deadline_s = trio.current_time() + timeout_s
+        shards = given.pop("shards", SHARDS)
+        attempt_id = given.pop("attempt_id", 0)
+        return await self.gateway.call(
+            "leaf-0", send(attempt_id, shards), fields(**given), deadline_s
+        )
+
+
+@contextlib.asynccontextmanager
+async def running_rig(**given: typing.Any) -> abc.AsyncIterator[Rig]:
+    """Run a gateway against stand-ins, and stop both afterwards."""
+    async with trio.open_nursery() as nursery:
+        rig = Rig(nursery, **given)
+        await nursery.start(rig.gateway.run)
+        await trio.sleep(0.01)
+        yield rig
+        nursery.cancel_scope.cancel()
