--- a/plantainhook/cli.py
+++ b/plantainhook/cli.py
@@ -25,6 +25,9 @@
     commands_settings,
     openapi,
 )
+from plantainhook import commands, commands_standin
+
+COMMAND_MODULES: typing.Final = (commands_standin,)
 
 
 def build_parser() -> argparse.ArgumentParser:
