Add overload scenarios with admission

The benchmark had no load above the capacity of the leafs.

overload-2x and overload-10x pass the admission queue on the virtual clock.

--- a/plantainhook/bench.py
+++ b/plantainhook/bench.py
@@ -1,8 +1,9 @@
 """Benchmark of the query decisions: runs, figures and their JSON form.
 
 Each run gives one table per request kind. The safety counters are those of
-the observer. ``goodput_ratio`` is the number of answers that came in time
-with enough coverage, over the requests that the leafs had capacity for.
+the observer. ``goodput_ratio`` of a kind is the share of its requests that
+got an answer in time with enough coverage; that of the run is the number of
+such answers over the requests that the leafs had capacity for.
 """
 
 import math
@@ -10,6 +11,7 @@
 
 from plantainhook import (
     benchfaultscenarios,  # noqa: F401  registers its scenarios
+    benchloadscenarios,  # noqa: F401  registers its scenarios
     benchobserver,
     benchscenarios,
     benchsim,
@@ -68,7 +70,6 @@
     observer = simulation.observer
     stats = observer.kinds[kind]
     latencies = sorted(stats.latencies_ms)
-    capacity = stats.requests * capacity_ratio(simulation.scenario)
     return {
         "requests": stats.requests,
         "complete": stats.complete,
@@ -85,7 +86,7 @@
         "false_not_run": stats.false_not_run,
         "connections_over_limit": observer.connections_over_limit,
         "extra_load_ratio": ratio(stats.extra_calls, stats.first_calls),
-        "goodput_ratio": ratio(stats.acceptable, capacity),
+        "goodput_ratio": ratio(stats.acceptable, stats.requests),
     }
 
 
@@ -97,6 +98,7 @@
     crossed = zone_policy.cross_count
     counters = simulation.policies.counters
     return {
+        "goodput_ratio": total_goodput(simulation),
         "group_amplification": amplification(
             simulation.observer, OUTAGE_GROUP
         ),
@@ -114,6 +116,14 @@
     }
 
 
+def total_goodput(simulation: benchsim.Simulation) -> float:
+    """Return the goodput of all kinds together."""
+    stats = simulation.observer.kinds.values()
+    requests = sum(kind.requests for kind in stats)
+    capacity = requests * capacity_ratio(simulation.scenario)
+    return ratio(sum(kind.acceptable for kind in stats), capacity)
+
+
 def safety_total(simulation: benchsim.Simulation) -> int:
     """Return the sum of all safety counters, which must be 0."""
     observer = simulation.observer
--- a/plantainhook/benchsim.py
+++ b/plantainhook/benchsim.py
@@ -13,6 +13,7 @@
 from collections import abc
 
 from plantainhook import (
+    benchadmission,
     benchfaults,
     benchleaf,
     benchobserver,
@@ -51,6 +52,8 @@
     """Carry out the actions of one machine against the fake leafs."""
 
     record: benchobserver.QueryRecord
+    request: querytypes.QueryRequest
+    rules: querytypes.EffectiveRules
 
     def __init__(
         self,
@@ -62,6 +65,7 @@
         self.simulation = simulation
         self.arrival = arrival
         self.rules = rules
+        self.request = request
         self.record = benchobserver.QueryRecord(
             request,
             rules.idempotent,
@@ -81,6 +85,10 @@
         """Start the machine."""
         self._carry_out(self._machine.start(self.simulation.now_s))
 
+    def refuse(self, refusal: errors.RefusalError) -> None:
+        """End a query that was not admitted."""
+        self.simulation.finish(self, refusal)
+
     def replied(
         self, call: benchleaf.Call, reply: querytypes.LeafReply
     ) -> None:
@@ -218,6 +226,11 @@
         }
         self.views = {}
         self.open_count = 0
+        self._gate = None
+        if scenario.admission_limits is not None:
+            self._gate = benchadmission.Gate(
+                scenario.admission_limits, self.schedule_at
+            )
         self.poison_fingerprints: set[str] = set()
         self._arrival_rng = random.Random(f"{seed}-arrivals")
         self._events: list[tuple[float, int, Deliver]] = []
@@ -274,6 +287,8 @@
         minimum = running.rules.min_coverage_ratio
         self.observer.finish(running.record, outcome, minimum, self.now_s)
         self.open_count -= 1
+        if self._gate is not None:
+            self._gate.finished(running.request.request_id, self.now_s)
         arrival = running.arrival
         failed = not isinstance(outcome, querytypes.Answer)
         if arrival.poison and failed and arrival.resend_count < RESEND_COUNT:
@@ -324,7 +339,11 @@
             area=self._area(kind),
         )
         self.open_count += 1
-        RunningQuery(self, arrival, rules, request).start()
+        running = RunningQuery(self, arrival, rules, request)
+        if self._gate is None:
+            running.start()
+        else:
+            self._gate.offer(running, self.now_s)
 
     def _area(self, kind: benchtypes.KindSpec) -> tuple[str, ...]:
         if not kind.area_count:
--- a/plantainhook/benchtypes.py
+++ b/plantainhook/benchtypes.py
@@ -4,7 +4,7 @@
 import enum
 import typing
 
-from plantainhook import shardmap
+from plantainhook import admission, shardmap
 
 SETTLE_S: typing.Final = 30.0
 
@@ -86,7 +86,8 @@
 
     ``declared`` lists the versions of each target known at the start. A
     share of replies, ``mischief_ratio``, is duplicated, crossed or of
-    another version.
+    another version. ``admission_limits`` bounds the queries that run at
+    once; None starts each query when it arrives.
     """
 
     leafs: tuple[shardmap.LeafInfo, ...]
@@ -101,7 +102,7 @@
     mischief_ratio: float = 0.001
     connect_ms: float = 1.0
     queue_limit_count: int = 32
-    admission: bool = False
+    admission_limits: admission.Limits | None = None
 
     def rate_per_s(self) -> float:
         """Return the request rate of all kinds together."""
