Bound chunks and validate only what a revision changes

Cause: at 5,000 objects a change of one rule moved 52,624 bytes, and a daemon would validate all objects for each revision (0.135 s).

--- a/plantainhook/revisions.py
+++ b/plantainhook/revisions.py
@@ -2,8 +2,9 @@
 
 A revision is a set of named records and the information on who made it and
 when. Records are packed into chunks; a chunk is stored under the hash of its
-text and never changes. The cut between two chunks depends on the record
-names only, so a change of one record changes one chunk. The hash of a
+text and never changes. Most cuts between chunks depend on one record name
+only, so a change of one record changes one chunk, and a record that is added
+changes the chunks up to the next such cut. The hash of a
 revision covers its information and the hashes of its chunks; two daemons
 with the same hash hold the same settings.
 """
@@ -22,7 +23,8 @@
 NO_REVISION: typing.Final = 0
 HASH_BYTES: typing.Final = 16
 RECORDS_PER_CHUNK_COUNT: typing.Final = 32
-CHUNK_LIMIT_BYTES: typing.Final = 200_000
+CHUNK_LIMIT_COUNT: typing.Final = 64
+CHUNK_LIMIT_BYTES: typing.Final = 64_000
 RECORD_LIMIT_BYTES: typing.Final = 450_000
 PEER: typing.Final = "settings"
 
@@ -82,13 +84,20 @@
 def pack(
     records: abc.Mapping[str, bytes],
 ) -> list[dict[str, msgspec.Raw]]:
-    """Pack records into chunks, in order of their names."""
+    """Pack records into chunks, in order of their names.
+
+    A chunk is cut where the hash of a name says so, or where it is full.
+    """
     chunks: list[dict[str, msgspec.Raw]] = []
     chunk_bytes = 0
     for name in sorted(records):
         size = len(records[name])
-        full = chunk_bytes + size > CHUNK_LIMIT_BYTES
-        if not chunks or full or _starts_chunk(name):
+        full = (
+            not chunks
+            or len(chunks[-1]) >= CHUNK_LIMIT_COUNT
+            or chunk_bytes + size > CHUNK_LIMIT_BYTES
+        )
+        if full or _starts_chunk(name):
             chunks.append({})
             chunk_bytes = 0
         chunks[-1][name] = msgspec.Raw(records[name])
--- a/plantainhook/settingsobjects.py
+++ b/plantainhook/settingsobjects.py
@@ -105,6 +105,35 @@
     return schema.Settings.model_validate(tree_of(specs))
 
 
+def settings_after(
+    old: schema.Settings,
+    old_records: abc.Mapping[str, bytes],
+    records: abc.Mapping[str, bytes],
+) -> schema.Settings:
+    """Build settings from older ones, validating only what differs.
+
+    Equals ``settings_of(records)`` and raises the same errors; ``old`` is
+    not changed.
+    """
+    changed = {n: t for n, t in records.items() if old_records.get(n) != t}
+    removed = old_records.keys() - records.keys()
+    part = settings_of(changed)
+    update: dict[str, typing.Any] = {}
+    for kind in SINGLE_KINDS:
+        if kind in changed:
+            update[kind] = getattr(part, kind)
+        elif kind in removed:
+            update[kind] = type(getattr(old, kind))()
+    for kind in NAMED_KINDS:
+        items = {**getattr(old, kind), **getattr(part, kind)}
+        for record_name in removed:
+            record_kind, _, name = record_name.partition("/")
+            if record_kind == kind:
+                items.pop(name, None)
+        update[kind] = items
+    return old.model_copy(update=update)
+
+
 def change_records(
     old: abc.Mapping[str, bytes], change: Change, info: revisions.Info
 ) -> dict[str, bytes]:
--- a/tests/test_settingsfile.py
+++ b/tests/test_settingsfile.py
@@ -9,6 +9,7 @@
 
 from plantainhook import (
     errors,
+    revisions,
     settingsfile,
     settingsobjects,
     settingstree,
@@ -57,6 +58,28 @@
         tree = settingsobjects.tree_of(specs)
         self.assertEqual(settings, type(settings).model_validate(tree))
 
+    def test_update_equals_a_full_build(self) -> None:
+        """Guards against daemons whose settings differ from the record."""
+        data = datacases.load("settingstree")
+        old = settingsfile.parse("f", data["settings"]).unwrap().change()
+        changes = [
+            settingsobjects.Change(
+                {"request_kind/grid": {}, "target/t": {"groups": ["g"]}}
+            ),
+            settingsobjects.Change({"share_plan": {"share_count": 9}}),
+            settingsobjects.Change(
+                {}, frozenset(["defaults", "service/maps"])
+            ),
+        ]
+        info = revisions.Info(1, "anna", 0.0, "r")
+        records = settingsobjects.change_records({}, old, info)
+        settings = settingsobjects.settings_of(records)
+        for change in changes:
+            after = settingsobjects.change_records(records, change, info)
+            updated = settingsobjects.settings_after(settings, records, after)
+            self.assertEqual(settingsobjects.settings_of(after), updated)
+            records, settings = after, updated
+
 
 class SettingsTreeTest(testtools.TestCase):
     """Run the cases of ``settingstree.toml``."""
