Keep failed changes, signals and old records from causing tracebacks

Cause: an interrupted command or a record of another schema ended in a traceback, and a chunk write with a lost reply failed the whole change. Change: guards in the settings command, a signal-driven stop of the stand-in, another write of a chunk whose outcome is open, a faster scan for lines.

--- a/plantainhook/commands_settings.py
+++ b/plantainhook/commands_settings.py
@@ -9,6 +9,8 @@
 import sys
 import typing
 
+import msgspec
+import pydantic
 import result
 import trio
 
@@ -146,7 +148,20 @@
     if isinstance(loaded, result.Err):
         print(f"error: {loaded.err_value}", file=sys.stderr)
         return commands.EXIT_USAGE
-    return trio.run(_run_connected, arguments, loaded.ok_value)
+    try:
+        return trio.run(_run_connected, arguments, loaded.ok_value)
+    except (KeyboardInterrupt, BaseExceptionGroup) as error:
+        return _interrupted(error)
+
+
+def _interrupted(error: BaseException) -> int:
+    """Report an interruption; trio may group it with cancelled calls."""
+    if isinstance(error, BaseExceptionGroup):
+        _, others = error.split(KeyboardInterrupt)
+        if others is not None:
+            raise error
+    print(f"error: {messages.INTERRUPTED}", file=sys.stderr)
+    return commands.EXIT_FAILED
 
 
 async def _run_connected(
@@ -163,7 +178,13 @@
     ) as api:
         store = settingsstore.SettingsStore(api, own_clock)
         action: settingsactions.Action = arguments.action
-        return await action(store, arguments)
+        try:
+            return await action(store, arguments)
+        except (pydantic.ValidationError, msgspec.MsgspecError) as error:
+            detail = messages.REVISION_NOT_READABLE.format(detail=error)
+            return settingsactions.report(
+                settingsstore.failure(detail), arguments.json
+            )
 
 
 def _options(
--- a/plantainhook/commands_standin_platform.py
+++ b/plantainhook/commands_standin_platform.py
@@ -1,9 +1,10 @@
 """Command ``plantainhook standin platform``."""
 
 import argparse
-import functools
+import signal
 import typing
 
+import quart_trio
 import trio
 
 from plantainhook import commands, objectapifake, standin_platform, standins
@@ -46,5 +47,15 @@
     )
     api = objectapifake.FakeObjectApi(faults=faults)
     app = standin_platform.build_app(api, arguments.token)
-    trio.run(functools.partial(standin_platform.serve, app, arguments.listen))
+    trio.run(_serve, app, arguments.listen)
     return commands.EXIT_DONE
+
+
+async def _serve(app: quart_trio.QuartTrio, listen: str) -> None:
+    """Serve until a signal asks to stop."""
+    with trio.open_signal_receiver(signal.SIGINT, signal.SIGTERM) as signals:
+
+        async def wait_for_signal() -> None:
+            await anext(signals)
+
+        await standin_platform.serve(app, listen, wait_for_signal)
--- a/plantainhook/messages.py
+++ b/plantainhook/messages.py
@@ -75,3 +75,7 @@
 APPLY_NEEDS_OBJECTS: typing.Final = (
     "error: name a file to apply or objects to --remove"
 )
+NOTHING_IN_FORCE: typing.Final = "the change was not put in force: {detail}"
+INTERRUPTED: typing.Final = (
+    "interrupted; look in the history for whether a change is in force"
+)
--- a/plantainhook/settingsactions.py
+++ b/plantainhook/settingsactions.py
@@ -14,7 +14,6 @@
 from collections import abc
 
 import msgspec
-import pydantic
 import result
 import tomlkit
 
@@ -91,13 +90,9 @@
         loaded = await store.load_settings(arguments.revision)
     if isinstance(loaded, result.Err):
         return report(loaded.err_value, arguments.json)
-    try:
-        if arguments.effective or arguments.explain:
-            return _show_rules(loaded.ok_value, arguments)
-        return _show_objects(loaded.ok_value, arguments)
-    except (pydantic.ValidationError, msgspec.MsgspecError) as error:
-        detail = messages.REVISION_NOT_READABLE.format(detail=error)
-        return report(settingsstore.failure(detail), arguments.json)
+    if arguments.effective or arguments.explain:
+        return _show_rules(loaded.ok_value, arguments)
+    return _show_objects(loaded.ok_value, arguments)
 
 
 async def diff(store: Store, arguments: argparse.Namespace) -> int:
--- a/plantainhook/settingschunks.py
+++ b/plantainhook/settingschunks.py
@@ -22,6 +22,7 @@
 MANIFEST_PREFIX: typing.Final = "settings/manifest/"
 PARALLEL_CALLS_COUNT: typing.Final = 16
 READ_ATTEMPTS_COUNT: typing.Final = 4
+HEAD_ATTEMPTS_COUNT: typing.Final = 5
 READ_FIRST_WAIT_S: typing.Final = 0.1
 
 T = typing.TypeVar("T")
@@ -88,6 +89,20 @@
     return result.Err(read.err_value)
 
 
+async def load_head_after(
+    api: objectapi.ObjectApi, version: int
+) -> Head | None:
+    """Read the head until it has a later version than a known one."""
+    wait_s = READ_FIRST_WAIT_S
+    for _ in range(HEAD_ATTEMPTS_COUNT):
+        head = await load_head(api)
+        if isinstance(head, result.Ok) and head.ok_value.version > version:
+            return head.ok_value
+        await trio.sleep(wait_s)
+        wait_s *= 2
+    return None
+
+
 async def load_text(
     api: objectapi.ObjectApi, key: str, text_hash: str
 ) -> result.Result[bytes, Failure]:
@@ -210,12 +225,23 @@
         if isinstance(written, result.Ok):
             return result.Ok(None)
         error = written.err_value
-        if not isinstance(error, errors.ObjectConflictError):
-            return result.Err(error)
-        version = error.current_version
+        if isinstance(error, errors.ObjectConflictError):
+            version = error.current_version
+        elif isinstance(error, errors.ObjectOutcomeUnknownError):
+            version = await _version_of(api, key)
+        else:
+            break
     return result.Err(error)
 
 
+async def _version_of(api: objectapi.ObjectApi, key: str) -> int:
+    """Return the version of an object; one not read counts as absent."""
+    read = await api.get(key)
+    if isinstance(read, result.Ok):
+        return read.ok_value.version
+    return objectapi.ABSENT_VERSION
+
+
 async def in_parallel(
     call: abc.Callable[[str], abc.Awaitable[T]], names: abc.Sequence[str]
 ) -> list[T]:
--- a/plantainhook/settingscleanup.py
+++ b/plantainhook/settingscleanup.py
@@ -13,9 +13,11 @@
 from collections import abc
 
 import result
+import trio
 
 from plantainhook import (
     errors,
+    logs,
     objectapi,
     settingschunks,
     steps,
@@ -72,6 +74,28 @@
     )
 
 
+async def clean_up_regularly(
+    api: objectapi.ObjectApi, interval_s: float
+) -> None:
+    """Run the job at intervals until cancelled; log what it removed.
+
+    The caller holds the lease; see ``leaserunner.run_held``.
+    """
+    logger = logs.part_logger("cleanup")
+    while True:
+        outcome = await clean_up(api)
+        if isinstance(outcome, result.Ok):
+            removed = outcome.ok_value
+            logger.info(
+                "Removed {} chunks and {} manifests.",
+                removed.chunks_count,
+                removed.manifests_count,
+            )
+        else:
+            logger.warning("Nothing removed: {}.", outcome.err_value)
+        await trio.sleep(interval_s)
+
+
 async def renew_head(
     api: objectapi.ObjectApi, head: settingschunks.Head
 ) -> result.Result[objectapi.StoredObject, errors.ObjectApiError]:
--- a/plantainhook/settingslines.py
+++ b/plantainhook/settingslines.py
@@ -19,6 +19,9 @@
 KEY_PATTERN: typing.Final = re.compile(
     r"""^((?:"(?:\\.|[^"\\])*"|'[^']*'|[\w-]+|\s*\.\s*)+)\s*="""
 )
+BARE_KEYS_PATTERN: typing.Final = re.compile(
+    r"\[{0,2}([\w-]+(?:\.[\w-]+)*)(?:\]{1,2}\s*| = 0)"
+)
 TOML_POSITION_PATTERN: typing.Final = re.compile(r"at line (\d+)")
 
 
@@ -122,6 +125,9 @@
 
 def _keys(toml: str) -> list[str]:
     """Return the keys that a header or key line names."""
+    bare = BARE_KEYS_PATTERN.fullmatch(toml)
+    if bare is not None:
+        return bare.group(1).split(".")
     try:
         value: typing.Any = tomllib.loads(toml)
     except tomllib.TOMLDecodeError:
--- a/plantainhook/settingsstore.py
+++ b/plantainhook/settingsstore.py
@@ -9,7 +9,6 @@
 import typing
 
 import result
-import trio
 
 from plantainhook import (
     clock,
@@ -26,7 +25,6 @@
 
 APPLY_ATTEMPTS_COUNT: typing.Final = 4
 HISTORY_DEFAULT_COUNT: typing.Final = 20
-SETTLE_ATTEMPTS_COUNT: typing.Final = 5
 
 Failure = errors.PlantainhookError
 
@@ -251,7 +249,7 @@
         )
         for outcome in outcomes:
             if isinstance(outcome, result.Err):
-                return outcome
+                return _nothing_in_force(outcome.err_value)
         revision = attempt.revision
         key = settingschunks.manifest_key(
             revision.info.revision, revision.hash
@@ -264,7 +262,9 @@
             objectapi.ABSENT_VERSION,
             revision.info.request_id,
         )
-        return written.map(lambda _: None)
+        if isinstance(written, result.Err):
+            return _nothing_in_force(written.err_value)
+        return result.Ok(None)
 
     async def _move_head(
         self, attempt: settingsapply.Attempt
@@ -300,7 +300,9 @@
         None tells that the head has a new version but the same revision,
         which the clean-up job causes.
         """
-        head = await self._head_after(attempt.head.version)
+        head = await settingschunks.load_head_after(
+            self.api, attempt.head.version
+        )
         if head is None:
             return result.Err(_outcome_unknown(attempt.revision.info))
         if head.revision == attempt.base.info.revision:
@@ -323,17 +325,6 @@
             )
         )
 
-    async def _head_after(self, version: int) -> settingschunks.Head | None:
-        """Read the head until it has a later version than a known one."""
-        wait_s = settingschunks.READ_FIRST_WAIT_S
-        for _ in range(SETTLE_ATTEMPTS_COUNT):
-            head = await self.load_head()
-            if isinstance(head, result.Ok) and head.ok_value.version > version:
-                return head.ok_value
-            await trio.sleep(wait_s)
-            wait_s *= 2
-        return None
-
     async def _conflict_with_base(
         self,
         request: settingsapply.Request,
@@ -381,6 +372,14 @@
     )
 
 
+def _nothing_in_force(error: Failure) -> result.Err[Failure]:
+    """Build the error of a change that failed before the head moved."""
+    detail = messages.NOTHING_IN_FORCE.format(detail=error.detail)
+    return result.Err(
+        errors.ObjectApiUnavailableError(error.step, error.peer, detail)
+    )
+
+
 def _outcome_unknown(info: revisions.Info) -> Failure:
     """Build the error of a change that may be in force."""
     detail = messages.OUTCOME_OF_APPLY_UNKNOWN.format(
--- a/tests/test_objectapi.py
+++ b/tests/test_objectapi.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import socket
 import typing
 from collections import abc
 
@@ -265,3 +266,36 @@
                 self.assertEqual({"get": 1}, counters["calls"])
 
         virtualtime.run(main)
+
+
+class StandinServerTest(testtools.TestCase):
+    """Check the stand-in on a socket of this machine."""
+
+    def test_calls_over_a_socket(self) -> None:
+        """Guards against a stand-in that works only inside a process."""
+
+        async def main() -> None:
+            fake = objectapifake.FakeObjectApi()
+            app = standin_platform.build_app(fake)
+            listener = socket.create_server(("127.0.0.1", 0))
+            url = f"http://127.0.0.1:{listener.getsockname()[1]}"
+            stop = trio.Event()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    standin_platform.serve,
+                    app,
+                    f"fd://{listener.detach()}",
+                    stop.wait,
+                )
+                async with objectapihttp.open_object_api(
+                    url, "", TIMEOUT_S, 1000.0, clock.TrioClock()
+                ) as api:
+                    made = (await api.put("k/é", "v", 0, "r")).unwrap()
+                    self.assertEqual(made, (await api.get("k/é")).unwrap())
+                    late = await api.put("k/é", "w", 0, "r2")
+                    self.assertIsInstance(
+                        late.unwrap_err(), errors.ObjectConflictError
+                    )
+                stop.set()
+
+        trio.run(main)
