--- a/plantainhook/cli.py
+++ b/plantainhook/cli.py
@@ -14,6 +14,8 @@
     commands_client,
     commands_report,
     commands_settings,
+    commands_standin,
+    commands_standin_platform,
     openapi,
 )
 
@@ -23,11 +25,10 @@
     commands_client,
     commands_report,
     commands_settings,
+    commands_standin,
+    commands_standin_platform,
     openapi,
 )
-from plantainhook import commands, commands_standin
-
-COMMAND_MODULES: typing.Final = (commands_standin,)
 
 
 def build_parser() -> argparse.ArgumentParser:
