--- a/plantainhook/cli.py
+++ b/plantainhook/cli.py
@@ -5,9 +5,29 @@
 
 import argparse
 import sys
+import typing
 from collections import abc
 
-from plantainhook import commands
+from plantainhook import (
+    commands,
+    commands_bench,
+    commands_client,
+    commands_report,
+    commands_settings,
+    openapi,
+)
+
+# Importing a module of commands registers its commands.
+COMMAND_MODULES: typing.Final = (
+    commands_bench,
+    commands_client,
+    commands_report,
+    commands_settings,
+    openapi,
+)
+from plantainhook import commands, commands_standin
+
+COMMAND_MODULES: typing.Final = (commands_standin,)
 
 
 def build_parser() -> argparse.ArgumentParser:
--- a/plantainhook/messages.py
+++ b/plantainhook/messages.py
@@ -15,6 +15,7 @@
 OUTCOME_UNKNOWN: typing.Final = (
     "the request may have run; it will not be run again"
 )
+STARTING: typing.Final = "this daemon has no settings yet"
 DRAINING: typing.Final = "this daemon is stopping and takes no new requests"
 OVERLOADED: typing.Final = "the queue of class {request_class} is full"
 DEADLINE_TOO_SHORT: typing.Final = (
@@ -32,3 +33,62 @@
     "no index version of target {target!r} is served by any leaf"
 )
 NOT_AUTHORISED: typing.Final = "the token does not have the role {role!r}"
+UNDO_CHANGED_LATER: typing.Final = (
+    "revision {revision} cannot be undone: later revisions changed {names}; "
+    "apply the values that you want instead"
+)
+CONFLICT: typing.Final = (
+    "revision {current} is in force, and the change was made for "
+    "revision {base}; nothing was written"
+)
+CONFLICT_REDO_SAME: typing.Final = (
+    "Both changed {names}. Get the objects in force with\n"
+    "  plantainhook settings show {names} > new.toml\n"
+    "put the change into new.toml and run\n"
+    "  plantainhook settings apply new.toml --base {current}"
+)
+CONFLICT_REDO_OTHER: typing.Final = (
+    "The other change is to other objects. To put this one on top, run the "
+    "same command with\n"
+    "  --base {current}"
+)
+OBJECT_TOO_LARGE: typing.Final = (
+    "expected at most {limit_bytes} bytes, found {size_bytes}"
+)
+OBJECT_UNKNOWN: typing.Final = "expected an existing object to remove"
+REVISION_UNKNOWN: typing.Final = "there is no revision {revision}"
+REVISION_NOT_KEPT: typing.Final = "revision {revision} is no longer kept"
+OUTCOME_OF_APPLY_UNKNOWN: typing.Final = (
+    "the change may be in force, the platform did not tell; look for request "
+    "{request_id} in: plantainhook settings history"
+)
+REVISION_NOT_READABLE: typing.Final = (
+    "the revision does not fit this version of the program: {detail}"
+)
+OBJECT_NOT_IN_REVISION: typing.Final = (
+    "there is no object {name!r} in revision {revision}"
+)
+FILE_VALID: typing.Final = "{file}: {count} objects, no errors"
+NOTHING_TO_CHANGE: typing.Final = (
+    "nothing to change: revision {revision} already holds these objects"
+)
+IN_FORCE: typing.Final = "revision {revision} is in force:"
+APPLY_NEEDS_OBJECTS: typing.Final = (
+    "error: name a file to apply or objects to --remove"
+)
+NO_SHARD_ANSWERED: typing.Final = "no shard answered before the deadline"
+NO_SHARD_LEFT: typing.Final = "no leaf could answer for any shard"
+SHARDS_UNKNOWN: typing.Final = (
+    "index version {snapshot} does not have the shards {shards}"
+)
+SUSPECT_RUNNING: typing.Final = (
+    "this request may have crashed a backend server and is already running"
+)
+PLOTS_MISSING: typing.Final = (
+    "The plots are missing because matplotlib is not installed; "
+    "install plantainhook with the extra 'plots'."
+)
+NOTHING_IN_FORCE: typing.Final = "the change was not put in force: {detail}"
+INTERRUPTED: typing.Final = (
+    "interrupted; look in the history for whether a change is in force"
+)
