Add the daemon

Cause: the parts need one place that builds, runs and stops them. Change: daemon.py with the planned stop, VM list distribution, crash watch, leaf routing.

--- /dev/null
+++ b/plantainhook/daemon.py
@@ -0,0 +1,383 @@
+"""One daemon: builds its parts, runs them, and stops them in order.
+
+The blackboard is shared; each controller runs in its own task. A planned
+stop goes through the stages of ``Daemon.drain``: unready at the balancer,
+a short time in which late requests are still admitted, no new requests, the
+end of all requests in flight, the last figures, the release of the
+connection share, and the news to the other daemons.
+"""
+
+import collections
+import dataclasses
+import random
+import secrets
+import typing
+
+import prometheus_client
+import trio
+
+from plantainhook import (
+    admission,
+    admissiongate,
+    blackboard,
+    callerapi,
+    claimmemory,
+    clock,
+    crashwatch,
+    errors,
+    frontend,
+    gossip,
+    leafhealth,
+    leafrouting,
+    leaftransport,
+    leafwork,
+    logs,
+    membership,
+    metrics,
+    objectapi,
+    options,
+    peerlinks,
+    peers,
+    peertls,
+    planner,
+    queryplan,
+    queryservice,
+    recording,
+    segments,
+    settingssource,
+    settingsstore,
+    shareclaim,
+    shares,
+    ticketforwarding,
+    tickets,
+    vmwatch,
+    wire,
+)
+
+LOGGER: typing.Final = logs.part_logger("daemon")
+INCARNATION_BITS: typing.Final = 63
+RELEASE_TIMEOUT_S: typing.Final = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outside:
+    """Hold the clients of the outside systems."""
+
+    api: objectapi.ObjectApi
+    vm_list: leafhealth.VmListReader
+    connector: leaftransport.Connector = leaftransport.connect
+
+
+class Daemon:
+    """Hold the parts of one daemon."""
+
+    def __init__(
+        self,
+        run_options: options.Options,
+        outside: Outside,
+        nursery: trio.Nursery,
+    ) -> None:
+        self.options = run_options
+        self.outside = outside
+        self.nursery = nursery
+        self.clock = clock.TrioClock()
+        self.rng = random.Random(secrets.randbits(INCARNATION_BITS))
+        self.board = blackboard.Blackboard(
+            incarnation=secrets.randbits(INCARNATION_BITS)
+        )
+        self.registry = prometheus_client.CollectorRegistry()
+        self.http_binds: list[str] = []
+        self.stopped = trio.Event()
+        self._drain_requested = trio.Event()
+        self._http_shutdown = trio.Event()
+        self._build_peers()
+        self._build_settings()
+        self._build_shares()
+        self._build_leafs()
+        self.service = queryservice.QueryService(self._service_parts())
+
+    def _build_peers(self) -> None:
+        run_options = self.options
+        self.hello = wire.HelloFrame(
+            version=wire.PROTOCOL_VERSION,
+            incarnation=self.board.incarnation,
+            name=run_options.name,
+            vm_id=run_options.vm_id,
+            data_centre=run_options.data_centre,
+            peer_address=run_options.peer_address,
+            http_address=run_options.http_address,
+        )
+        self.handlers = peers.Handlers()
+        tls = None
+        if run_options.tls is not None:
+            tls = peertls.TlsWatch(run_options.tls)
+        self.links = peerlinks.TcpPeers(
+            self.hello,
+            self.handlers,
+            run_options.peer_message_limit_bytes,
+            self.clock,
+            self.rng,
+            tls,
+        )
+        self.members = membership.Membership(
+            self.board,
+            membership.own_entry(self.hello),
+            self.links,
+            self.handlers,
+            membership.MembershipOptions(
+                probe_interval_s=run_options.probe_interval_s,
+                probe_timeout_s=run_options.probe_timeout_s,
+                suspicion_s=run_options.suspicion_s,
+                seed_peers=tuple(run_options.seed_peers),
+            ),
+            self.clock,
+            self.rng,
+        )
+
+    def _build_settings(self) -> None:
+        run_options = self.options
+        store = settingsstore.SettingsStore(self.outside.api, self.clock)
+        self.gossip = gossip.Gossip(
+            self.board,
+            self.members,
+            settingssource.SettingsSource(store, self.clock),
+            self.outside.api,
+            self.links,
+            self.handlers,
+            gossip.GossipOptions(
+                watcher_count=run_options.watcher_count,
+                digest_interval_s=run_options.digest_interval_s,
+                poll_s=run_options.settings_poll_s,
+                watch_timeout_s=run_options.watch_timeout_s,
+            ),
+            self.clock,
+            self.rng,
+        )
+
+    def _build_shares(self) -> None:
+        run_options = self.options
+        claimant = shareclaim.Claimant(
+            self.board.incarnation,
+            run_options.vm_id,
+            run_options.peer_address,
+        )
+        self.claims = shares.ShareClaims(
+            self.board,
+            claimant,
+            run_options.data_centre,
+            self.outside.api,
+            claimmemory.ClaimMemory(self.links, self.handlers),
+            self.members.set_share,
+            shares.ShareOptions(),
+            self.rng,
+        )
+
+    def _build_leafs(self) -> None:
+        run_options = self.options
+        self.gateway = leafwork.LeafGateway(
+            self.board,
+            lambda leaf: self.board.shares.allotments.get(leaf.name, 0),
+            metrics.LeafMetrics(self.registry),
+            self.rng,
+            self.outside.connector,
+        )
+        vm_list = vmwatch.VmWatch(
+            self.outside.vm_list,
+            self.board,
+            run_options.vm_id,
+            run_options.peer_address,
+            self.members,
+            self.claims,
+            self.request_drain,
+        )
+        self.health = leafhealth.LeafHealth(
+            self.board,
+            self.gateway,
+            vm_list,
+            run_options.leaf_poll_interval_s,
+            self.rng,
+        )
+
+    def _service_parts(self) -> queryservice.Parts:
+        run_options = self.options
+        self.policies = queryplan.build_policies(
+            run_options.data_centre, self.rng.getrandbits(32)
+        )
+        # Gossip spreads the entries of the blackboard, so the decisions and
+        # gossip work on the same mapping.
+        self.policies.quarantine.until_s = self.board.quarantine_until_s
+        self.writer = segments.SegmentWriter(
+            self.outside.api,
+            run_options.name,
+            self.board.incarnation,
+            self.clock.wall_s(),
+        )
+        limits = admission.Limits(
+            run_options.concurrent_query_limit_count,
+            run_options.queued_query_limit_count,
+            run_options.archive_queue_limit_count,
+        )
+        queue = admission.AdmissionQueue(limits)
+        return queryservice.Parts(
+            board=self.board,
+            gate=admissiongate.AdmissionGate(queue, self.clock),
+            book=tickets.TicketBook(
+                run_options.peer_address, self.board.incarnation
+            ),
+            planner=planner.BlackboardPlanner(
+                self.board, run_options.data_centre, self.policies
+            ),
+            leafs=leafrouting.LeafRouter(self.gateway),
+            forwarder=ticketforwarding.PeerTicketForwarder(
+                self.links, self.handlers, self._answer_forwarded
+            ),
+            recorder=recording.RequestRecorder(
+                self.board, run_options, self.writer, self.registry
+            ),
+            clock=self.clock,
+            decisions=logs.DecisionLog(
+                logs.part_logger("query"),
+                self.clock,
+                run_options.decision_log_per_s,
+            ),
+            nursery=self.nursery,
+        )
+
+    async def _answer_forwarded(self, query: bytes) -> callerapi.Response:
+        parsed = callerapi.parse_query(query)
+        if parsed.is_err():
+            return callerapi.refusal_response(parsed.unwrap_err())
+        return await self.service.query_as_issuer(parsed.unwrap())
+
+    async def run(
+        self,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run until a planned stop has ended.
+
+        Raises OSError where an address is in use.
+        """
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.links.run)
+            nursery.start_soon(self.members.run)
+            nursery.start_soon(self.gossip.run)
+            nursery.start_soon(self.claims.run)
+            await nursery.start(self.gateway.run)
+            await nursery.start(self.health.run)
+            nursery.start_soon(self._serve_when_settled)
+            nursery.start_soon(self._flush_segments)
+            nursery.start_soon(
+                crashwatch.watch_crashes,
+                self.board,
+                self.policies.quarantine,
+                self.clock,
+            )
+            self.http_binds = await nursery.start(
+                frontend.serve,
+                frontend.build_app(self._frontend_parts()),
+                self.options.http_address,
+                self._http_shutdown,
+            )
+            task_status.started()
+            LOGGER.info("Listening on {}.", ", ".join(self.http_binds))
+            await self._drain_requested.wait()
+            await self.drain()
+            nursery.cancel_scope.cancel()
+        self.stopped.set()
+
+    def request_drain(self) -> None:
+        """Start the planned stop; a second call does nothing."""
+        self._drain_requested.set()
+
+    async def drain(self) -> None:
+        """Stop in order, without cutting off a request in flight."""
+        self._enter(blackboard.LifeState.LEAVING)
+        with trio.move_on_after(RELEASE_TIMEOUT_S):
+            await self.members.announce(draining=True, left=False)
+        await trio.sleep(self.options.drain_notice_s)
+        self._enter(blackboard.LifeState.DRAINING)
+        with trio.move_on_after(self.options.drain_timeout_s) as scope:
+            await self.service.wait_idle()
+        if scope.cancelled_caught:
+            LOGGER.error("{} requests are cut off.", self.in_flight_count())
+        with trio.move_on_after(RELEASE_TIMEOUT_S):
+            await self.writer.close(self.clock.wall_s())
+        with trio.move_on_after(RELEASE_TIMEOUT_S):
+            await self.claims.release()
+            await self.members.announce(draining=True, left=True)
+        self._enter(blackboard.LifeState.STOPPED)
+        self._http_shutdown.set()
+
+    def in_flight_count(self) -> int:
+        """Return the number of requests that are not answered yet."""
+        return self.service.in_flight_count
+
+    def status(self) -> dict[str, typing.Any]:
+        """Return what the command ``status`` shows."""
+        board = self.board
+        view = board.settings
+        leaf_states = collections.Counter(
+            leaf.state.value for leaf in board.leafs.values()
+        )
+        return {
+            "name": self.options.name,
+            "incarnation": f"{board.incarnation:x}",
+            "data_centre": self.options.data_centre,
+            "life": board.life.value,
+            "revision": view.revision,
+            "settings_source": view.source,
+            "settings_age_s": round(self._settings_age_s(), 1),
+            "connection_share": board.shares.own_share,
+            "in_flight_count": self.in_flight_count(),
+            "leafs": dict(leaf_states),
+            "members": self._member_status(),
+            "quarantined": sorted(board.quarantine_until_s),
+        }
+
+    def _settings_age_s(self) -> float:
+        adopted_s = self.board.settings.adopted_wall_s
+        return self.clock.wall_s() - adopted_s if adopted_s else 0.0
+
+    def _member_status(self) -> dict[str, typing.Any]:
+        return {
+            member.name: {
+                "data_centre": member.data_centre,
+                "http_address": member.http_address,
+                "alive": member.alive,
+                "draining": member.draining,
+            }
+            for member in self.board.members.values()
+        }
+
+    def _frontend_parts(self) -> frontend.FrontendParts:
+        return frontend.FrontendParts(
+            options=self.options,
+            board=self.board,
+            service=self.service,
+            status=self.status,
+            request_drain=self.request_drain,
+            registry=self.registry,
+        )
+
+    async def _serve_when_settled(self) -> None:
+        """Admit requests once there are settings and a poll of the leafs."""
+        while not (self.board.settings.revision and self.board.leafs):
+            settings = self.board.changed(blackboard.Topic.SETTINGS)
+            leafs = self.board.changed(blackboard.Topic.LEAFS)
+            await leafwork.wait_any([settings, leafs])
+        if self.board.life is blackboard.LifeState.STARTING:
+            self._enter(blackboard.LifeState.SERVING)
+
+    async def _flush_segments(self) -> None:
+        while True:
+            pause_s = self.options.segment_interval_s
+            await trio.sleep(pause_s * self.rng.uniform(0.9, 1.1))
+            outcome = await self.writer.flush(self.clock.wall_s())
+            if outcome.is_err():
+                failure: errors.PlantainhookError = outcome.unwrap_err()
+                LOGGER.warning("Figures wait: {}.", failure)
+
+    def _enter(self, life: blackboard.LifeState) -> None:
+        self.board.life = life
+        self.board.notify(blackboard.Topic.LIFE)
+        LOGGER.info("Life state is {}.", life.value)
--- a/plantainhook/planner.py
+++ b/plantainhook/planner.py
@@ -6,6 +6,8 @@
 
 import dataclasses
 
+import trio
+
 from plantainhook import (
     blackboard,
     callerapi,
@@ -25,10 +27,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _CachedView:
-    """Hold a target view and the views that it was built from."""
+    """Hold a target view and the event of the change that ends it."""
 
     settings: blackboard.SettingsView
-    leafs: dict[str, blackboard.LeafView]
+    leafs_changed: trio.Event
     view: snapshot.TargetView
 
 
@@ -85,16 +87,17 @@
         if (
             cached is not None
             and cached.settings is settings
-            and cached.leafs is self.board.leafs
+            and not cached.leafs_changed.is_set()
         ):
             return cached.view
+        leafs_changed = self.board.changed(blackboard.Topic.LEAFS)
         view = snapshot.build_target_view(
             target,
             settings.shard_maps.get(target, {}),
             leaf_statuses(settings.leafs, self.board.leafs),
             self.data_centre,
         )
-        self._views[target] = _CachedView(settings, self.board.leafs, view)
+        self._views[target] = _CachedView(settings, leafs_changed, view)
         return view
 
 
