--- a/plantainhook/leafpool.py
+++ b/plantainhook/leafpool.py
@@ -155,6 +155,8 @@
         """
         client = self._take_idle()
         if client is not None:
+            if not self._idle:
+                self._open_more()
             return result.Ok(client)
         refusal = self._refuse_at_once()
         if refusal is not None:
--- a/plantainhook/standin_vmlist.py
+++ b/plantainhook/standin_vmlist.py
@@ -66,9 +66,12 @@
             return standinhttp.HttpReply(404)
         if self.down:
             return standinhttp.HttpReply(503)
+        return standinhttp.json_reply(200, self.listing())
+
+    def listing(self) -> leafprotocol.VmListing:
+        """Return the list as it was before the lag."""
         as_of_s = trio.current_time() - self.lag_s
-        listing = leafprotocol.VmListing(self._vms.at(as_of_s), as_of_s)
-        return standinhttp.json_reply(200, listing)
+        return leafprotocol.VmListing(self._vms.at(as_of_s), as_of_s)
 
     def _admin(
         self, request: standinhttp.HttpRequest
--- /dev/null
+++ b/tests/test_leafhealth.py
@@ -0,0 +1,212 @@
+"""The leaf view: the 3 s rule for leaving leafs, whatever sign is first."""
+
+import contextlib
+import random
+import typing
+from collections import abc
+
+import result
+import testtools
+import trio
+import trio.testing
+
+from plantainhook import (
+    blackboard,
+    leafhealth,
+    leafprotocol,
+    standin_vmlist,
+    vmlist,
+)
+from tests import leafhelp
+
+LIMIT_S: typing.Final = 3.0
+
+
+class FakeVmList:
+    """Read a VM list stand-in without HTTP."""
+
+    def __init__(self, standin: standin_vmlist.StandinVmList) -> None:
+        self._standin = standin
+
+    async def read(
+        self,
+    ) -> result.Result[leafprotocol.VmListing, vmlist.VmListError]:
+        """Return the list as the stand-in reports it."""
+        return result.Ok(self._standin.listing())
+
+
+def vm(state: typing.Literal["live", "leaving"]) -> leafprotocol.VmEntry:
+    """Return the entry of the VM of leaf-0."""
+    return leafprotocol.VmEntry("vm-0", "10.0.0.0:80", "dc-1", state)
+
+
+class HealthRig:
+    """Hold a rig with its health controller and VM list."""
+
+    def __init__(self, rig: leafhelp.Rig) -> None:
+        self.rig = rig
+        self.leaf = rig.leafs[0]
+        self.vms = standin_vmlist.StandinVmList([vm("live")])
+        self.health = leafhealth.LeafHealth(
+            rig.board, rig.gateway, FakeVmList(self.vms), 1.0, random.Random(0)
+        )
+
+    def state(self) -> blackboard.LeafState | None:
+        """Return the state in the leaf view."""
+        view = self.rig.board.leafs.get("leaf-0")
+        return None if view is None else view.state
+
+    async def time_until(self, state: blackboard.LeafState) -> float:
+        """Return the time until the view has a state, at most 60 s."""
+        started_s = trio.current_time()
+        with trio.move_on_after(60):
+            while self.state() is not state:
+                await self.rig.board.changed(blackboard.Topic.LEAFS).wait()
+        return trio.current_time() - started_s
+
+
+@contextlib.asynccontextmanager
+async def running(**behaviour: typing.Any) -> abc.AsyncIterator[HealthRig]:
+    """Run a health controller until its leaf is known to be live."""
+    async with (
+        leafhelp.running_rig(**behaviour) as rig,
+        trio.open_nursery() as nursery,
+    ):
+        health_rig = HealthRig(rig)
+        await nursery.start(health_rig.health.run)
+        await health_rig.time_until(blackboard.LeafState.LIVE)
+        yield health_rig
+        nursery.cancel_scope.cancel()
+
+
+async def by_health(health_rig: HealthRig) -> None:
+    """Let the health endpoint tell the truth."""
+    health_rig.leaf.drain()
+
+
+async def by_refusal(health_rig: HealthRig) -> None:
+    """Let the health endpoint lie, and the leaf refuse a call."""
+    health_rig.leaf.update({"health_says": "live"})
+    health_rig.leaf.drain()
+    await health_rig.rig.call()
+
+
+async def by_vm_list(health_rig: HealthRig) -> None:
+    """Let only the VM list tell."""
+    health_rig.vms.set_vms([vm("leaving")])
+
+
+async def by_absence(health_rig: HealthRig) -> None:
+    """Let the VM disappear from the list."""
+    health_rig.vms.set_vms([])
+
+
+async def by_peer(health_rig: HealthRig) -> None:
+    """Let a peer tell while the health endpoint agrees later."""
+    health_rig.leaf.drain()
+    health_rig.health.on_peer_leaving("leaf-0")
+
+
+SIGNS: typing.Final = (by_health, by_refusal, by_vm_list, by_absence, by_peer)
+
+
+class LeafHealthTest(testtools.TestCase):
+    """Check the leaf view against stand-ins."""
+
+    def run_virtual(
+        self, function: abc.Callable[..., abc.Awaitable[None]], *args: object
+    ) -> None:
+        """Run a function under a clock that jumps."""
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        trio.run(function, *args, clock=clock)
+
+    def test_leaving_within_limit(self) -> None:
+        """Guards against work for a leaving leaf after 3 s, by each sign."""
+
+        async def case(sign: abc.Callable[..., abc.Awaitable[None]]) -> None:
+            async with running() as health_rig:
+                await sign(health_rig)
+                draining = blackboard.LeafState.DRAINING
+                taken_s = await health_rig.time_until(draining)
+                self.assertLessEqual(taken_s, LIMIT_S, sign.__name__)
+                await trio.sleep(5)
+                self.assertEqual(draining, health_rig.state(), sign.__name__)
+
+        for sign in SIGNS:
+            self.run_virtual(case, sign)
+
+    def test_silent_leaf_is_down(self) -> None:
+        """Guards against work for a leaf whose health endpoint hangs."""
+
+        async def case() -> None:
+            async with running() as health_rig:
+                health_rig.leaf.update({"state_delay_ms": 60_000})
+                down = blackboard.LeafState.DOWN
+                self.assertLessEqual(
+                    await health_rig.time_until(down), LIMIT_S
+                )
+
+        self.run_virtual(case)
+
+    def test_crash_and_return(self) -> None:
+        """Guards against a leaf that is forgotten after a crash."""
+
+        async def case() -> None:
+            async with running(cold_ms=2000.0) as health_rig:
+                health_rig.leaf.crash()
+                await health_rig.time_until(blackboard.LeafState.DOWN)
+                await health_rig.leaf.recover()
+                cold_s = await health_rig.time_until(blackboard.LeafState.COLD)
+                self.assertLessEqual(cold_s, LIMIT_S)
+                live_s = await health_rig.time_until(blackboard.LeafState.LIVE)
+                self.assertLessEqual(live_s, 2.0 + LIMIT_S)
+
+        self.run_virtual(case)
+
+    def test_full_pool_is_no_failure(self) -> None:
+        """Guards against a busy leaf that is taken for a dead one."""
+
+        async def case() -> None:
+            async with (
+                running(service_median_ms=8000.0) as health_rig,
+                trio.open_nursery() as nursery,
+            ):
+                for attempt_id in range(2):
+                    nursery.start_soon(self.call, health_rig, attempt_id)
+                await trio.sleep(6)
+                self.assertEqual(blackboard.LeafState.LIVE, health_rig.state())
+
+        self.run_virtual(case)
+
+    async def call(self, health_rig: HealthRig, attempt_id: int) -> None:
+        """Make a call that takes long."""
+        await health_rig.rig.call(timeout_s=20.0, attempt_id=attempt_id)
+
+    def test_versions(self) -> None:
+        """Guards against a view that misses a new index version."""
+
+        async def case() -> None:
+            async with running() as health_rig:
+                health_rig.leaf.set_versions({1: {"s0"}, 2: {"s0"}})
+                await trio.sleep(2)
+                view = health_rig.rig.board.leafs["leaf-0"]
+                self.assertEqual({1, 2}, set(view.versions))
+
+        self.run_virtual(case)
+
+    def test_vm_list_over_http(self) -> None:
+        """Guards against a list that goes back in time."""
+
+        async def case() -> None:
+            standin = standin_vmlist.StandinVmList([vm("live")])
+            async with trio.open_nursery() as nursery:
+                address = await nursery.start(standin.serve, "127.0.0.1", 0)
+                client = vmlist.VmListClient(f"http://{address}")
+                first = (await client.read()).unwrap()
+                self.assertEqual("vm-0", first.vms[0].vm_id)
+                standin.lag_s = 1000.0
+                self.assertTrue((await client.read()).is_err())
+                await client.aclose()
+                nursery.cancel_scope.cancel()
+
+        trio.run(case)
--- /dev/null
+++ b/tests/test_leafpool.py
@@ -0,0 +1,265 @@
+"""Connections to one leaf: allotment, order of waiters, warming, cancel."""
+
+import typing
+from collections import abc
+
+import result
+import testtools
+import trio
+import trio.testing
+
+from plantainhook import blackboard, errors, leafconnect, leafpool
+from tests import leafhelp
+
+
+class LeafPoolTest(testtools.TestCase):
+    """Check the pool through the gateway and the stand-in's counts."""
+
+    def run_virtual(
+        self, function: abc.Callable[[], abc.Awaitable[None]]
+    ) -> None:
+        """Run a function under a clock that jumps."""
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        trio.run(function, clock=clock)
+
+    def pool(self, rig: leafhelp.Rig) -> leafpool.LeafPool:
+        """Return the pool of the first leaf."""
+        pool = rig.gateway.pool("leaf-0")
+        self.assertIsNotNone(pool)
+        return typing.cast("leafpool.LeafPool", pool)
+
+    def test_allotment_bounds_connections(self) -> None:
+        """Guards against more open connections than the allotment.
+
+        Replies are lost, so that connections are replaced all the time; the
+        stand-in counts the old ones until it has closed them.
+        """
+
+        async def case() -> None:
+            async with leafhelp.running_rig(
+                allotment_count=3, reply_fault="drop", fault_count=60
+            ) as rig:
+                async with trio.open_nursery() as nursery:
+                    for number in range(100):
+                        await trio.sleep(0.001)
+                        nursery.start_soon(self.call, rig, f"q{number}", 0.02)
+                leaf = rig.leafs[0]
+                self.assertEqual(3, leaf.open_max_count)
+                leaf.update({"reply_fault": "none"})
+                await trio.sleep(2)
+                self.assertTrue((await rig.call()).is_ok())
+
+        self.run_virtual(case)
+
+    async def call(
+        self, rig: leafhelp.Rig, request_id: str, timeout_s: float
+    ) -> None:
+        """Make a call whose outcome does not matter."""
+        await rig.call(timeout_s=timeout_s, request_id=request_id)
+
+    def test_shrink_to_zero_in_flight(self) -> None:
+        """Guards against a call that is cut off when the share moves away."""
+
+        async def case() -> None:
+            async with leafhelp.running_rig(service_median_ms=100.0) as rig:
+                outcomes: list[bool] = []
+
+                async def call() -> None:
+                    outcomes.append((await rig.call()).is_ok())
+
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(call)
+                    await trio.sleep(0.05)
+                    rig.change_allotment(0)
+                    await trio.sleep(0.01)
+                    self.assertEqual(1, rig.leafs[0].open_count)
+                    refused = (await rig.call(request_id="q2")).unwrap_err()
+                    self.assertEqual(errors.Ran.NO, refused.ran)
+                await trio.sleep(0.01)
+                self.assertEqual([True], outcomes)
+                self.assertEqual(0, rig.leafs[0].open_count)
+                self.assertEqual(0, self.pool(rig).open_count)
+                rig.change_allotment(2)
+                await trio.sleep(0.01)
+                self.assertTrue((await rig.call(request_id="q3")).is_ok())
+
+        self.run_virtual(case)
+
+    def test_waiters_by_deadline(self) -> None:
+        """Guards against an urgent call behind one that has time."""
+
+        async def case() -> None:
+            async with leafhelp.running_rig(
+                allotment_count=1, service_median_ms=100.0
+            ) as rig:
+                async with trio.open_nursery() as nursery:
+                    for name, timeout_s in (
+                        ("first", 9.0),
+                        ("late", 8.0),
+                        ("soon", 2.0),
+                        ("middle", 5.0),
+                    ):
+                        nursery.start_soon(self.call, rig, name, timeout_s)
+                        await trio.sleep(0.01)
+                order = [
+                    run.request_id
+                    for run in rig.leafs[0].journal.runs
+                    if run.shard == "s0"
+                ]
+                expected = ["first.0", "soon.0", "middle.0", "late.0"]
+                self.assertEqual(expected, order)
+
+        self.run_virtual(case)
+
+    def test_waiter_past_deadline(self) -> None:
+        """Guards against a request sent after its caller gave up."""
+
+        async def case() -> None:
+            async with leafhelp.running_rig(
+                allotment_count=1, service_median_ms=500.0
+            ) as rig:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self.call, rig, "q1", 2.0)
+                    await trio.sleep(0.01)
+                    error = (
+                        await rig.call(timeout_s=0.1, request_id="q2")
+                    ).unwrap_err()
+                    self.assertEqual(
+                        errors.LeafFailureKind.NO_CONNECTION, error.kind
+                    )
+                await trio.sleep(1)
+                self.assertEqual(0, rig.leafs[0].journal.runs_of("q2"))
+                self.assertEqual(0, self.pool(rig).waiting_count)
+
+        self.run_virtual(case)
+
+    def test_warm_before_need(self) -> None:
+        """Guards against a first call that pays the connection set-up."""
+
+        async def case() -> None:
+            async with leafhelp.running_rig(connect_ms=6.0) as rig:
+                await trio.sleep(1)
+                connects_count = len(rig.network.connects)
+                started_s = trio.current_time()
+                self.assertTrue((await rig.call()).is_ok())
+                self.assertLess(trio.current_time() - started_s, 0.0055)
+                self.assertEqual(1, connects_count)
+
+        self.run_virtual(case)
+
+    def test_no_stampede_at_start(self) -> None:
+        """Guards against a restart that opens all connections at once."""
+
+        async def case() -> None:
+            async with trio.open_nursery() as nursery:
+                options = leafconnect.PoolOptions(warm_jitter_s=0.0)
+                rig = leafhelp.Rig(nursery, leaf_count=100, options=options)
+                rig.network.connect_delay_s = 0.006
+                await nursery.start(rig.gateway.run)
+                await trio.sleep(1)
+                self.assertEqual(100, len(rig.network.connects))
+                self.assertEqual(16, rig.network.connecting_max_count)
+                nursery.cancel_scope.cancel()
+
+        self.run_virtual(case)
+
+    def test_connects_back_off(self) -> None:
+        """Guards against a dead leaf that is connected to without pause."""
+
+        async def case() -> None:
+            async with leafhelp.running_rig() as rig:
+                rig.leafs[0].crash()
+                for number in range(500):
+                    outcome = await rig.call(request_id=f"q{number}")
+                    self.assertTrue(outcome.is_err())
+                    await trio.sleep(0.01)
+                self.assertLess(len(rig.network.connects), 20)
+                await rig.leafs[0].recover()
+                await trio.sleep(1.5)
+                self.assertTrue((await rig.call()).is_ok())
+
+        self.run_virtual(case)
+
+    def test_address_change(self) -> None:
+        """Guards against calls to the old address of a leaf."""
+
+        async def case() -> None:
+            async with leafhelp.running_rig(leaf_count=2) as rig:
+                found = leafhelp.settings(2)
+                found.group["g"].leafs[0].address = "10.0.0.1:80"
+                found.group["g"].leafs[1].address = "10.0.0.0:80"
+                rig.board.settings = blackboard.settings_view(
+                    2, found, 0.0, "test"
+                )
+                rig.board.notify(blackboard.Topic.SETTINGS)
+                await trio.sleep(0.1)
+                await rig.call()
+                self.assertEqual(2, rig.leafs[1].journal.runs_of("q1"))
+                self.assertEqual(1, rig.leafs[0].open_count)
+
+        self.run_virtual(case)
+
+
+class CancelTest(testtools.TestCase):
+    """Check cancellation of calls at the leaf."""
+
+    def cancel_one(self, allotment_count: int) -> tuple[int, int, int]:
+        """Cancel a call in flight.
+
+        Return the searches left at the leaf, the connections opened, and
+        the count of those that a later call opens.
+        """
+
+        async def case() -> tuple[int, int, int]:
+            async with leafhelp.running_rig(
+                allotment_count=allotment_count, service_median_ms=500.0
+            ) as rig:
+                await trio.sleep(1)
+                with trio.move_on_after(0.1):
+                    await rig.call(timeout_s=20.0)
+                await trio.sleep(0.1)
+                left_count = rig.leafs[0].in_flight_count()
+                connects_count = len(rig.network.connects)
+                outcome = await rig.call(request_id="q2")
+                assert isinstance(outcome, result.Ok)
+                after_count = len(rig.network.connects)
+                return left_count, connects_count, after_count
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        return trio.run(case, clock=clock)
+
+    def test_cancel_by_delete(self) -> None:
+        """Guards against work that goes on, and a connection lost to it."""
+        self.assertEqual((0, 2, 2), self.cancel_one(allotment_count=2))
+
+    def test_cancel_by_close(self) -> None:
+        """Guards against work that goes on where no connection is free."""
+        left_count, connects_count, after_count = self.cancel_one(1)
+        self.assertEqual(0, left_count)
+        self.assertEqual(2, connects_count)
+        self.assertEqual(2, after_count)
+
+    def test_cancel_spares_other_attempt(self) -> None:
+        """Guards against a lost hedge that cancels the winner.
+
+        Both attempts of the query are at the same leaf.
+        """
+
+        async def case() -> None:
+            async with leafhelp.running_rig(
+                allotment_count=4, service_median_ms=300.0
+            ) as rig:
+                await trio.sleep(1)
+                outcomes: list[bool] = []
+
+                async def winner() -> None:
+                    outcomes.append((await rig.call(attempt_id=1)).is_ok())
+
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(winner)
+                    with trio.move_on_after(0.1):
+                        await rig.call(attempt_id=2)
+                self.assertEqual([True], outcomes)
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        trio.run(case, clock=clock)
