--- a/plantainhook/options.py
+++ b/plantainhook/options.py
@@ -8,6 +8,7 @@
 import pathlib
 import tomllib
 import typing
+from collections import abc
 
 import pydantic
 import result
@@ -73,21 +74,39 @@
 
 
 def load_options(
-    path: pathlib.Path,
+    path: pathlib.Path | None, assignments: abc.Sequence[str] = ()
 ) -> result.Result[Options, errors.SettingsError]:
-    """Read the options of a run from a TOML file."""
-    try:
-        data = tomllib.loads(path.read_text(encoding="utf-8"))
-    except OSError as error:
-        detail = f"cannot read the file: {error.strerror}"
-        return result.Err(errors.SettingsError(str(path), 0, "", detail))
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        return result.Err(errors.SettingsError(str(path), 0, "", str(error)))
+    """Read options from a TOML file and assignments like ``name=value``."""
+    data: dict[str, typing.Any] = {}
+    file = "command line"
+    if path is not None:
+        file = str(path)
+        try:
+            data = tomllib.loads(path.read_text(encoding="utf-8"))
+        except OSError as error:
+            detail = f"cannot read the file: {error.strerror}"
+            return result.Err(errors.SettingsError(file, 0, "", detail))
+        except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+            return result.Err(errors.SettingsError(file, 0, "", str(error)))
+    for assignment in assignments:
+        name, separator, text = assignment.partition("=")
+        if not separator:
+            detail = f"expected OPTION=VALUE, found {assignment!r}"
+            return result.Err(errors.SettingsError(file, 0, name, detail))
+        data[name] = _value_of(text)
     try:
         return result.Ok(Options.model_validate(data))
     except pydantic.ValidationError as error:
         first = error.errors()[0]
         key_path = ".".join(str(part) for part in first["loc"])
         return result.Err(
-            errors.SettingsError(str(path), 0, key_path, first["msg"])
+            errors.SettingsError(file, 0, key_path, first["msg"])
         )
+
+
+def _value_of(text: str) -> typing.Any:
+    """Read a value as TOML, or as a bare string."""
+    try:
+        return tomllib.loads(f"value = {text}")["value"]
+    except tomllib.TOMLDecodeError:
+        return text
