--- a/plantainhook/benchleaf.py
+++ b/plantainhook/benchleaf.py
@@ -91,9 +91,13 @@
 
 
 class FakeLeaf:
-    """Run calls in slots, and hold the connections to them."""
+    """Run calls in slots, and hold the connections to them.
+
+    ``pool_limit_count`` is how many connections the daemon may open.
+    """
 
     info: shardmap.LeafInfo
+    pool_limit_count: int
     mode: LeafMode
     slow_factor: float
     cold: bool
@@ -107,6 +111,7 @@
         serves: dict[int, frozenset[str]],
     ) -> None:
         self.info = info
+        self.pool_limit_count = info.connection_limit_count
         self.mode = LeafMode.LIVE
         self.slow_factor = 1.0
         self.cold = False
@@ -156,7 +161,7 @@
 
     def _fill(self) -> None:
         limit = self.info.connection_limit_count
-        while self._pool and len(self._connected) < limit:
+        while self._pool and len(self._connected) < self.pool_limit_count:
             call = self._pool.popleft()
             call.state = CallState.TRAVEL
             self._connected.add(call)
