Test the shared decisions and end suspicion of lost connections

A case found that a fingerprint that lost two connections stayed a suspect for good when no reply followed.

Cases cover quarantine and the pinned version; tests cover the budget, the learned delay, replicas, zones and the concurrency limit.

--- a/plantainhook/benchcpu.py
+++ b/plantainhook/benchcpu.py
@@ -5,7 +5,7 @@
 
 from plantainhook import (
     benchscenarios,
-    benchsim,
+    benchtypes,
     query,
     queryplan,
     querytypes,
@@ -35,7 +35,7 @@
 def measure_fan_out(policy: str, fan_out: int) -> float:
     """Return seconds of CPU per query, averaged over many queries."""
     view = build_view(fan_out)
-    rules = benchsim.build_rules({}, policy)
+    rules = benchtypes.build_rules({}, policy)
     policies = queryplan.build_policies("dc-1", 0)
     query_count = SHARD_SENDS_TOTAL // fan_out
     started_s = time.process_time()
--- a/plantainhook/benchsim.py
+++ b/plantainhook/benchsim.py
@@ -22,7 +22,6 @@
     query,
     queryplan,
     querytypes,
-    schema,
     snapshot,
 )
 
@@ -238,7 +237,7 @@
         self._arrived_count = 0
         self._restarts: dict[str, int] = {}
         self._rules = {
-            kind.name: build_rules(kind.rules, policy)
+            kind.name: benchtypes.build_rules(kind.rules, policy)
             for kind in scenario.kinds
         }
 
@@ -398,11 +397,3 @@
 ) -> bool:
     """Return whether a view must be built anew."""
     return view.shard_maps != maps or view.leafs != statuses
-
-
-def build_rules(
-    overrides: dict[str, typing.Any], policy: str
-) -> querytypes.EffectiveRules:
-    """Build the rules of a kind from the defaults."""
-    values = {**overrides, "hedge_policy": policy}
-    return querytypes.EffectiveRules(**schema.Defaults(**values).model_dump())
--- a/plantainhook/benchtypes.py
+++ b/plantainhook/benchtypes.py
@@ -4,7 +4,7 @@
 import enum
 import typing
 
-from plantainhook import admission, shardmap
+from plantainhook import admission, querytypes, schema, shardmap
 
 SETTLE_S: typing.Final = 30.0
 
@@ -111,3 +111,11 @@
     def duration_s(self) -> float:
         """Return how long requests arrive."""
         return self.request_count / self.rate_per_s()
+
+
+def build_rules(
+    overrides: dict[str, typing.Any], policy: str
+) -> querytypes.EffectiveRules:
+    """Build the rules of a kind from the defaults."""
+    values = {**overrides, "hedge_policy": policy}
+    return querytypes.EffectiveRules(**schema.Defaults(**values).model_dump())
--- a/plantainhook/quarantine.py
+++ b/plantainhook/quarantine.py
@@ -64,6 +64,14 @@
     runs: dict[str, float]
 
 
+@dataclasses.dataclass(slots=True)
+class LostLeafs:
+    """Hold the leafs on which a fingerprint lost its connection."""
+
+    at_s: float
+    leafs: set[str] = dataclasses.field(default_factory=set)
+
+
 @dataclasses.dataclass(slots=True)
 class Quarantine:
     """Hold running requests, suspicions and quarantine entries."""
@@ -72,7 +80,7 @@
         default_factory=dict
     )
     losses: dict[str, Loss] = dataclasses.field(default_factory=dict)
-    lost_on: dict[str, set[str]] = dataclasses.field(default_factory=dict)
+    lost_on: dict[str, LostLeafs] = dataclasses.field(default_factory=dict)
     held_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
     suspicions: dict[str, Crash] = dataclasses.field(default_factory=dict)
     until_s: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -83,7 +91,7 @@
             return Standing.CLEAR
         if self.left_s(fingerprint, now_s) > 0.0:
             return Standing.QUARANTINED
-        if len(self.lost_on.get(fingerprint, ())) >= LOST_LEAFS_MAX:
+        if self._lost_leafs_count(fingerprint, now_s) >= LOST_LEAFS_MAX:
             return Standing.SUSPECT
         crash = self.suspicions.get(fingerprint)
         if crash is None:
@@ -149,7 +157,10 @@
         if len(self.lost_on) >= LOST_ON_MAX_COUNT:
             self.lost_on.clear()
             self.held_until_s.clear()
-        self.lost_on.setdefault(fingerprint, set()).add(leaf)
+        lost_on = self.lost_on.get(fingerprint)
+        if lost_on is None or now_s - lost_on.at_s > CONFIRM_S:
+            lost_on = self.lost_on[fingerprint] = LostLeafs(now_s)
+        lost_on.leafs.add(leaf)
         self.ended(leaf, fingerprint)
 
     def leaf_down(self, leaf: str, now_s: float) -> None:
@@ -182,6 +193,12 @@
         }
         return {name: t - now_s for name, t in self.until_s.items()}
 
+    def _lost_leafs_count(self, fingerprint: str, now_s: float) -> int:
+        lost_on = self.lost_on.get(fingerprint)
+        if lost_on is None or now_s - lost_on.at_s > CONFIRM_S:
+            return 0
+        return len(lost_on.leafs)
+
     def _accuse(
         self, fingerprint: str, crash: Crash, started_s: float, now_s: float
     ) -> None:
--- /dev/null
+++ b/tests/test_decisions.py
@@ -0,0 +1,242 @@
+"""Decisions that the queries of a daemon share."""
+
+import math
+import random
+
+import testtools
+
+from plantainhook import (
+    concurrency,
+    errors,
+    hedging,
+    loadbudget,
+    quarantine,
+    replicas,
+    snapshot,
+    zones,
+)
+from tests import datacases, querycase
+
+
+def run_quarantine(case: querycase.Table) -> dict[str, str]:
+    """Apply the events of a case and return the standings."""
+    shared = quarantine.Quarantine()
+    now_s = 0.0
+    for now_s, operation, leaf, *rest in case["events"]:
+        if operation == "started":
+            shared.started(leaf, rest[0], now_s)
+        elif operation == "lost":
+            shared.lost(leaf, rest[0], now_s)
+        elif operation == "replied":
+            shared.replied(leaf, rest[0], now_s)
+        else:
+            shared.leaf_down(leaf, now_s)
+    return {
+        name: shared.standing(name, now_s).value for name in case["expect"]
+    }
+
+
+class QuarantineTest(testtools.TestCase):
+    """Run the cases of quarantine.toml."""
+
+    def test_cases(self) -> None:
+        """Guards against the failure that each case names."""
+        for case in datacases.load("quarantine")["case"]:
+            self.assertEqual(
+                case["expect"], run_quarantine(case), case["guards_against"]
+            )
+
+    def test_suspect_is_held(self) -> None:
+        """Guards against a resend that takes one more leaf down."""
+        shared = quarantine.Quarantine()
+        for leaf in ("a", "b", "c"):
+            self.assertTrue(shared.may_run_suspect("p", 0.0))
+            shared.started(leaf, "p", 0.0)
+            shared.lost(leaf, "p", 0.0)
+        self.assertFalse(shared.may_run_suspect("p", 1.0))
+        self.assertTrue(shared.may_run_suspect("p", quarantine.HOLD_S))
+
+
+class SnapshotTest(testtools.TestCase):
+    """Run the cases of routes.toml."""
+
+    def test_pinned_version(self) -> None:
+        """Guards against the failure that each case names."""
+        leafs = {"a": "dc-1", "b": "dc-2"}
+        for case in datacases.load("routes")["case"]:
+            view = querycase.build_view(
+                leafs, case["versions"], case["known"], {}
+            )
+            self.assertEqual(
+                case["pinned"] or None, view.pinned, case["guards_against"]
+            )
+
+    def test_learned_version(self) -> None:
+        """Guards against a restart that waits for the next poll."""
+        versions = {"1": {"s1": ["a"]}, "2": {"s1": ["a"]}}
+        known = {"1": {"s1": ["a"]}}
+        view = querycase.build_view({"a": "dc-1"}, versions, known, {})
+        self.assertIs(None, snapshot.select_newer(view, 1, {}))
+        learned = {"a": frozenset({2})}
+        newer = snapshot.select_newer(view, 1, learned)
+        self.assertEqual(1.0, newer.served_ratio() if newer else 0.0)
+
+
+class LoadBudgetTest(testtools.TestCase):
+    """Check the bound on extra load."""
+
+    def test_ratio(self) -> None:
+        """Guards against more extra attempts than the ratio allows."""
+        budget = loadbudget.LoadBudget()
+        spent = 0
+        for _ in range(10_000):
+            budget.earn(1, 0.03)
+            spent += budget.spend(0.0, 0.0)
+        self.assertTrue(290 <= spent <= 302, spent)
+
+    def test_floor(self) -> None:
+        """Guards against no hedge at all under low traffic."""
+        budget = loadbudget.LoadBudget(tokens_count=0.0)
+        spent = sum(budget.spend(float(t), 1.0) for t in range(1, 11))
+        self.assertEqual(10, spent)
+
+
+class HedgingTest(testtools.TestCase):
+    """Check latency estimates and the learned delay."""
+
+    def test_quantile(self) -> None:
+        """Guards against a delay that is off by more than a bucket."""
+        rng = random.Random(1)
+        estimate = hedging.LatencyEstimate()
+        for _ in range(3000):
+            estimate.record(rng.uniform(0.0, 0.1))
+        for quantile in (0.1, 0.5, 0.98):
+            ratio = estimate.quantile_s(quantile) / (quantile * 0.1)
+            self.assertTrue(0.9 < ratio < 1.1, (quantile, ratio))
+
+    def test_cancelled_losers_keep_the_delay(self) -> None:
+        """Guards against a delay that shrinks as losers are cancelled."""
+        rng = random.Random(2)
+        policy = hedging.POLICIES.create("adaptive")
+        rules = querycase.build_rules({})
+        estimate = hedging.LatencyEstimate()
+        hedges = 0
+        for _ in range(20_000):
+            latency_s = 0.005 * math.exp(rng.gauss(0.0, 0.3))
+            if rng.random() < 0.01:
+                latency_s *= 10.0
+            delay_s = policy.hedge_delay_s(estimate, rules)
+            hedges += latency_s > delay_s
+            estimate.record(min(latency_s, delay_s + 0.005))
+        self.assertTrue(0.012 < hedges / 20_000 < 0.03, hedges)
+
+    def test_policies(self) -> None:
+        """Guards against a policy that the settings cannot name."""
+        self.assertEqual(
+            ("adaptive", "fixed", "plain"), hedging.POLICIES.names()
+        )
+        rules = querycase.build_rules({})
+        estimate = hedging.LatencyEstimate()
+        delays = {
+            name: hedging.POLICIES.create(name).hedge_delay_s(estimate, rules)
+            for name in hedging.POLICIES.names()
+        }
+        expected = {"adaptive": 0.02, "fixed": 0.02, "plain": math.inf}
+        self.assertEqual(expected, delays)
+
+
+class ReplicaTest(testtools.TestCase):
+    """Check the choice among replicas and zones."""
+
+    def setUp(self) -> None:
+        """Build two near leafs and one far leaf."""
+        super().setUp()
+        leafs = {"a": "dc-1", "b": "dc-1", "c": "dc-2"}
+        versions = {"1": {"s1": list(leafs)}}
+        view = querycase.build_view(leafs, versions, versions, {})
+        self.route = view.versions[1].routes[0]
+        self.near, self.other = self.route.near
+        self.replicas = replicas.Replicas(
+            zones.ZonePolicy("dc-1"), random.Random(1)
+        )
+
+    def share(self, name: str, now_s: float) -> float:
+        """Return how often a leaf is chosen."""
+        chosen = [
+            self.replicas.choose(self.route.near, self.route.far, (), 1, now_s)
+            for _ in range(200)
+        ]
+        names = [status.info.name for status in chosen if status]
+        return names.count(name) / 200
+
+    def fail_near(self, kind: str, now_s: float) -> None:
+        """Let calls to both near leafs fail."""
+        for status in (self.near, self.other):
+            state = self.replicas.on_sent(status, 0.2)
+            self.replicas.on_failure(
+                state, errors.LeafFailureKind(kind), 1, now_s
+            )
+
+    def test_idle_leafs_share_the_load(self) -> None:
+        """Guards against herding on the first leaf of the list."""
+        share = self.share("a", 0.0)
+        self.assertTrue(0.35 < share < 0.65, share)
+        self.assertEqual(0.0, self.share("c", 0.0))
+
+    def test_slow_leaf(self) -> None:
+        """Guards against calls to a leaf that is slow now."""
+        for number in range(50):
+            state = self.replicas.on_sent(self.near, 0.2)
+            self.replicas.on_reply(state, 0.05, 0.005, number * 0.01)
+        self.assertEqual(0.0, self.share("a", 1.0))
+
+    def test_failing_near_leafs(self) -> None:
+        """Guards against lost coverage because of the cross-zone cap."""
+        self.fail_near("connect", 0.0)
+        self.assertEqual(1.0, self.share("c", 0.1))
+        self.assertEqual(0.0, self.share("c", 1.0))
+
+    def test_unanswered_leaf(self) -> None:
+        """Guards against calls to a hung leaf that polls call fit."""
+        for _ in range(replicas.UNANSWERED_MAX):
+            state = self.replicas.on_sent(self.near, 0.2)
+            self.replicas.on_cancelled(state, 0.1, 0.005, 0.0)
+        self.assertEqual(0.0, self.share("a", 0.1))
+
+    def test_not_served(self) -> None:
+        """Guards against a leaf asked again for a version it lacks."""
+        self.fail_near("not_served", 0.0)
+        self.assertEqual(1.0, self.share("c", 0.5))
+        self.assertEqual(0.0, self.share("c", 1.5))
+
+    def test_cap_on_spill(self) -> None:
+        """Guards against more optional cross-zone calls than the cap."""
+        for status in (self.near, self.other):
+            state = self.replicas.state(status)
+            state.in_flight_count = 20
+        crossed = 0
+        for _ in range(1000):
+            chosen = self.replicas.choose(
+                self.route.near, self.route.far, (), 1, 0.0
+            )
+            self.assertIsNot(None, chosen)
+            if chosen is not None:
+                crossed += chosen.info.name == "c"
+                state = self.replicas.on_sent(chosen, 0.2)
+                state.in_flight_count -= 1
+        self.assertTrue(0.17 < crossed / 1000 < 0.21, crossed)
+
+
+class ConcurrencyTest(testtools.TestCase):
+    """Check the concurrency limit of a leaf."""
+
+    def test_limit(self) -> None:
+        """Guards against a limit that never shrinks or never grows."""
+        limit = concurrency.build_limit(2, 25)
+        self.assertEqual(8.0, limit.limit_count)
+        for number in range(10):
+            limit.on_overload(float(number))
+        self.assertTrue(limit.limit_count < 2.0)
+        for _ in range(2000):
+            limit.on_success(int(limit.limit_count))
+        self.assertEqual(25.0, limit.limit_count)
--- a/tests/test_query_cases.py
+++ b/tests/test_query_cases.py
@@ -1,17 +1,9 @@
 """Driver of the query cases in test-data/query.toml."""
 
-import pathlib
-import tomllib
-import typing
-
 import testtools
 
 from plantainhook import query, queryplan, querytypes
-from tests import querycase
-
-CASES: typing.Final = (
-    pathlib.Path(__file__).parent.parent / "test-data" / "query.toml"
-)
+from tests import datacases, querycase
 
 
 def run_event(
@@ -74,7 +66,6 @@
 
     def test_cases(self) -> None:
         """Guards against the failure that each case names."""
-        cases = tomllib.loads(CASES.read_text(encoding="utf-8"))["case"]
-        for case in cases:
+        for case in datacases.load("query")["case"]:
             expected, actual = run_case(case)
             self.assertEqual(expected, actual, case["guards_against"])
