--- a/plantainhook/messages.py
+++ b/plantainhook/messages.py
@@ -37,11 +37,11 @@
     "apply the values that you want instead"
 )
 CONFLICT: typing.Final = (
-    "revision {current} is in force, and the change was made for "
-    "revision {base}; nothing was written"
+    "revision {current} is the newest, and the change was made for "
+    "revision {base}; nothing was changed"
 )
 CONFLICT_REDO_SAME: typing.Final = (
-    "Both changed {names}. Get the objects in force with\n"
+    "Both changed {names}. Get the newest objects with\n"
     "  plantainhook settings show {names} > new.toml\n"
     "put the change into new.toml and run\n"
     "  plantainhook settings apply new.toml --base {current}"
@@ -58,7 +58,7 @@
 REVISION_UNKNOWN: typing.Final = "there is no revision {revision}"
 REVISION_NOT_KEPT: typing.Final = "revision {revision} is no longer kept"
 OUTCOME_OF_APPLY_UNKNOWN: typing.Final = (
-    "the change may be in force, the platform did not tell; look for request "
+    "the change may be accepted, the platform did not tell; look for request "
     "{request_id} in: plantainhook settings history"
 )
 REVISION_NOT_READABLE: typing.Final = (
@@ -71,11 +71,11 @@
 NOTHING_TO_CHANGE: typing.Final = (
     "nothing to change: revision {revision} already holds these objects"
 )
-IN_FORCE: typing.Final = "revision {revision} is in force:"
+ACCEPTED: typing.Final = "revision {revision} is accepted:"
 APPLY_NEEDS_OBJECTS: typing.Final = (
     "error: name a file to apply or objects to --remove"
 )
-NOTHING_IN_FORCE: typing.Final = "the change was not put in force: {detail}"
+NOT_ACCEPTED: typing.Final = "the change was not accepted: {detail}"
 INTERRUPTED: typing.Final = (
-    "interrupted; look in the history for whether a change is in force"
+    "interrupted; look in the history for whether the change is accepted"
 )
--- a/plantainhook/objectapihttp.py
+++ b/plantainhook/objectapihttp.py
@@ -198,7 +198,7 @@
         """Classify a status that has no meaning of its own."""
         detail = f"{key}: HTTP status {reply.status_code}"
         if reply.status_code == httpx.codes.SERVICE_UNAVAILABLE:
-            return self._not_sent(key, detail)
+            return self._not_sent(key, f"{detail}: the object API is down")
         if reply.is_server_error:
             return self._lost(key, writes, detail)
         return errors.ObjectApiError(objectapi.step_of(key), self.url, detail)
--- a/plantainhook/settingsactions.py
+++ b/plantainhook/settingsactions.py
@@ -192,7 +192,7 @@
     if not applied.differences:
         print(messages.NOTHING_TO_CHANGE.format(revision=info.revision))
         return commands.EXIT_DONE
-    print(messages.IN_FORCE.format(revision=info.revision))
+    print(messages.ACCEPTED.format(revision=info.revision))
     _print_differences(applied.differences)
     return commands.EXIT_DONE
 
--- a/plantainhook/settingsapply.py
+++ b/plantainhook/settingsapply.py
@@ -163,15 +163,21 @@
     before: revisions.Revision,
     current: revisions.Revision,
 ) -> list[str]:
-    """Return the objects of a revision that later ones changed again."""
+    """Return the objects of a revision whose values differ by now."""
     names = revisions.changed_names(before.records, undone.records)
     return [
-        name
-        for name in names
-        if undone.records.get(name) != current.records.get(name)
+        name for name in names if _spec(undone, name) != _spec(current, name)
     ]
 
 
+def _spec(
+    revision: revisions.Revision, name: str
+) -> settingsobjects.Spec | None:
+    """Return what an operator wrote for an object."""
+    text = revision.records.get(name)
+    return None if text is None else settingsobjects.decode(text).spec
+
+
 def undo_change(
     before: revisions.Revision, undone: revisions.Revision
 ) -> settingsobjects.Change:
@@ -203,7 +209,7 @@
     lines = [f"Changed since revision {base.info.revision}:"]
     lines += [f"  {info_text(info)}" for info in reversed(newer)]
     lines += _indented(theirs)
-    lines += ["Your change, which is not in force:", *_indented(own)]
+    lines += ["Your change, which was not accepted:", *_indented(own)]
     redo = messages.CONFLICT_REDO_OTHER
     if both:
         redo = messages.CONFLICT_REDO_SAME
--- a/plantainhook/settingsdiff.py
+++ b/plantainhook/settingsdiff.py
@@ -1,6 +1,7 @@
 """Readable differences between two sets of records."""
 
 import dataclasses
+import json
 import typing
 from collections import abc
 
@@ -88,7 +89,7 @@
     """Return a value as text of limited length."""
     if value is None:
         return ABSENT
-    text = repr(value)
+    text = json.dumps(value, ensure_ascii=False)
     if len(text) <= VALUE_LIMIT_CHARS:
         return text
     return f"{text[:VALUE_LIMIT_CHARS]}..."
--- a/plantainhook/settingsstore.py
+++ b/plantainhook/settingsstore.py
@@ -249,7 +249,7 @@
         )
         for outcome in outcomes:
             if isinstance(outcome, result.Err):
-                return _nothing_in_force(outcome.err_value)
+                return _not_accepted(outcome.err_value)
         revision = attempt.revision
         key = settingschunks.manifest_key(
             revision.info.revision, revision.hash
@@ -263,7 +263,7 @@
             revision.info.request_id,
         )
         if isinstance(written, result.Err):
-            return _nothing_in_force(written.err_value)
+            return _not_accepted(written.err_value)
         return result.Ok(None)
 
     async def _move_head(
@@ -372,9 +372,9 @@
     )
 
 
-def _nothing_in_force(error: Failure) -> result.Err[Failure]:
+def _not_accepted(error: Failure) -> result.Err[Failure]:
     """Build the error of a change that failed before the head moved."""
-    detail = messages.NOTHING_IN_FORCE.format(detail=error.detail)
+    detail = messages.NOT_ACCEPTED.format(detail=error.detail)
     return result.Err(
         errors.ObjectApiUnavailableError(error.step, error.peer, detail)
     )
--- a/tests/test_settingsstore.py
+++ b/tests/test_settingsstore.py
@@ -104,6 +104,9 @@
             await it.apply(grid=250)
             refused = (await it.store.undo(1, "chan")).unwrap_err()
             self.assertIn("request_kind/grid", refused.detail)
+            (await it.store.undo(2, "chan")).unwrap()
+            (await it.store.undo(1, "chan")).unwrap()
+            self.assertEqual({}, await it.current())
             missing = (await it.store.undo(9, "chan")).unwrap_err()
             self.assertIn("no revision 9", missing.detail)
 
