--- a/plantainhook/reporthtml.py
+++ b/plantainhook/reporthtml.py
@@ -8,6 +8,7 @@
 import html
 import importlib
 import io
+import re
 import typing
 
 from plantainhook import (
@@ -20,7 +21,11 @@
 )
 
 PERCENTILES: typing.Final = (50, 99)
-FIGURE_SIZE_INCHES: typing.Final = (8.0, 3.2)
+WIDTH_INCHES: typing.Final = 9.0
+HEIGHT_INCHES: typing.Final = 3.2
+# Height of a horizontal bar with its label.
+BAR_INCHES: typing.Final = 0.25
+ID_PATTERN: typing.Final = re.compile(r"""(\bid="|href="#|url\(#)""")
 
 PAGE: typing.Final = """<!DOCTYPE html>
 <html lang="en">
@@ -139,7 +144,7 @@
     built: report.Report, last: report.Report, data: reportdata.MonthData
 ) -> str:
     try:
-        pyplot = importlib.import_module("matplotlib.figure")
+        importlib.import_module("matplotlib.figure")
         importlib.import_module("matplotlib.backends.backend_svg")
     except ImportError:
         return f"<p>{html.escape(messages.PLOTS_MISSING)}</p>"
@@ -147,11 +152,10 @@
     kinds = kind_values(rows)
     return "\n".join(
         [
-            _plot(pyplot, "Requests by UTC day", _draw_days, day_counts(rows)),
-            _plot(pyplot, "Latency by kind", _draw_latency, kinds),
-            _plot(pyplot, "Coverage by kind", _draw_coverage, kinds),
+            _plot("Requests by UTC day", _draw_days, day_counts(rows)),
+            _plot("Latency by kind", _draw_latency, kinds),
+            _plot("Coverage by kind", _draw_coverage, kinds),
             _plot(
-                pyplot,
                 f"{built.month} as a share of {last.month}",
                 _draw_change,
                 monthly_changes(built, last),
@@ -226,28 +230,41 @@
 
 
 def _plot(
-    matplotlib_figure: typing.Any,
     title: str,
     draw: typing.Callable[[typing.Any, typing.Any], None],
     values: typing.Any,
 ) -> str:
     if not values:
         return f"<p>{html.escape(title)}: no values.</p>"
-    plot = matplotlib_figure.Figure(
-        figsize=FIGURE_SIZE_INCHES, layout="constrained"
+    matplotlib = importlib.import_module("matplotlib")
+    plot = matplotlib.figure.Figure(
+        figsize=(WIDTH_INCHES, _height_inches(values)), layout="constrained"
     )
     axes = plot.subplots()
     axes.set_title(title)
     draw(axes, values)
     stream = io.StringIO()
-    # Without a date the same report gives the same page.
-    plot.savefig(stream, format="svg", metadata={"Date": None})
+    # With a fixed salt and no date the same report gives the same page.
+    with matplotlib.rc_context({"svg.hashsalt": title}):
+        plot.savefig(stream, format="svg", metadata={"Date": None})
     svg = stream.getvalue()
-    return svg[svg.index("<svg") :]
+    return _with_own_ids(svg[svg.index("<svg") :], title)
+
+
+def _height_inches(values: typing.Any) -> float:
+    is_horizontal = isinstance(values[0], tuple)
+    bars_inches = BAR_INCHES * len(values) if is_horizontal else 0.0
+    return max(HEIGHT_INCHES, bars_inches)
+
+
+def _with_own_ids(svg: str, title: str) -> str:
+    """Prefix all ids, which several SVG images of one page would share."""
+    prefix = re.sub(r"[^a-z0-9]+", "-", title.lower())
+    return ID_PATTERN.sub(rf"\g<1>{prefix}-", svg)
 
 
 def _draw_days(axes: typing.Any, days: list[DayCounts]) -> None:
-    labels = [item.day[-2:] for item in days]
+    labels = [str(int(item.day[-2:])) for item in days]
     bottom = [0] * len(days)
     for name, color in (
         ("complete", "tab:blue"),
@@ -259,21 +276,26 @@
         bottom = [
             low + count for low, count in zip(bottom, counts, strict=True)
         ]
+    axes.tick_params(axis="x", labelsize="small")
     axes.set_xlabel("day")
     axes.set_ylabel("requests")
-    axes.legend(loc="lower right")
+    _draw_legend(axes)
+
+
+def _draw_legend(axes: typing.Any) -> None:
+    axes.legend(loc="upper left", bbox_to_anchor=(1.01, 1.0))
 
 
 def _draw_latency(axes: typing.Any, kinds: list[KindValues]) -> None:
     _draw_bars(axes, kinds, [item.latency_ms for item in kinds])
     axes.set_yscale("log")
-    axes.set_ylabel("ms")
+    axes.set_ylabel("answered within, ms")
 
 
 def _draw_coverage(axes: typing.Any, kinds: list[KindValues]) -> None:
     _draw_bars(axes, kinds, [item.coverage_ratio for item in kinds])
     axes.set_ylim(0, 1.05)
-    axes.set_ylabel("coverage reached")
+    axes.set_ylabel("coverage at least")
 
 
 def _draw_bars(
@@ -291,7 +313,7 @@
         [index + middle for index in range(len(kinds))],
         [item.kind for item in kinds],
     )
-    axes.legend(loc="lower right")
+    _draw_legend(axes)
 
 
 def _draw_change(axes: typing.Any, changes: list[tuple[str, float]]) -> None:
--- /dev/null
+++ b/tests/foldfleet.py
@@ -0,0 +1,165 @@
+"""Small fleet for the tests of segments and folding.
+
+Every record that a daemon counts is kept, so the figures can be set against
+the records outside the reported gaps.
+"""
+
+import dataclasses
+import random
+
+from plantainhook import (
+    figures,
+    folding,
+    foldplan,
+    monthdocs,
+    reportdata,
+    reportreplay,
+    requestrecord,
+    segments,
+    selfcheckstore,
+)
+from tests import stepping
+
+MONTH = figures.Month(2026, 10)
+# 20:00 UTC on 31 October 2026, inside the quarter-hour slices.
+START_WALL_S = 1_793_476_800.0
+
+
+def make_record(
+    incarnation: int, number: int, wall_s: float
+) -> requestrecord.RequestRecord:
+    """Return the record of an answer after half a second."""
+    return requestrecord.RequestRecord(
+        daemon=f"daemon-{incarnation}",
+        incarnation=incarnation,
+        request_id=f"{incarnation}-{number}",
+        kind="tiles",
+        request_class="interactive",
+        arrived_wall_s=wall_s - 0.5,
+        answered_wall_s=wall_s,
+        status=requestrecord.Status.COMPLETE,
+        coverage_ratio=1.0,
+        latency_ms=500.0,
+        deadline_met=True,
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Daemon:
+    """Hold one incarnation."""
+
+    incarnation: int
+    started_wall_s: float
+    writer: segments.SegmentWriter
+
+    def gone(self, wall_s: float) -> foldplan.GoneDaemon:
+        """Return the declaration of its death."""
+        return foldplan.GoneDaemon(
+            self.writer.daemon, self.incarnation, self.started_wall_s, wall_s
+        )
+
+
+class Fleet:
+    """Hold the store, the daemons and every record."""
+
+    def __init__(self, seed: int = 0, lost_ratio: float = 0.0) -> None:
+        self.wall_s = START_WALL_S
+        self.store = selfcheckstore.FaultyStore(seed, lost_ratio)
+        self.api = stepping.SteppedApi(self.store)
+        self.random = random.Random(seed)
+        self.records: list[requestrecord.RequestRecord] = []
+        self.daemons: list[Daemon] = []
+        self.gone: list[foldplan.GoneDaemon] = []
+        self.killed: set[str] = set()
+        self.started_count = 0
+
+    def start(self) -> Daemon:
+        """Start a daemon."""
+        self.wall_s += 1
+        self.started_count += 1
+        number = self.started_count
+        writer = segments.SegmentWriter(
+            self.api, f"daemon-{number}", number, self.wall_s
+        )
+        self.daemons.append(Daemon(number, self.wall_s, writer))
+        return self.daemons[-1]
+
+    def record(self, daemon: Daemon, count: int = 1) -> None:
+        """Let a daemon answer some requests."""
+        for _ in range(count):
+            self.wall_s += 1
+            record = make_record(
+                daemon.incarnation, len(self.records), self.wall_s
+            )
+            daemon.writer.record(record)
+            self.records.append(record)
+
+    def flush(self, daemon: Daemon) -> None:
+        """Write what a daemon has counted."""
+        self.wall_s += 1
+        stepping.run(daemon.writer.flush(self.wall_s))
+
+    def kill(self, daemon: Daemon, flush_calls_count: int = 0) -> None:
+        """Kill a daemon, after some calls of a write."""
+        self.wall_s += 1
+        write = stepping.Stepper(daemon.writer.flush(self.wall_s))
+        write.step(flush_calls_count)
+        write.crash()
+        self.daemons.remove(daemon)
+        self.declare_gone(daemon)
+        self.killed.add(segments.incarnation_name(daemon.incarnation))
+
+    def declare_gone(self, daemon: Daemon) -> None:
+        """Declare a daemon dead, whether it is or not."""
+        self.wall_s += 5
+        self.gone.append(daemon.gone(self.wall_s))
+
+    def stop(self, daemon: Daemon) -> None:
+        """Stop a daemon in order."""
+        self.wall_s += 1
+        self.store.out = False
+        while not daemon.writer.closed:
+            stepping.run(daemon.writer.close(self.wall_s))
+        self.daemons.remove(daemon)
+
+    def fold_pass(self, epoch: int) -> "stepping.Stepper[object]":
+        """Return a folding pass that has not begun."""
+        writer = selfcheckstore.EpochWriter(self.api, epoch)
+        folder = folding.Folder(self.api, writer)
+        return stepping.Stepper(folder.fold(self.wall_s, list(self.gone)))
+
+    def settle(self, epoch: int) -> None:
+        """Stop everything and fold without faults until nothing is left."""
+        for daemon in list(self.daemons):
+            self.stop(daemon)
+        self.store.out = False
+        self.store.lost_ratio = 0.0
+        self.store.deliver_late()
+        for _ in range(3):
+            self.wall_s += 1
+            self.fold_pass(epoch).finish()
+
+    def month_data(self, month: figures.Month) -> reportdata.MonthData:
+        """Read a month."""
+        return stepping.run(reportdata.read_month(self.api, month)).unwrap()
+
+    def gaps(self) -> list[monthdocs.Gap]:
+        """Return the gaps of the months that the tests touch."""
+        found = {
+            (gap.incarnation, gap.from_wall_s): gap
+            for month in (MONTH, MONTH.shift(1))
+            for gap in self.month_data(month).gaps
+        }
+        return list(found.values())
+
+    def counted(self) -> int:
+        """Return the number of requests in all cells."""
+        data = self.month_data(MONTH)
+        return sum(
+            row.count for rows in data.sections.values() for row in rows
+        )
+
+    def expected(self) -> int:
+        """Return the number of records outside the gaps."""
+        index = reportreplay.GapIndex(self.gaps())
+        return sum(not index.holds(record) for record in self.records)
--- /dev/null
+++ b/tests/test_folding.py
@@ -0,0 +1,228 @@
+"""Tests of segments and folding under lost replies, crashes and pauses."""
+
+import typing
+from unittest import mock
+
+import msgspec
+import testtools
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from plantainhook import (
+    errors,
+    figures,
+    folding,
+    monthdocs,
+    objectapi,
+    segments,
+)
+from tests import foldfleet, stepping
+
+DAY_S: typing.Final = 86_400.0
+
+
+class FoldingMachine(stateful.RuleBasedStateMachine):
+    """Interleave daemons, faults and folding passes in any order."""
+
+    @stateful.initialize(seed=st.integers(0, 1000))
+    def begin(self, seed: int) -> None:
+        self.fleet = foldfleet.Fleet(seed, lost_ratio=0.2)
+        self.fleet.start()
+        self.epoch = 1
+        self.passes: list[stepping.Stepper[object]] = []
+
+    def daemon(self, number: int) -> foldfleet.Daemon:
+        if not self.fleet.daemons:
+            return self.fleet.start()
+        return self.fleet.daemons[number % len(self.fleet.daemons)]
+
+    @stateful.rule(number=st.integers(0, 3), count=st.integers(1, 3))
+    def record(self, number: int, count: int) -> None:
+        self.fleet.record(self.daemon(number), count)
+
+    @stateful.rule(number=st.integers(0, 3))
+    def flush(self, number: int) -> None:
+        self.fleet.flush(self.daemon(number))
+
+    @stateful.rule(number=st.integers(0, 3), calls_count=st.integers(0, 4))
+    def kill(self, number: int, calls_count: int) -> None:
+        daemon = self.daemon(number)
+        self.fleet.kill(daemon, calls_count)
+
+    @stateful.rule(number=st.integers(0, 3))
+    def declare_gone(self, number: int) -> None:
+        self.fleet.declare_gone(self.daemon(number))
+
+    @stateful.rule(number=st.integers(0, 3))
+    def stop(self, number: int) -> None:
+        self.fleet.stop(self.daemon(number))
+
+    @stateful.rule(seconds=st.sampled_from([10.0, 3600.0, DAY_S, 3 * DAY_S]))
+    def advance(self, seconds: float) -> None:
+        self.fleet.wall_s += seconds
+
+    @stateful.rule(out=st.booleans())
+    def outage(self, out: bool) -> None:
+        self.fleet.store.out = out
+
+    @stateful.rule(calls_count=st.integers(1, 40))
+    def begin_pass(self, calls_count: int) -> None:
+        """Begin a pass; it takes over where another is under way."""
+        if any(not one.done for one in self.passes):
+            self.epoch += 1
+        self.passes.append(self.fleet.fold_pass(self.epoch))
+        self.passes[-1].step(calls_count)
+
+    @stateful.rule(number=st.integers(0, 9), calls_count=st.integers(1, 40))
+    def resume_pass(self, number: int, calls_count: int) -> None:
+        if self.passes:
+            self.passes[number % len(self.passes)].step(calls_count)
+
+    @stateful.rule(number=st.integers(0, 9))
+    def crash_pass(self, number: int) -> None:
+        if self.passes:
+            self.passes[number % len(self.passes)].crash()
+            self.epoch += 1
+
+    def teardown(self) -> None:
+        """Check that nothing is counted twice or lost outside the gaps."""
+        if not hasattr(self, "fleet"):
+            return
+        self.fleet.settle(self.epoch + 1)
+        for one in self.passes:
+            one.finish() if not one.done else None
+        self.fleet.settle(self.epoch + 2)
+        gaps = {gap.incarnation for gap in self.fleet.gaps()}
+        assert gaps == self.fleet.killed, (gaps, self.fleet.killed)
+        assert self.fleet.counted() == self.fleet.expected()
+
+
+FoldingMachineTest = FoldingMachine.TestCase
+
+
+class FencingTest(testtools.TestCase):
+    """Check the epoch against a holder that resumes after its successor."""
+
+    def counts(self) -> tuple[int, int]:
+        """Pause a holder before its month update; return both counts."""
+        fleet = foldfleet.Fleet()
+        daemon = fleet.start()
+        fleet.record(daemon, 4)
+        fleet.stop(daemon)
+        paused = fleet.fold_pass(epoch=1)
+        paused.step(2)
+        for epoch in (2, 2):
+            fleet.fold_pass(epoch).finish()
+        other = fleet.start()
+        fleet.record(other)
+        fleet.stop(other)
+        fleet.fold_pass(epoch=2).finish()
+        paused.finish()
+        return fleet.counted(), fleet.expected()
+
+    def test_paused_holder_is_fenced(self) -> None:
+        """Guards against a segment that two holders add."""
+        counted, expected = self.counts()
+        self.assertEqual(expected, counted)
+
+    def test_defect_without_epoch_is_seen(self) -> None:
+        """Guards against a scenario that would not see a missing epoch."""
+        no_fence = mock.patch.object(
+            folding.FoldPass, "_is_fenced", lambda *_: False
+        )
+        with no_fence:
+            counted, expected = self.counts()
+        self.assertEqual(expected + 4, counted)
+
+
+class FoldingTest(testtools.TestCase):
+    """Check single outcomes of folding."""
+
+    def test_late_segment_becomes_a_dated_correction(self) -> None:
+        """Guards against figures that change after the month's close."""
+        fleet = foldfleet.Fleet()
+        daemon = fleet.start()
+        fleet.record(daemon, 2)
+        fleet.flush(daemon)
+        fleet.record(daemon)
+        fleet.declare_gone(daemon)
+        fleet.fold_pass(1).finish()
+        fleet.wall_s += 4 * DAY_S
+        fleet.fold_pass(1).finish()
+        closed = fleet.month_data(foldfleet.MONTH)
+        self.assertTrue(closed.closed_wall_s)
+        self.assertEqual(1, len(closed.gaps))
+        fleet.stop(daemon)
+        fleet.fold_pass(1).finish()
+        data = fleet.month_data(foldfleet.MONTH)
+        day = figures.day_of(fleet.wall_s)
+        self.assertEqual([day], data.correction_days())
+        self.assertEqual([1], [row.count for row in data.sections[day]])
+        base = data.sections[monthdocs.BASE_SECTION]
+        self.assertEqual(2, sum(row.count for row in base))
+        self.assertEqual([], data.gaps)
+
+    def test_daemon_that_wrote_nothing_is_a_gap(self) -> None:
+        """Guards against a daemon that is lost without a trace."""
+        fleet = foldfleet.Fleet()
+        daemon = fleet.start()
+        fleet.record(daemon, 3)
+        fleet.kill(daemon)
+        fleet.settle(1)
+        self.assertEqual(0, fleet.counted())
+        self.assertEqual(
+            [daemon.started_wall_s], [gap.from_wall_s for gap in fleet.gaps()]
+        )
+
+    def test_folded_list_is_bounded(self) -> None:
+        """Guards against a month object that grows with each segment."""
+        fleet = foldfleet.Fleet()
+        for _ in range(20):
+            daemon = fleet.start()
+            fleet.record(daemon)
+            fleet.stop(daemon)
+            fleet.fold_pass(1).finish()
+        key = monthdocs.month_key(foldfleet.MONTH)
+        value = fleet.store.stored(key).value
+        self.assertEqual(20, value["folded_count"])
+        self.assertEqual(1, len(value["folded"]))
+
+
+class SegmentTest(testtools.TestCase):
+    """Check the writing of segments."""
+
+    def test_large_segment_is_split(self) -> None:
+        """Guards against values over the limit of the object API."""
+        fleet = foldfleet.Fleet()
+        daemon = fleet.start()
+        self.fill(daemon)
+        stepping.run(daemon.writer.flush(fleet.wall_s + 40_000)).unwrap()
+        sizes = {
+            key: len(held.encoded) for key, held in fleet.store.objects.items()
+        }
+        self.assertTrue(sum(sizes.values()) > objectapi.VALUE_LIMIT_BYTES)
+        self.assertTrue(max(sizes.values()) <= objectapi.VALUE_LIMIT_BYTES)
+        self.assertEqual(12_000, fleet.counted())
+        self.fill(daemon)
+        stepping.run(daemon.writer.flush(fleet.wall_s + 40_000)).unwrap()
+        self.assertEqual(24_000, fleet.counted())
+
+    def fill(self, daemon: foldfleet.Daemon) -> None:
+        """Count records of 300 kinds in 40 slices."""
+        for number in range(12_000):
+            wall_s = foldfleet.START_WALL_S + number // 300 * 900
+            record = msgspec.structs.replace(
+                foldfleet.make_record(1, number, wall_s),
+                kind=f"kind-{number % 300}",
+                arrived_wall_s=wall_s,
+            )
+            daemon.writer.record(record)
+
+    def test_foreign_write_is_an_error(self) -> None:
+        """Guards against two writers of one segment."""
+        fleet = foldfleet.Fleet()
+        daemon = fleet.start()
+        fleet.flush(daemon)
+        twin = segments.SegmentWriter(fleet.api, "daemon-1", 1, fleet.wall_s)
+        error = stepping.run(twin.flush(fleet.wall_s)).unwrap_err()
+        self.assertIsInstance(error, errors.ObjectConflictError)
