--- a/plantainhook/reportcompare.py
+++ b/plantainhook/reportcompare.py
@@ -145,6 +145,10 @@
     explanation = ""
     if verdict is Verdict.DIFFERS:
         explanation = _explain(old, figure, data, value)
+    elif verdict is Verdict.WITHIN_RESOLUTION:
+        exact = {Verdict.EQUAL}
+        found = _explaining_rules(old, figure, data, exact)
+        explanation = _agreement(found)
     return ComparedFigure(old, value, verdict, difference, explanation)
 
 
@@ -186,10 +190,11 @@
     value: report.FigureValue,
 ) -> str:
     """Name the rules, corrections or gaps that explain a difference."""
+    close = {Verdict.EQUAL, Verdict.WITHIN_RESOLUTION}
     found = _explaining_corrections(old, figure, data)
-    found.extend(_explaining_rules(old, figure, data))
+    found.extend(_explaining_rules(old, figure, data, close))
     if found:
-        return "agrees with " + "; or with ".join(found)
+        return _agreement(found)
     zone = [figure.time_zone]
     gaps = report.gaps_of_month(data.gaps, old.month, zone)
     if gaps and _gap_can_explain(old, figure, value):
@@ -198,6 +203,10 @@
     return "no single rule, correction or gap explains it"
 
 
+def _agreement(found: list[str]) -> str:
+    return "agrees with " + "; or with ".join(found) if found else ""
+
+
 def _explaining_corrections(
     old: OldValue, figure: schema.Figure, data: reportdata.MonthData
 ) -> list[str]:
@@ -212,13 +221,16 @@
 
 
 def _explaining_rules(
-    old: OldValue, figure: schema.Figure, data: reportdata.MonthData
+    old: OldValue,
+    figure: schema.Figure,
+    data: reportdata.MonthData,
+    accepted: abc.Container[Verdict],
 ) -> list[str]:
     rows = data.closed_rows() + data.rows(data.correction_days())
     found = []
     for changed, label in rule_variants(figure):
         value = report.figure_value(changed, old.month, rows)
-        if _verdict(changed, value, old.value) is not Verdict.DIFFERS:
+        if _verdict(changed, value, old.value) in accepted:
             found.append(label)
     return found
 
--- /dev/null
+++ b/tests/test_reportselfcheck.py
@@ -0,0 +1,35 @@
+"""Short runs of the self-check of the figures."""
+
+from unittest import mock
+
+import loguru
+import testtools
+
+from plantainhook import foldplan, reportselfcheck
+
+# Six hours between writes keep a run at about three seconds.
+TICK_S = 21_600.0
+
+
+class SelfCheckTest(testtools.TestCase):
+    """Check simulated months against their replays."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        loguru.logger.disable("plantainhook")
+        self.addCleanup(loguru.logger.enable, "plantainhook")
+
+    def test_seeds(self) -> None:
+        """Guards against figures that differ from the replay."""
+        for seed in range(2):
+            outcome = reportselfcheck.run_selfcheck(seed, 1500, TICK_S)
+            self.assertEqual([], outcome.differences)
+            self.assertEqual(outcome.killed_count, outcome.gap_count)
+            self.assertTrue(outcome.lost_count)
+            self.assertTrue(outcome.corrected_count)
+
+    def test_defect_is_seen(self) -> None:
+        """Guards against a self-check that sees no double counting."""
+        with mock.patch.object(foldplan, "folded_list", lambda *_: {}):
+            outcome = reportselfcheck.run_selfcheck(0, 1500, TICK_S)
+        self.assertNotEqual([], outcome.differences)
