--- a/plantainhook/cli.py
+++ b/plantainhook/cli.py
@@ -17,6 +17,7 @@
     commands_settings,
     commands_standin,
     commands_standin_platform,
+    demo,
     openapi,
 )
 
@@ -29,6 +30,7 @@
     commands_settings,
     commands_standin,
     commands_standin_platform,
+    demo,
     openapi,
 )
 
--- a/plantainhook/daemon.py
+++ b/plantainhook/daemon.py
@@ -201,6 +201,11 @@
 
     def _service_parts(self) -> queryservice.Parts:
         run_options = self.options
+        decisions = logs.DecisionLog(
+            logs.part_logger("query"),
+            self.clock,
+            run_options.decision_log_per_s,
+        )
         self.policies = queryplan.build_policies(
             run_options.data_centre, self.rng.getrandbits(32)
         )
@@ -228,7 +233,7 @@
             planner=planner.BlackboardPlanner(
                 self.board, run_options.data_centre, self.policies
             ),
-            leafs=leafrouting.LeafRouter(self.gateway),
+            leafs=leafrouting.LeafRouter(self.gateway, decisions),
             forwarder=ticketforwarding.PeerTicketForwarder(
                 self.links, self.handlers, self._answer_forwarded
             ),
@@ -236,11 +241,7 @@
                 self.board, run_options, self.writer, self.registry
             ),
             clock=self.clock,
-            decisions=logs.DecisionLog(
-                logs.part_logger("query"),
-                self.clock,
-                run_options.decision_log_per_s,
-            ),
+            decisions=decisions,
             nursery=self.nursery,
         )
 
@@ -313,6 +314,10 @@
         """Return the number of requests that are not answered yet."""
         return self.service.in_flight_count
 
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send requests."""
+        return self.board.life is blackboard.LifeState.SERVING
+
     def status(self) -> dict[str, typing.Any]:
         """Return what the command ``status`` shows."""
         board = self.board
--- a/plantainhook/leafhealth.py
+++ b/plantainhook/leafhealth.py
@@ -33,6 +33,9 @@
 POLL_TIMEOUT_S: typing.Final = 0.5
 RETRY_S: typing.Final = 0.2
 JITTER_RATIO: typing.Final = 0.1
+# Leaving must be seen within 3 s, new versions within seconds: reading
+# versions and load in each poll took three requests where one will do.
+FULL_POLL_EVERY_COUNT: typing.Final = 4
 
 _HEALTH: typing.Final = msgspec.json.Decoder(leafprotocol.HealthReply)
 _LOAD: typing.Final = msgspec.json.Decoder(leafprotocol.LoadReply)
@@ -206,6 +209,9 @@
         if isinstance(health, result.Err):
             return health
         belief.on_health(health.ok_value.state, started_s, trio.current_time())
+        belief.poll_count += 1
+        if belief.versions and belief.poll_count % FULL_POLL_EVERY_COUNT:
+            return result.Ok(None)
         versions = await client.get(
             leafprotocol.VERSIONS_PATH, _VERSIONS, deadline_s
         )
--- a/plantainhook/leafpool.py
+++ b/plantainhook/leafpool.py
@@ -118,15 +118,25 @@
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
                 task_status.started()
-                jitter_s = self._options.warm_jitter_s
-                await trio.sleep(self._rng.uniform(0, jitter_s))
-                self._warm = True
-                self._open_more()
-                await trio.sleep_forever()
+                try:
+                    await self._warm_up()
+                    await trio.sleep_forever()
+                finally:
+                    # A nursery takes no new tasks while it ends.
+                    self._nursery = None
         finally:
-            self._nursery = None
             self._stop()
 
+    async def _warm_up(self) -> None:
+        """Open connections after a random time.
+
+        Otherwise a restart of many daemons would open all theirs at once.
+        """
+        jitter_s = self._options.warm_jitter_s
+        await trio.sleep(self._rng.uniform(0, jitter_s))
+        self._warm = True
+        self._open_more()
+
     def set_allotment(self, count: int) -> None:
         """Change the number of connections that may be open."""
         if count == self.allotment_count:
--- a/plantainhook/leafrouting.py
+++ b/plantainhook/leafrouting.py
@@ -7,7 +7,7 @@
 import json
 import typing
 
-from plantainhook import executor, leafwork, querytypes
+from plantainhook import executor, leafwork, logs, querytypes
 
 FIELDS_LIMIT_COUNT: typing.Final = 4096
 
@@ -15,8 +15,11 @@
 class LeafRouter:
     """Run attempts through the gateway of this daemon."""
 
-    def __init__(self, gateway: leafwork.LeafGateway) -> None:
+    def __init__(
+        self, gateway: leafwork.LeafGateway, decisions: logs.DecisionLog
+    ) -> None:
         self._gateway = gateway
+        self._decisions = decisions
         self._fields: dict[str, leafwork.RequestFields] = {}
 
     async def call(
@@ -29,6 +32,10 @@
                 self._fields.clear()
             fields = request_fields(request)
             self._fields[request.request_id] = fields
+        self._decisions.decide(
+            f"Attempt {request.request_id}.{send.attempt_id} goes to "
+            f"{send.leaf}: {len(send.shards)} shards, {send.reason}."
+        )
         return await self._gateway.call(
             send.leaf, send, fields, send.deadline_s
         )
--- a/plantainhook/standin_model.py
+++ b/plantainhook/standin_model.py
@@ -275,9 +275,14 @@
         return time_ms / 1000
 
     def _items(self, search: leafprotocol.SearchRequest, shard: str) -> object:
-        """Return items that tell their shard and snapshot."""
+        """Return items that tell their shard, snapshot and request."""
         items = [
-            {"shard": shard, "snapshot": search.snapshot, "rank": rank}
+            {
+                "shard": shard,
+                "snapshot": search.snapshot,
+                "fingerprint": search.fingerprint,
+                "rank": rank,
+            }
             for rank in range(self.behaviour.items_per_shard_count)
         ]
         return {"items": items, "weight": 1.0}
