Avoid leafs that reply with invalid contents or time out

Invalid replies come fast, so a leaf that sent nothing else drew more calls; timeouts did not count against a leaf.

--- a/plantainhook/replicas.py
+++ b/plantainhook/replicas.py
@@ -37,6 +37,8 @@
         errors.LeafFailureKind.CONNECT,
         errors.LeafFailureKind.CONNECTION_LOST,
         errors.LeafFailureKind.REFUSED,
+        # Invalid replies come fast and would otherwise draw more calls.
+        errors.LeafFailureKind.MALFORMED,
     }
 )
 OVERLOAD_KINDS: typing.Final = frozenset(
@@ -205,10 +207,7 @@
             return
         if state.link is not None:
             state.link.record(lost=True)
-        state.unanswered_count += 1
-        if state.unanswered_count >= UNANSWERED_MAX:
-            state.unanswered_count = 0
-            self._penalise(state, now_s)
+        self._note_unanswered(state, now_s)
 
     def on_failure(
         self,
@@ -223,12 +222,20 @@
             self._penalise(state, now_s)
         if kind in OVERLOAD_KINDS:
             state.limit.on_overload(now_s)
+        if kind is errors.LeafFailureKind.TIMEOUT:
+            self._note_unanswered(state, now_s)
         if kind is errors.LeafFailureKind.NOT_SERVED:
             self._note_not_served(state.name, version, now_s)
         lost = kind is errors.LeafFailureKind.CONNECTION_LOST
         if lost and state.link is not None:
             state.link.record(lost=True)
 
+    def _note_unanswered(self, state: ReplicaState, now_s: float) -> None:
+        state.unanswered_count += 1
+        if state.unanswered_count >= UNANSWERED_MAX:
+            state.unanswered_count = 0
+            self._penalise(state, now_s)
+
     def _penalise(self, state: ReplicaState, now_s: float) -> None:
         state.penalise(now_s)
         self.troubled.add(state.name)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -11,6 +11,8 @@
     hedging,
     loadbudget,
     quarantine,
+    query,
+    queryplan,
     replicas,
     snapshot,
     zones,
@@ -82,6 +84,52 @@
         self.assertEqual(1.0, newer.served_ratio() if newer else 0.0)
 
 
+class ExtraAttemptTest(testtools.TestCase):
+    """Check where a hedge goes and when a query stops waiting."""
+
+    def start(
+        self, versions: querycase.Table, max_hedges_count: int
+    ) -> tuple[query.QueryMachine, queryplan.QueryPolicies]:
+        """Start a query of one second whose leafs take 100 ms."""
+        leafs = {"a": "dc-1", "b": "dc-2"}
+        view = querycase.build_view(leafs, versions, versions, {})
+        policies = queryplan.build_policies("dc-1", 0)
+        for _ in range(200):
+            policies.latencies.of("g", "k").record(0.1)
+        rules = querycase.build_rules({"max_hedges_count": max_hedges_count})
+        plan = querycase.build_plan(view, rules)
+        machine = query.QueryMachine(plan, policies, 0.0)
+        machine.start(0.0)
+        return machine, policies
+
+    def texts(self, machine: query.QueryMachine, now_s: float) -> list[str]:
+        """Return the actions of a timer except new timers."""
+        texts = map(querycase.action_text, machine.on_timer(now_s))
+        return [text for text in texts if not text.startswith("timer")]
+
+    def test_third_attempt_after_a_slow_first(self) -> None:
+        """Guards against a third attempt on a leaf that is just slow."""
+        machine, _ = self.start({"1": {"s1": ["a", "b"]}}, 2)
+        self.assertEqual(["hedge 2 b s1 v1"], self.texts(machine, 0.2))
+        self.assertEqual(["hedge 3 b s1 v1"], self.texts(machine, 0.4))
+
+    def test_third_attempt_after_a_queued_first(self) -> None:
+        """Guards against two attempts left on one leaf of two."""
+        machine, policies = self.start({"1": {"s1": ["a", "b"]}}, 2)
+        self.assertEqual(["hedge 2 b s1 v1"], self.texts(machine, 0.2))
+        policies.replicas.states["a"].in_flight_count += 2
+        self.assertEqual(["hedge 3 a s1 v1"], self.texts(machine, 0.4))
+
+    def test_early_finish(self) -> None:
+        """Guards against waiting for shards that cannot arrive in time."""
+        machine, policies = self.start({"1": {"s1": ["a"], "s2": ["b"]}}, 0)
+        machine.on_reply(1, querycase.build_reply(["s1"]), 0.1)
+        self.assertEqual([], self.texts(machine, 0.85))
+        texts = self.texts(machine, 0.95)
+        self.assertIn("partial v1 0.50", texts)
+        self.assertEqual(1, policies.counters.early_finish_count)
+
+
 class LoadBudgetTest(testtools.TestCase):
     """Check the bound on extra load."""
 
