--- a/plantainhook/standin_leaf.py
+++ b/plantainhook/standin_leaf.py
@@ -98,6 +98,7 @@
                 connection = standinhttp.ServerConnection(stream)
                 await connection.serve(self.handle)
             self._connections.discard(scope)
+            await trio.sleep(self.behaviour.close_lag_ms / 1000)
         finally:
             self.open_count -= 1
             await trio.aclose_forcefully(stream)
--- a/plantainhook/standin_model.py
+++ b/plantainhook/standin_model.py
@@ -34,13 +34,15 @@
     """Hold what the stand-in does; times are in milliseconds.
 
     ``fault_count`` is how many of the next searches meet ``reply_fault``;
-    FOREVER means all. ``health_says`` and ``load_says`` replace the truth.
+    FOREVER means all. A closed connection counts for ``close_lag_ms`` more.
+    ``health_says`` and ``load_says`` replace the truth.
     """
 
     slot_count: int = 2
     queue_limit_count: int = 8
     connection_limit_count: int = 25
     connect_ms: float = 0.0
+    close_lag_ms: float = 0.0
     service_median_ms: float = 5.0
     service_sigma: float = 0.3
     shard_extra_ms: float = 0.0
--- a/tests/test_leafpool.py
+++ b/tests/test_leafpool.py
@@ -8,7 +8,13 @@
 import trio
 import trio.testing
 
-from plantainhook import blackboard, errors, leafconnect, leafpool
+from plantainhook import (
+    blackboard,
+    errors,
+    leafconnect,
+    leafpool,
+    standin_leaf,
+)
 from tests import leafhelp
 
 
@@ -31,13 +37,13 @@
     def test_allotment_bounds_connections(self) -> None:
         """Guards against more open connections than the allotment.
 
-        Replies are lost, so that connections are replaced all the time; the
-        stand-in counts the old ones until it has closed them.
+        Replies are malformed, so that connections are replaced all the time;
+        the stand-in counts the old ones for a while.
         """
 
         async def case() -> None:
             async with leafhelp.running_rig(
-                allotment_count=3, reply_fault="drop", fault_count=60
+                allotment_count=3, reply_fault="malformed", close_lag_ms=50.0
             ) as rig:
                 async with trio.open_nursery() as nursery:
                     for number in range(100):
@@ -200,6 +206,52 @@
         self.run_virtual(case)
 
 
+class HalfClosedServer:
+    """Close the sending side after the first reply; count later bytes."""
+
+    def __init__(self, leaf: standin_leaf.StandinLeaf) -> None:
+        self.late_bytes = b""
+        self._leaf = leaf
+        self._first = True
+
+    async def serve_stream(self, stream: trio.abc.Stream) -> None:
+        """Half-close the first connection only."""
+        if not self._first:
+            await self._leaf.serve_stream(stream)
+            return
+        self._first = False
+        assert isinstance(stream, trio.SocketStream)
+        await stream.receive_some()
+        await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        await stream.send_eof()
+        async for data in stream:
+            self.late_bytes += data
+
+
+class StaleTest(testtools.TestCase):
+    """Check connections that the leaf closed while they were idle."""
+
+    def test_half_closed_connection(self) -> None:
+        """Guards against a request written to a connection that is over.
+
+        Such a request may have run, and could not be sent again.
+        """
+
+        async def case() -> None:
+            async with trio.open_nursery() as nursery:
+                rig = leafhelp.Rig(nursery)
+                server = HalfClosedServer(rig.leafs[0])
+                rig.network.servers["10.0.0.0:80"] = server
+                await nursery.start(rig.gateway.run)
+                await trio.sleep(0.1)
+                self.assertTrue((await rig.call()).is_ok())
+                self.assertEqual(b"", server.late_bytes)
+                nursery.cancel_scope.cancel()
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        trio.run(case, clock=clock)
+
+
 class CancelTest(testtools.TestCase):
     """Check cancellation of calls at the leaf."""
 
