Use the non-blocking socket directly in leaf calls

A profile showed that each call tried a read that could not succeed yet and passed through the scheduler after each write. The transport now waits before it reads and writes without a checkpoint. A call whose deadline has passed is no longer sent.

--- a/plantainhook/leafclient.py
+++ b/plantainhook/leafclient.py
@@ -153,6 +153,10 @@
     async def search(self, call: LeafCall) -> LeafResult[querytypes.LeafReply]:
         """Run a search and return the checked reply of the leaf."""
         left_s = call.deadline_s - trio.current_time()
+        if left_s <= 0:
+            detail = "the deadline passed before the request was sent"
+            error = self._error(Failure.TIMEOUT, detail, errors.Ran.NO)
+            return result.Err(error)
         body = _ENCODER.encode(
             leafprotocol.SearchRequest(
                 request_id=call.request_id,
@@ -161,7 +165,7 @@
                 snapshot=call.snapshot,
                 shards=call.shards,
                 params=msgspec.Raw(call.params),
-                deadline_ms=max(0, int(left_s * 1000)),
+                deadline_ms=int(left_s * 1000),
             )
         )
         raw = await self.request(
--- a/plantainhook/leaftransport.py
+++ b/plantainhook/leaftransport.py
@@ -40,24 +40,40 @@
 
 
 class SocketTransport:
-    """Carry bytes over a connected TCP socket."""
+    """Carry bytes over a connected TCP socket.
 
-    def __init__(self, connected: trio.socket.SocketType) -> None:
+    It uses the non-blocking socket itself: a write to a socket with room
+    needs no pass through the scheduler, and a read that follows a request
+    waits first, since the reply cannot be there yet.
+    """
+
+    def __init__(self, connected: socket.socket) -> None:
+        connected.setblocking(False)
         self._socket = connected
+        self._poller = select.poll()
+        self._poller.register(connected, select.POLLIN)
 
     async def send_some(self, data: bytes) -> int:
         """Write at least one byte and return the count of bytes written."""
-        return await self._socket.send(data)
+        await trio.lowlevel.checkpoint_if_cancelled()
+        while True:
+            try:
+                return self._socket.send(data)
+            except BlockingIOError:
+                await trio.lowlevel.wait_writable(self._socket)
 
     async def receive_some(self, max_bytes: int) -> bytes:
         """Return received bytes, or none at the end of the stream."""
-        return await self._socket.recv(max_bytes)
+        while True:
+            await trio.lowlevel.wait_readable(self._socket)
+            try:
+                return self._socket.recv(max_bytes)
+            except BlockingIOError:
+                continue
 
     def is_readable(self) -> bool:
         """Return whether bytes, an end of stream or an error wait."""
-        poller = select.poll()
-        poller.register(self._socket.fileno(), select.POLLIN)
-        return bool(poller.poll(0))
+        return bool(self._poller.poll(0))
 
     def send_eof(self) -> None:
         """Close the sending side."""
@@ -65,7 +81,9 @@
 
     def close(self) -> None:
         """Close both sides at once; a second call does nothing."""
-        self._socket.close()
+        if self._socket.fileno() >= 0:
+            trio.lowlevel.notify_closing(self._socket)
+            self._socket.close()
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -81,10 +99,11 @@
     """
     host, port = split_address(address)
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    opened = trio.socket.socket(family, socket.SOCK_STREAM)
+    opened = socket.socket(family, socket.SOCK_STREAM)
     try:
+        opened.setblocking(False)
         opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        await opened.connect((host, port))
+        await trio.socket.from_stdlib_socket(opened).connect((host, port))
     except BaseException:
         opened.close()
         raise
--- a/plantainhook/leafwork.py
+++ b/plantainhook/leafwork.py
@@ -155,10 +155,12 @@
             self._on_failure(leaf, outcome.err_value)
             return outcome
         self._metrics.count_ok(trio.current_time() - started_s)
-        reply = dataclasses.replace(
-            outcome.ok_value, request_id=fields.request_id
+        reply = outcome.ok_value
+        return result.Ok(
+            querytypes.LeafReply(
+                fields.request_id, reply.snapshot, reply.results
+            )
         )
-        return result.Ok(reply)
 
     async def get(
         self,
--- a/tests/leafhelp.py
+++ b/tests/leafhelp.py
@@ -65,8 +65,8 @@
             raise ConnectionRefusedError("connection refused")
         if isinstance(server, standin_model.LeafModel) and server.down:
             raise ConnectionRefusedError("connection refused")
-        near, far = trio.socket.socketpair(socket.AF_UNIX)
-        stream = trio.SocketStream(far)
+        near, far = socket.socketpair(socket.AF_UNIX)
+        stream = trio.SocketStream(trio.socket.from_stdlib_socket(far))
         self._nursery.start_soon(server.serve_stream, stream)
         return leaftransport.SocketTransport(near)
 
