Add forwarding to holders, fleet status and bench-control

Cause: daemons without connections to a leaf could not serve it, and the cost of the control plane was not measured. Change: work goes to a live holder of the leaf's cell, refusals move on to the next one, cancellations follow; status sums revisions per data centre; bench-control runs many daemons on a virtual clock. A lost reply to a pull costs 1 s instead of 4 s.

--- a/plantainhook/cli.py
+++ b/plantainhook/cli.py
@@ -12,6 +12,7 @@
     commands,
     commands_bench,
     commands_client,
+    commands_controlbench,
     commands_report,
     commands_settings,
     commands_standin,
@@ -23,6 +24,7 @@
 COMMAND_MODULES: typing.Final = (
     commands_bench,
     commands_client,
+    commands_controlbench,
     commands_report,
     commands_settings,
     commands_standin,
--- a/plantainhook/controlfleet.py
+++ b/plantainhook/controlfleet.py
@@ -8,6 +8,7 @@
 import dataclasses
 import random
 import typing
+from collections import abc
 
 import result
 import trio
@@ -16,6 +17,7 @@
     blackboard,
     clock,
     errors,
+    fleetstatus,
     gossip,
     membership,
     memorynet,
@@ -32,9 +34,7 @@
 class CountingSource:
     """Keep revisions as numbers; a delta has a fixed size."""
 
-    def __init__(
-        self, store: memorystore.MemoryStore, delta_bytes: int
-    ) -> None:
+    def __init__(self, store: objectapi.ObjectApi, delta_bytes: int) -> None:
         self._store = store
         self._delta = bytes(delta_bytes)
         self._view = blackboard.SettingsView()
@@ -77,6 +77,65 @@
             self._view = blackboard.SettingsView(revision=revision)
 
 
+@dataclasses.dataclass(slots=True)
+class ReachableStore:
+    """Give one daemon the store, except while it is cut off."""
+
+    store: memorystore.MemoryStore
+    cut: set[str]
+    address: str
+
+    async def get(
+        self, key: str
+    ) -> result.Result[objectapi.StoredObject, errors.ObjectApiError]:
+        """Return an object; fail while cut off."""
+        found = await self.store.get(key)
+        return self._unless_cut() or found
+
+    async def list(
+        self, prefix: str
+    ) -> result.Result[objectapi.Listing, errors.ObjectApiError]:
+        """Return all objects under a prefix; fail while cut off."""
+        found = await self.store.list(prefix)
+        return self._unless_cut() or found
+
+    async def put(
+        self, key: str, value: typing.Any, if_version: int, request_id: str
+    ) -> result.Result[objectapi.StoredObject, errors.ObjectApiError]:
+        """Write an object; fail while cut off."""
+        failed = self._unless_cut()
+        if failed is not None:
+            return failed
+        return await self.store.put(key, value, if_version, request_id)
+
+    async def delete(
+        self, key: str, if_version: int, request_id: str
+    ) -> result.Result[None, errors.ObjectApiError]:
+        """Delete an object; fail while cut off."""
+        failed = self._unless_cut()
+        if failed is not None:
+            return failed
+        return await self.store.delete(key, if_version, request_id)
+
+    async def watch(
+        self, prefix: str, from_version: int, timeout_s: float
+    ) -> result.Result[
+        abc.Sequence[objectapi.StoredObject], errors.ObjectApiError
+    ]:
+        """Wait for changes; fail while cut off."""
+        found = await self.store.watch(prefix, from_version, timeout_s)
+        return self._unless_cut() or found
+
+    def _unless_cut(self) -> result.Err[errors.ObjectApiError] | None:
+        if self.address not in self.cut:
+            return None
+        return result.Err(
+            errors.ObjectApiUnavailableError(
+                steps.Step.SETTINGS_SPREAD, memorystore.STORE_PEER, "cut off"
+            )
+        )
+
+
 @dataclasses.dataclass(slots=True)
 class Node:
     """Hold the parts of one daemon and the scope that ends it."""
@@ -86,6 +145,7 @@
     transport: memorynet.MemoryTransport
     members: membership.Membership
     spread: gossip.Gossip
+    status: fleetstatus.FleetStatus
     scope: trio.CancelScope
 
     @property
@@ -160,20 +220,24 @@
             time_source,
             rng,
         )
-        source = CountingSource(self.store, self._options.delta_bytes)
+        store = ReachableStore(self.store, self.cut, hello.peer_address)
+        source = CountingSource(store, self._options.delta_bytes)
         spread = gossip.Gossip(
             board,
             members,
             source,
-            self.store,
+            store,
             transport,
             handlers,
             self._options.gossip_options,
             time_source,
             rng,
         )
+        status = fleetstatus.FleetStatus(
+            board, members, spread, transport, handlers, rng
+        )
         scope = trio.CancelScope()
-        node = Node(hello, board, transport, members, spread, scope)
+        node = Node(hello, board, transport, members, spread, status, scope)
         self.nodes.append(node)
         self._nursery.start_soon(self._run, node)
         return node
@@ -219,6 +283,7 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(node.members.run)
                 nursery.start_soon(node.spread.run)
+                nursery.start_soon(node.status.run)
 
 
 def _address(index: int) -> str:
--- /dev/null
+++ b/plantainhook/forwarding.py
@@ -0,0 +1,338 @@
+"""Attempts on leafs: run here, or by a daemon that holds connections.
+
+``HolderRouter`` is what the executor calls. A daemon without connections to a
+leaf sends the work to a holder of the leaf's cell. All work of one query
+for the same cell goes to the same holder, so that its messages share writes;
+each attempt stays a message of its own, because a joint reply would wait for
+the slowest leaf. The receiver refuses work for a leaf that it does not hold
+with ``ran=no``, and the next holder is asked.
+"""
+
+import dataclasses
+import typing
+from collections import abc
+
+import msgspec
+import result
+import trio
+
+from plantainhook import (
+    blackboard,
+    errors,
+    hashing,
+    leafwork,
+    logs,
+    peers,
+    querytypes,
+    shardmap,
+    shareplan,
+    steps,
+    wire,
+)
+
+CANCEL_TIMEOUT_S: typing.Final = 1.0
+FIELDS_LIMIT_COUNT: typing.Final = 4096
+MS_PER_S: typing.Final = 1000
+NO_HOLDER: typing.Final = "no live daemon holds connections to the leaf"
+NOT_HELD: typing.Final = "this daemon holds no connections to the leaf"
+DEADLINE_PASSED: typing.Final = "the deadline has passed"
+
+AttemptResult = result.Result[querytypes.LeafReply, errors.LeafError]
+
+
+class LeafRunner(typing.Protocol):
+    """Run attempts over own connections; ``LeafGateway`` implements it."""
+
+    async def call(
+        self,
+        leaf: str,
+        send: querytypes.Send,
+        fields: leafwork.RequestFields,
+        deadline_s: float,
+    ) -> AttemptResult:
+        """Return the reply of the leaf or a typed failure."""
+
+
+class HolderRouter:
+    """Run attempts here or forward them, and run those of peers."""
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        runner: LeafRunner,
+        transport: peers.PeerTransport,
+        handlers: peers.Handlers,
+        decisions: logs.DecisionLog,
+    ) -> None:
+        self._board = board
+        self._runner = runner
+        self._transport = transport
+        self._decisions = decisions
+        self._fields: dict[str, leafwork.RequestFields] = {}
+        self._running: dict[tuple[int, str], trio.CancelScope] = {}
+        handlers.handles(wire.LeafWork)(self._on_work)
+        handlers.handles(wire.CancelWork)(self._on_cancel)
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Send cancellations in the background until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            await trio.sleep_forever()
+
+    async def call(
+        self, request: querytypes.QueryRequest, send: querytypes.Send
+    ) -> AttemptResult:
+        """Return the reply of a leaf or a typed failure."""
+        fields = self._fields_of(request)
+        if self._holds(send.leaf):
+            return await self._runner.call(
+                send.leaf, send, fields, send.deadline_s
+            )
+        return await self._forward(fields, send)
+
+    def _fields_of(
+        self, request: querytypes.QueryRequest
+    ) -> leafwork.RequestFields:
+        """Return the shared fields; a query encodes its parameters once."""
+        fields = self._fields.get(request.request_id)
+        if fields is None:
+            if len(self._fields) >= FIELDS_LIMIT_COUNT:
+                self._fields.clear()
+            fields = leafwork.RequestFields(
+                request.request_id,
+                request.kind,
+                request.fingerprint,
+                msgspec.json.encode(request.params),
+            )
+            self._fields[request.request_id] = fields
+        return fields
+
+    def _holds(self, leaf: str) -> bool:
+        return self._board.shares.allotments.get(leaf, 0) > 0
+
+    # Sending
+
+    async def _forward(
+        self, fields: leafwork.RequestFields, send: querytypes.Send
+    ) -> AttemptResult:
+        """Ask the holders in turn while none has run the work."""
+        failure = leaf_error(send.leaf, "holders", NO_HOLDER, errors.Ran.NO)
+        for holder in holders_of(self._board, send.leaf, fields.request_id):
+            self._decisions.decide(
+                f"Work {fields.request_id} for {send.leaf} goes to "
+                f"{holder.name}."
+            )
+            outcome = await self._ask(holder, fields, send)
+            if isinstance(outcome, result.Ok):
+                return outcome
+            failure = outcome.err_value
+            if not self._may_ask_next(failure, send):
+                break
+        return result.Err(failure)
+
+    def _may_ask_next(
+        self, failure: errors.LeafError, send: querytypes.Send
+    ) -> bool:
+        return (
+            failure.ran is errors.Ran.NO
+            and failure.kind is errors.LeafFailureKind.NO_CONNECTION
+            and trio.current_time() < send.deadline_s
+        )
+
+    async def _ask(
+        self,
+        holder: blackboard.MemberInfo,
+        fields: leafwork.RequestFields,
+        send: querytypes.Send,
+    ) -> AttemptResult:
+        left_s = send.deadline_s - trio.current_time()
+        work = work_of(fields, send, left_s)
+        if work.deadline_ms < 1:
+            return result.Err(
+                leaf_error(
+                    send.leaf, holder.name, DEADLINE_PASSED, errors.Ran.NO
+                )
+            )
+        try:
+            reply = await self._transport.request(
+                holder.peer_address, work, left_s
+            )
+        except trio.Cancelled:
+            self._cancel(holder.peer_address, work.request_id)
+            raise
+        if isinstance(reply, result.Err):
+            error = reply.err_value
+            if error.ran is not errors.Ran.NO:
+                self._cancel(holder.peer_address, work.request_id)
+            return result.Err(
+                leaf_error(send.leaf, error.peer, error.detail, error.ran)
+            )
+        return reply_of(reply.ok_value, fields.request_id, send, holder.name)
+
+    def _cancel(self, address: str, request_id: str) -> None:
+        self._nursery.start_soon(
+            self._transport.request,
+            address,
+            wire.CancelWork(request_id),
+            CANCEL_TIMEOUT_S,
+        )
+
+    # Receiving
+
+    async def _on_work(
+        self, sender: wire.HelloFrame, body: wire.LeafWork
+    ) -> wire.AnyBody:
+        if not self._holds(body.leaf):
+            return wire.Refused(NOT_HELD)
+        key = (sender.incarnation, body.request_id)
+        if key in self._running:
+            return wire.Refused("the work already runs")
+        scope = trio.CancelScope()
+        self._running[key] = scope
+        try:
+            with scope:
+                return await self._run_work(body)
+        finally:
+            del self._running[key]
+        return wire.LeafWorkFailed(
+            errors.LeafFailureKind.CANCELLED, errors.Ran.MAYBE, "cancelled"
+        )
+
+    async def _run_work(self, body: wire.LeafWork) -> wire.AnyBody:
+        deadline_s = trio.current_time() + body.deadline_ms / MS_PER_S
+        send = querytypes.Send(
+            attempt_id=0,
+            leaf=body.leaf,
+            shards=tuple(body.shards),
+            snapshot=body.snapshot,
+            deadline_s=deadline_s,
+            reason=querytypes.AttemptReason.FIRST,
+        )
+        fields = leafwork.RequestFields(
+            body.request_id, body.kind, body.fingerprint, body.params
+        )
+        outcome = await self._runner.call(body.leaf, send, fields, deadline_s)
+        if isinstance(outcome, result.Err):
+            error = outcome.err_value
+            return wire.LeafWorkFailed(error.kind, error.ran, error.detail)
+        reply = outcome.ok_value
+        results = {each.shard: each.items for each in reply.results}
+        return wire.LeafWorkDone(reply.snapshot, msgspec.json.encode(results))
+
+    async def _on_cancel(
+        self, sender: wire.HelloFrame, body: wire.CancelWork
+    ) -> wire.AnyBody:
+        scope = self._running.get((sender.incarnation, body.request_id))
+        if scope is not None:
+            scope.cancel()
+        return wire.Ack()
+
+
+def work_of(
+    fields: leafwork.RequestFields, send: querytypes.Send, left_s: float
+) -> wire.LeafWork:
+    """Return the message that asks a holder to run an attempt."""
+    return wire.LeafWork(
+        leaf=send.leaf,
+        request_id=leafwork.wire_id(fields.request_id, send.attempt_id),
+        kind=fields.kind,
+        fingerprint=fields.fingerprint,
+        snapshot=send.snapshot,
+        shards=list(send.shards),
+        params=fields.params,
+        deadline_ms=int(left_s * MS_PER_S),
+        idempotent=True,
+    )
+
+
+def reply_of(
+    body: wire.AnyBody,
+    request_id: str,
+    send: querytypes.Send,
+    holder: str,
+) -> AttemptResult:
+    """Turn the reply of a holder into that of a leaf."""
+    if isinstance(body, wire.LeafWorkFailed):
+        kind = errors.LeafFailureKind(body.kind)
+        return result.Err(
+            leaf_error(
+                send.leaf, holder, body.detail, errors.Ran(body.ran), kind
+            )
+        )
+    if not isinstance(body, wire.LeafWorkDone):
+        detail = f"unexpected reply {type(body).__name__}"
+        return result.Err(
+            leaf_error(send.leaf, holder, detail, errors.Ran.MAYBE)
+        )
+    results = msgspec.json.decode(body.results, type=dict[str, list[object]])
+    shards = tuple(
+        querytypes.ShardResult(shard, items)
+        for shard, items in results.items()
+    )
+    return result.Ok(querytypes.LeafReply(request_id, body.snapshot, shards))
+
+
+def leaf_error(
+    leaf: str,
+    peer: str,
+    detail: str,
+    ran: errors.Ran,
+    kind: errors.LeafFailureKind | None = None,
+) -> errors.LeafError:
+    """Return the failure of an attempt that a peer should have run."""
+    if kind is None:
+        kind = errors.LeafFailureKind.CONNECTION_LOST
+        if ran is errors.Ran.NO:
+            kind = errors.LeafFailureKind.NO_CONNECTION
+    text = f"{detail} (through {peer})"
+    return errors.LeafError(steps.Step.QUERY_SEND, leaf, text, kind, ran)
+
+
+def holders_of(
+    board: blackboard.Blackboard, leaf_name: str, request_id: str
+) -> list[blackboard.MemberInfo]:
+    """Return the live holders of a leaf in the order to ask them.
+
+    The order depends on the query and the cell, which spreads queries over
+    the holders; draining holders come last.
+    """
+    leaf = board.settings.leafs.get(leaf_name)
+    if leaf is None:
+        return []
+    found = _holding_members(board, leaf)
+    plan = shareplan.plan_of(board.settings.settings.share_plan)
+    key = f"{request_id}/{shareplan.cell_of(leaf, plan)}"
+    order = hashing.choose(key, found, len(found))
+    members = [found[incarnation] for incarnation in order]
+    return sorted(members, key=lambda member: member.draining)
+
+
+def _holding_members(
+    board: blackboard.Blackboard, leaf: shardmap.LeafInfo
+) -> abc.Mapping[int, blackboard.MemberInfo]:
+    settings_plan = board.settings.settings.share_plan
+    plan = shareplan.plan_of(settings_plan)
+    scope = shareplan.scope_of(settings_plan, leaf.data_centre)
+    owners = board.shares.owners.get(scope, {})
+    found = {}
+    for share in shareplan.holders(shareplan.cell_of(leaf, plan), plan):
+        member = board.members.get(owners.get(share, 0))
+        if member is None or member.incarnation == board.incarnation:
+            continue
+        if member.alive:
+            found[member.incarnation] = member
+    return found
+
+
+@dataclasses.dataclass(slots=True)
+class AllotmentReader:
+    """Tell the leaf pools how many connections they may open."""
+
+    board: blackboard.Blackboard
+
+    def allotment_of(self, leaf: shardmap.LeafInfo) -> int:
+        """Return the allotment of this daemon for a leaf."""
+        return self.board.shares.allotments.get(leaf.name, 0)
--- a/plantainhook/gossip.py
+++ b/plantainhook/gossip.py
@@ -35,7 +35,10 @@
 LOGGER: typing.Final = logs.part_logger("gossip")
 HEAD_KEY: typing.Final = "settings/head"
 REQUEST_TIMEOUT_S: typing.Final = 1.0
-PULL_TIMEOUT_S: typing.Final = 4.0
+PULL_TIMEOUT_S: typing.Final = 1.0
+PULL_TIMEOUT_MAX_S: typing.Final = 8.0
+PULL_PAUSE_S: typing.Final = 0.1
+PULL_TRIES: typing.Final = 8
 API_PAUSE_S: typing.Final = 1.0
 API_PAUSE_MAX_S: typing.Final = 30.0
 ANNOUNCER_COUNT: typing.Final = 8
@@ -259,28 +262,38 @@
         while True:
             await self._announced.wait()
             self._announced = trio.Event()
-            while self._announcers:
+            failure_count = 0
+            while self._announcers and failure_count < PULL_TRIES:
                 address = next(iter(self._announcers))
                 revision = self._announcers.pop(address)
-                if revision > self._board.settings.revision:
-                    await self._pull(address)
-
-    async def _pull(self, address: str) -> None:
+                if revision <= self._board.settings.revision:
+                    continue
+                if await self._pull(address, pull_timeout_s(failure_count)):
+                    failure_count = 0
+                    continue
+                failure_count += 1
+                self._announcers.setdefault(address, revision)
+                await self._back_off(PULL_PAUSE_S)
+
+    async def _pull(self, address: str, timeout_s: float) -> bool:
+        """Ask one peer for the difference; return whether it answered."""
         self.pull_count += 1
         body = wire.RevisionPull(self._board.settings.revision)
-        reply = await self._transport.request(address, body, PULL_TIMEOUT_S)
+        reply = await self._transport.request(address, body, timeout_s)
         if isinstance(reply, result.Err):
             LOGGER.info("Pull failed: {}", reply.err_value)
-            return
+            return False
         delta = reply.ok_value
         if not isinstance(delta, wire.RevisionDelta):
-            return
+            return True
         if delta.to_revision <= self._board.settings.revision:
-            return
+            return True
         adopted = await self._source.adopt(delta)
         if isinstance(adopted, result.Err):
             LOGGER.warning("Revision not adopted: {}", adopted.err_value)
+            return False
         self._publish()
+        return True
 
     # Digests
 
@@ -373,3 +386,14 @@
         now_s = self._clock.now_s()
         self.quarantine.merge(body, now_s)
         return self.quarantine.message(now_s)
+
+
+def pull_timeout_s(failure_count: int) -> float:
+    """Return how long to wait for a difference, in seconds.
+
+    A lost message costs one short wait; a whole copy over a slow link gets
+    longer ones.
+    """
+    return min(
+        PULL_TIMEOUT_MAX_S, PULL_TIMEOUT_S * 2.0 ** (failure_count // 2)
+    )
--- a/plantainhook/memorynet.py
+++ b/plantainhook/memorynet.py
@@ -20,10 +20,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Traffic:
-    """Count the messages and bytes that one daemon sent."""
+    """Count the messages and bytes that one daemon sent and received."""
 
     message_count: int = 0
     sent_bytes: int = 0
+    received_bytes: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -118,6 +119,7 @@
         await delivery.done.wait()
         if not await self._network.carry(peer_address, self._address):
             return await self._never()
+        self.traffic.received_bytes += len(delivery.answer)
         return _body_of(delivery.answer)
 
     async def _never(self) -> wire.AnyBody:
@@ -134,6 +136,7 @@
         self, sender: wire.HelloFrame, data: bytes, delivery: Delivery
     ) -> None:
         """Handle an encoded request and keep the encoded reply."""
+        self.traffic.received_bytes += len(data)
         reply = await self._handlers.handle(sender, _body_of(data))
         delivery.answer = self._send(wire.ReplyFrame(0, reply))
         delivery.done.set()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -67,6 +67,13 @@
                     return
                 await trio.sleep(0.25)
 
+    async def check_status(self) -> None:
+        """Compare the collected status with what the daemons have."""
+        await trio.sleep(60)
+        statuses = await self.fleet.nodes[0].status.collect()
+        counted = sum(each.counts.get(self.revision, 0) for each in statuses)
+        assert counted == len(self.fleet.nodes), statuses
+
 
 async def run_case(case: dict[str, typing.Any]) -> None:
     """Run one case in a fleet of its own."""
@@ -78,7 +85,10 @@
     async with trio.open_nursery() as nursery:
         fleet = controlfleet.Fleet(nursery, options)
         fleet.network.duplicate_ratio = case.get("duplicate", 0.0)
-        await FleetRun(fleet, case).run()
+        run = FleetRun(fleet, case)
+        await run.run()
+        if not options.loss_ratio:
+            await run.check_status()
         nursery.cancel_scope.cancel()
 
 
