--- /dev/null
+++ b/tests/test_membertable.py
@@ -0,0 +1,147 @@
+"""Tests of the member table."""
+
+import random
+import typing
+
+import hypothesis
+import testtools
+from hypothesis import strategies
+
+from plantainhook import memberentry, membertable, wire
+
+RULES: typing.Final = membertable.MemberRules(suspicion_s=5, forget_s=60)
+
+
+def entry(
+    incarnation: int, state: int = 0, counter: int = 0
+) -> wire.MemberEntry:
+    return wire.MemberEntry(
+        incarnation, "n", "vm", "dc", f"h:{incarnation}", "h:1", state, counter
+    )
+
+
+ENTRIES: typing.Final = strategies.builds(
+    entry,
+    strategies.integers(2, 5),
+    strategies.integers(0, 7),
+    strategies.integers(0, 3),
+)
+
+
+def table() -> membertable.MemberTable:
+    """Return a table that knows members 1 (itself) to 5."""
+    made = membertable.MemberTable(entry(1), RULES, 0.0)
+    made.merge([entry(each) for each in range(2, 6)], 0.0)
+    return made
+
+
+def liveness(of: membertable.MemberTable) -> dict[int, tuple[int, int]]:
+    """Return counter and liveness by incarnation."""
+    return {
+        incarnation: (each.counter, memberentry.liveness_of(each))
+        for incarnation, each in of.entries.items()
+    }
+
+
+class MergeTest(testtools.TestCase):
+    """Check that tables converge."""
+
+    @hypothesis.given(
+        strategies.lists(ENTRIES, max_size=12), strategies.randoms()
+    )
+    def test_any_order(
+        self, entries: list[wire.MemberEntry], rng: random.Random
+    ) -> None:
+        """Guards against views that depend on the order of messages."""
+        first, second = table(), table()
+        first.merge(entries, 1.0)
+        shuffled = entries * 2
+        rng.shuffle(shuffled)
+        for each in shuffled:
+            second.merge([each], 1.0)
+        self.assertEqual(liveness(first), liveness(second))
+        self.assertEqual(first.ring(), second.ring())
+
+    @hypothesis.given(
+        strategies.lists(ENTRIES, max_size=12),
+        strategies.lists(ENTRIES, max_size=12),
+    )
+    def test_sync_repairs(
+        self, ours: list[wire.MemberEntry], theirs: list[wire.MemberEntry]
+    ) -> None:
+        """Guards against differences that anti-entropy leaves."""
+        first, second = table(), table()
+        first.merge(ours, 1.0)
+        second.merge(theirs, 1.0)
+        every = range(memberentry.BUCKET_COUNT)
+        for_second = first.newer_than(every, second.summary(every))
+        wanted = first.wanted(second.summary(every))
+        first.merge([second.entries[each] for each in wanted], 2.0)
+        second.merge(for_second, 2.0)
+        self.assertEqual(liveness(first), liveness(second))
+
+    def test_bucket_hashes_follow_changes(self) -> None:
+        """Guards against hashes that keep what was removed."""
+        first, second = table(), table()
+        second.declare_dead(3, 1.0)
+        self.assertNotEqual([], first.differing(second.bucket_hashes))
+        first.declare_dead(3, 9.0)
+        self.assertEqual([], first.differing(second.bucket_hashes))
+
+
+class SuspicionTest(testtools.TestCase):
+    """Check suspicion, refutation and death."""
+
+    def test_refutation(self) -> None:
+        """Guards against a live member that is declared dead."""
+        accused, other = table(), table()
+        other.declare_dead(1, 1.0)
+        accused.merge([other.entries[1]], 1.0)
+        alive = (1, memberentry.Liveness.ALIVE)
+        self.assertEqual(alive, liveness(accused)[1])
+        other.merge([memberentry.shortened(accused.own)], 2.0)
+        self.assertIn(1, other.ring())
+
+    def test_unrefuted_suspicion(self) -> None:
+        """Guards against members that stay suspected for ever."""
+        known = table()
+        self.assertTrue(known.suspect(2, 1.0))
+        self.assertEqual([], known.tick(5.9))
+        self.assertEqual([2], [each.incarnation for each in known.tick(6.0)])
+        self.assertNotIn(2, known.ring())
+
+    def test_left_is_final(self) -> None:
+        """Guards against members that return after a planned stop."""
+        known = table()
+        known.merge([entry(2, memberentry.Liveness.LEFT, 1)], 1.0)
+        known.merge([entry(2, memberentry.Liveness.ALIVE, 9)], 2.0)
+        self.assertNotIn(2, known.ring())
+
+    def test_updates_are_bounded(self) -> None:
+        """Guards against messages that grow with the fleet."""
+        known = table()
+        known.merge([entry(each) for each in range(10, 400)], 1.0)
+        sent = [wire.Probe(known.updates(512)) for _ in range(5_000)]
+        sizes = [len(wire.encode_frame(wire.RequestFrame(1, s))) for s in sent]
+        self.assertLess(max(sizes), 600)
+        self.assertEqual([], sent[-1].members)
+
+
+class FingersTest(testtools.TestCase):
+    """Check the neighbours on the ring."""
+
+    @hypothesis.given(strategies.integers(1, 300))
+    def test_reach_all(self, size: int) -> None:
+        """Guards against members that no message reaches."""
+        ring = list(range(0, size * 3, 3))
+        hops, reached, newest = 0, {0}, {0}
+        while newest:
+            newest = {
+                peer
+                for each in newest
+                for peer in memberentry.fingers(ring, each)
+            } - reached
+            reached |= newest
+            hops += bool(newest)
+        self.assertEqual(set(ring), reached)
+        self.assertLessEqual(hops, size.bit_length())
