--- a/plantainhook/cli.py
+++ b/plantainhook/cli.py
@@ -12,6 +12,7 @@
     commands,
     commands_bench,
     commands_client,
+    commands_controlbench,
     commands_report,
     commands_serve,
     commands_settings,
@@ -25,6 +26,7 @@
 COMMAND_MODULES: typing.Final = (
     commands_bench,
     commands_client,
+    commands_controlbench,
     commands_report,
     commands_serve,
     commands_settings,
