--- a/plantainhook/commands_report.py
+++ b/plantainhook/commands_report.py
@@ -22,6 +22,7 @@
     reportcompare,
     reportdata,
     reporthtml,
+    reportmeasure,
     reportreplay,
     reportselfcheck,
     requestrecord,
@@ -123,6 +124,7 @@
     _add_compare(subparsers)
     _add_replay(subparsers)
     _add_selfcheck(subparsers)
+    _add_measure(subparsers)
 
 
 Subparsers = typing.Any
@@ -173,6 +175,16 @@
     parser.set_defaults(run_report=run_selfcheck)
 
 
+def _add_measure(subparsers: Subparsers) -> None:
+    parser = subparsers.add_parser(
+        "measure", help="measure time and memory of reports"
+    )
+    parser.add_argument("--daemons", type=int, nargs="+", default=[7])
+    parser.add_argument("--days", type=int, nargs="+", default=[30])
+    parser.add_argument("--requests-per-day", type=int, default=500)
+    parser.set_defaults(run_report=run_measure)
+
+
 def run_show(arguments: argparse.Namespace) -> int:
     """Print the figures of a month."""
     month = arguments.month
@@ -247,6 +259,18 @@
     return commands.EXIT_FAILED if failed else commands.EXIT_DONE
 
 
+def run_measure(arguments: argparse.Namespace) -> int:
+    """Print the cost of a report for each size."""
+    logs.configure_logs("text", "WARNING")
+    for daemon_count in arguments.daemons:
+        for day_count in arguments.days:
+            measured = reportmeasure.measure(
+                daemon_count, day_count, arguments.requests_per_day
+            )
+            sys.stdout.write(reportmeasure.as_text(measured))
+    return commands.EXIT_DONE
+
+
 @commands.command(
     "report", "Print monthly figures and compare them.", add_report_arguments
 )
