Wire forwarding, fleet status and folding into the daemon

Cause: these parts were built and not run by any daemon. Change: HolderRouter replaces the local leaf router; status shows the fleet; a fold controller folds the figures of gone daemons under the lease.

--- a/plantainhook/daemon.py
+++ b/plantainhook/daemon.py
@@ -26,10 +26,12 @@
     clock,
     crashwatch,
     errors,
+    fleetstatus,
+    foldcontroller,
+    forwarding,
     frontend,
     gossip,
     leafhealth,
-    leafrouting,
     leaftransport,
     leafwork,
     logs,
@@ -155,6 +157,15 @@
             self.rng,
         )
 
+        self.fleet = fleetstatus.FleetStatus(
+            self.board,
+            self.members,
+            self.gossip,
+            self.links,
+            self.handlers,
+            self.rng,
+        )
+
     def _build_shares(self) -> None:
         run_options = self.options
         claimant = shareclaim.Claimant(
@@ -177,7 +188,7 @@
         run_options = self.options
         self.gateway = leafwork.LeafGateway(
             self.board,
-            lambda leaf: self.board.shares.allotments.get(leaf.name, 0),
+            forwarding.AllotmentReader(self.board).allotment_of,
             metrics.LeafMetrics(self.registry),
             self.rng,
             self.outside.connector,
@@ -218,6 +229,17 @@
             self.board.incarnation,
             self.clock.wall_s(),
         )
+        self.folder = foldcontroller.FoldController(
+            self.board,
+            self.outside.api,
+            self.clock,
+            run_options.fold_interval_s,
+            run_options.lease_duration_s,
+            self.rng,
+        )
+        self.router = forwarding.HolderRouter(
+            self.board, self.gateway, self.links, self.handlers, decisions
+        )
         limits = admission.Limits(
             run_options.concurrent_query_limit_count,
             run_options.queued_query_limit_count,
@@ -233,7 +255,7 @@
             planner=planner.BlackboardPlanner(
                 self.board, run_options.data_centre, self.policies
             ),
-            leafs=leafrouting.LeafRouter(self.gateway, decisions),
+            leafs=self.router,
             forwarder=ticketforwarding.PeerTicketForwarder(
                 self.links, self.handlers, self._answer_forwarded
             ),
@@ -264,7 +286,10 @@
             nursery.start_soon(self.members.run)
             nursery.start_soon(self.gossip.run)
             nursery.start_soon(self.claims.run)
+            nursery.start_soon(self.fleet.run)
+            nursery.start_soon(self.folder.run)
             await nursery.start(self.gateway.run)
+            await nursery.start(self.router.run)
             await nursery.start(self.health.run)
             nursery.start_soon(self._serve_when_settled)
             nursery.start_soon(self._flush_segments)
@@ -318,8 +343,9 @@
         """Return whether the balancer may send requests."""
         return self.board.life is blackboard.LifeState.SERVING
 
-    def status(self) -> dict[str, typing.Any]:
+    async def status(self) -> dict[str, typing.Any]:
         """Return what the command ``status`` shows."""
+        fleet = await self.fleet.collect()
         board = self.board
         view = board.settings
         leaf_states = collections.Counter(
@@ -337,6 +363,10 @@
             "in_flight_count": self.in_flight_count(),
             "leafs": dict(leaf_states),
             "members": self._member_status(),
+            "fleet": {
+                centre.data_centre: dataclasses.asdict(centre)
+                for centre in fleet
+            },
             "quarantined": sorted(board.quarantine_until_s),
         }
 
--- a/plantainhook/frontend.py
+++ b/plantainhook/frontend.py
@@ -33,7 +33,7 @@
 # connections when it is told to end.
 SERVER_GRACE_S: typing.Final = 1.0
 
-StatusReport = abc.Callable[[], dict[str, typing.Any]]
+StatusReport = abc.Callable[[], abc.Awaitable[dict[str, typing.Any]]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -150,7 +150,10 @@
 ) -> None:
     @app.get("/v1/status")
     async def status() -> quart.Response:
-        return _denied(parts, "read") or quart.jsonify(parts.status())
+        denied = _denied(parts, "read")
+        if denied is not None:
+            return denied
+        return quart.jsonify(await parts.status())
 
     @app.post("/v1/drain")
     async def drain() -> quart.Response:
