Test what a trial of switched-off rules left undetected

Change: tests of lost replies under another revision, of changes during a clean-up, of chunks written again, of server errors and of lost renewals.

--- a/plantainhook/settingscleanup.py
+++ b/plantainhook/settingscleanup.py
@@ -68,8 +68,8 @@
         return result.Err(fenced.err_value)
     return result.Ok(
         Removed(
-            await _remove(api, chunks.ok_value.objects, named.ok_value),
-            await _remove(api, manifests.ok_value.objects, named.ok_value),
+            await remove(api, chunks.ok_value.objects, named.ok_value),
+            await remove(api, manifests.ok_value.objects, named.ok_value),
         )
     )
 
@@ -144,7 +144,7 @@
     return min((int(n) for n in numbers if n.isdecimal()), default=1)
 
 
-async def _remove(
+async def remove(
     api: objectapi.ObjectApi,
     stored: abc.Sequence[objectapi.StoredObject],
     named: abc.Set[str],
--- a/tests/pausingapi.py
+++ b/tests/pausingapi.py
@@ -14,6 +14,7 @@
 class PausingApi(objectapifake.FakeObjectApi):
     """Run a hook before the next write to a key reaches the store.
 
+    ``after_hook`` runs once the write took effect, before its reply.
     ``on_write`` is called for each write that took effect, whatever its
     caller was told.
     """
@@ -21,6 +22,7 @@
     pause_key: str
     on_write: OnWrite
     hook: Hook | None = None
+    after_hook: Hook | None = None
 
     def __init__(
         self,
@@ -32,6 +34,7 @@
         self.pause_key = pause_key
         self.on_write = on_write
         self.hook = None
+        self.after_hook = None
 
     async def put(
         self, key: str, value: typing.Any, if_version: int, request_id: str
@@ -44,4 +47,11 @@
         outcome = await super().put(key, value, if_version, request_id)
         if self.store.version > version:
             self.on_write(key, value)
+            await self.run_after_hook(key)
         return outcome
+
+    async def run_after_hook(self, key: str) -> None:
+        """Let the others act after a write."""
+        if key == self.pause_key and self.after_hook is not None:
+            hook, self.after_hook = self.after_hook, None
+            await hook()
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -92,6 +92,18 @@
 
         self.run_scenario(scenario)
 
+    def test_renewal_of_a_lease_that_another_took(self) -> None:
+        """Guards against a holder that goes on after it lost the lease."""
+
+        async def scenario(it: Fixture) -> None:
+            own = it.holder("a")
+            (await own.acquire()).unwrap()
+            it.memory.write(own.key, b"{}", "r")
+            self.assertIsInstance(await own.renew(), result.Err)
+            self.assertFalse(own.is_held(trio.current_time()))
+
+        self.run_scenario(scenario)
+
     def test_takeover_waits_for_expiry_and_skew(self) -> None:
         """Guards against a takeover while the holder may still act."""
 
--- a/tests/test_objectapi.py
+++ b/tests/test_objectapi.py
@@ -4,6 +4,7 @@
 """
 
 import contextlib
+import functools
 import socket
 import typing
 from collections import abc
@@ -55,18 +56,19 @@
     def run_both(self, case: Case) -> None:
         """Run a case on each implementation, with a store of its own."""
 
-        async def on_fake() -> None:
-            fake = objectapifake.FakeObjectApi()
-            await case(fake, fake)
-
         async def on_http() -> None:
             fake = objectapifake.FakeObjectApi()
             async with http_client(fake) as api:
                 await case(api, fake)
 
-        virtualtime.run(on_fake)
+        self.run_on_fake(case)
         virtualtime.run(on_http)
 
+    def run_on_fake(self, case: Case) -> None:
+        """Run a case on the fake alone, whose replies are lost at once."""
+        fake = objectapifake.FakeObjectApi()
+        virtualtime.run(functools.partial(case, fake, fake))
+
     def assert_error(
         self, kind: type[errors.ObjectApiError], outcome: typing.Any
     ) -> typing.Any:
@@ -145,13 +147,18 @@
         ) -> None:
             fake.store.log = []
             fake.faults.lost_replies_count = 1
+            (await objectapi.write_resolved(api, "j", 6, 0, "r0")).unwrap()
+            self.assertEqual({"put": 1, "get": 1}, fake.counters.calls)
+            fake.faults.lost_replies_count = 1
             fake.faults.stale_reads_count = 1
             written = await objectapi.write_resolved(api, "k", 7, 0, "r1")
-            self.assertEqual(1, written.unwrap().version)
+            self.assertEqual(2, written.unwrap().version)
             fake.faults.lost_requests_count = 2
-            written = await objectapi.write_resolved(api, "k", 8, 1, "r2")
+            written = await objectapi.write_resolved(api, "k", 8, 2, "r2")
             self.assertEqual(8, written.unwrap().value)
-            self.assertEqual([7, 8], [entry.value for entry in fake.store.log])
+            self.assertEqual(
+                [6, 7, 8], [entry.value for entry in fake.store.log]
+            )
 
         self.run_both(case)
 
@@ -159,9 +166,13 @@
         """Guards against calling a write refused that took effect."""
 
         async def case(
-            api: objectapi.ObjectApi, fake: objectapifake.FakeObjectApi
+            api: objectapi.ObjectApi,
+            fake: objectapifake.FakeObjectApi,
+            stale_reads_count: int,
+            replaced_after_s: float,
         ) -> None:
             fake.faults.lost_replies_count = 1
+            fake.faults.stale_reads_count = stale_reads_count
             fake.faults.delay_s = 0.1
             outcomes = []
 
@@ -173,10 +184,16 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(write)
                 await fake.store.changed.wait()
+                await trio.sleep(replaced_after_s)
                 fake.store.write("k", b"2", "r2")
             self.assert_error(errors.ObjectOutcomeUnknownError, outcomes[0])
 
-        self.run_both(case)
+        self.run_both(
+            functools.partial(case, stale_reads_count=0, replaced_after_s=0.0)
+        )
+        self.run_on_fake(
+            functools.partial(case, stale_reads_count=1, replaced_after_s=0.12)
+        )
 
 
 class HttpClientTest(testtools.TestCase):
@@ -231,6 +248,21 @@
 
         virtualtime.run(main)
 
+    def test_server_error(self) -> None:
+        """Guards against calling a write refused that may be stored."""
+
+        async def main() -> None:
+            transport = httpx.MockTransport(lambda _: httpx.Response(502))
+            async with objectapihttp.open_object_api(
+                "http://x", "", TIMEOUT_S, 9.0, clock.TrioClock(), transport
+            ) as api:
+                read = (await api.get("k")).unwrap_err()
+                wrote = (await api.put("k", 1, 0, "r")).unwrap_err()
+            self.assertIsInstance(read, errors.ObjectApiUnavailableError)
+            self.assertIsInstance(wrote, errors.ObjectOutcomeUnknownError)
+
+        virtualtime.run(main)
+
     def test_token(self) -> None:
         """Guards against a token that is not sent or not checked."""
 
--- a/tests/test_revisions_machine.py
+++ b/tests/test_revisions_machine.py
@@ -93,20 +93,27 @@
         self,
         first: tuple[int, str, int],
         during: abc.Sequence[tuple[int, str, int]],
+        after: abc.Sequence[tuple[int, str, int]],
         cleans_up: bool,
     ) -> None:
-        """Pause an operator before the head moves; let others act."""
+        """Pause an operator before the head moves; let others act.
 
-        async def others() -> None:
+        The changes ``after`` are made before the operator has its reply.
+        """
+
+        async def others(
+            changes: abc.Sequence[tuple[int, str, int]],
+        ) -> None:
             if cleans_up:
                 await self.clean_up()
-            for other in during:
+            for other in changes:
                 if other[0] != first[0]:
                     await self.change(*other)
 
-        self.apis[first[0]].hook = others
+        self.apis[first[0]].hook = functools.partial(others, during)
+        self.apis[first[0]].after_hook = functools.partial(others, after)
         await self.change(*first)
-        self.apis[first[0]].hook = None
+        self.apis[first[0]].hook = self.apis[first[0]].after_hook = None
 
     async def clean_up(self) -> None:
         """Remove what the last revisions do not name."""
@@ -146,17 +153,21 @@
     @stateful.rule(
         first=CHANGES,
         during=strategies.lists(CHANGES, max_size=2),
+        after=strategies.lists(CHANGES, max_size=1),
         cleaning=strategies.booleans(),
     )
     def change(
         self,
         first: tuple[int, str, int],
         during: list[tuple[int, str, int]],
+        after: list[tuple[int, str, int]],
         cleaning: bool,
     ) -> None:
         cleans_up = self.cleans_up and cleaning
         virtualtime.run(
-            functools.partial(self.operators.race, first, during, cleans_up)
+            functools.partial(
+                self.operators.race, first, during, after, cleans_up
+            )
         )
 
     @stateful.rule(number=OPERATORS, fault=FAULTS, count=COUNTS)
--- a/tests/test_settingsstore.py
+++ b/tests/test_settingsstore.py
@@ -4,15 +4,18 @@
 import typing
 from collections import abc
 
+import result
 import testtools
 
 from plantainhook import (
     clock,
     errors,
+    objectapi,
     objectapifake,
     revisions,
     settingsapply,
     settingschunks,
+    settingscleanup,
     settingsobjects,
     settingsstore,
 )
@@ -36,6 +39,11 @@
     return settingsobjects.Change(specs, removed)
 
 
+async def clean_up(api: objectapi.ObjectApi) -> None:
+    """Run the clean-up job, which has to succeed."""
+    (await settingscleanup.clean_up(api)).unwrap()
+
+
 class Fixture:
     """Hold a store of settings with one operator and its object API."""
 
@@ -200,6 +208,65 @@
 
         self.run_scenario(scenario)
 
+    def test_lost_reply_under_another_revision(self) -> None:
+        """Guards against calling a change refused that is in the history."""
+
+        async def lose(it: Fixture) -> None:
+            it.api.faults.lost_replies_count = 1
+
+        async def scenario(it: Fixture) -> None:
+            it.api.hook = functools.partial(lose, it)
+            it.api.after_hook = functools.partial(it.apply_other, hint=9)
+            applied = await it.apply(grid=300)
+            self.assertEqual(1, applied.revision.info.revision)
+            infos = (await it.store.history()).unwrap()
+            self.assertEqual(["bela", "anna"], [i.author for i in infos])
+
+        self.run_scenario(scenario)
+
+    def test_change_during_a_clean_up(self) -> None:
+        """Guards against a clean-up that makes a change fail."""
+
+        async def scenario(it: Fixture) -> None:
+            await it.apply(grid=300)
+            cleaner = objectapifake.FakeObjectApi(it.memory)
+            it.api.hook = functools.partial(clean_up, cleaner)
+            await it.apply(grid=250)
+            self.assertIn(b"250", (await it.current())["request_kind/grid"])
+
+        self.run_scenario(scenario)
+
+    def test_chunk_written_again_is_kept(self) -> None:
+        """Guards against removing a chunk that a later change uses."""
+
+        async def scenario(it: Fixture) -> None:
+            key = settingschunks.chunk_key("hash")
+            (await settingschunks.write_chunk(it.api, "hash", b"x")).unwrap()
+            listed = (await it.api.list(key)).unwrap().objects
+            (await settingschunks.write_chunk(it.api, "hash", b"x")).unwrap()
+            await settingscleanup.remove(it.api, listed, set())
+            (await it.api.get(key)).unwrap()
+            listed = (await it.api.list(key)).unwrap().objects
+            await settingscleanup.remove(it.api, listed, set())
+            self.assertIsInstance(await it.api.get(key), result.Err)
+
+        self.run_scenario(scenario)
+
+    def test_silent_platform(self) -> None:
+        """Guards against claims on a change whose outcome is open."""
+
+        async def fall_silent(it: Fixture) -> None:
+            it.api.faults.lost_requests_count = 1000
+
+        async def scenario(it: Fixture) -> None:
+            it.api.hook = functools.partial(fall_silent, it)
+            request = settingsapply.Request(kind_change(grid=400), "anna")
+            error = (await it.store.apply(request)).unwrap_err()
+            self.assertIsInstance(error, errors.ObjectOutcomeUnknownError)
+            self.assertIn("settings history", error.detail)
+
+        self.run_scenario(scenario)
+
     def test_outage_before_the_head_moves(self) -> None:
         """Guards against a change that an outage puts in force in part."""
 
@@ -271,6 +338,9 @@
             built = revisions.apply_delta(old, difference).unwrap()
             current = (await it.store.load_current()).unwrap()
             self.assertEqual(current.hash, built.hash)
+            keeper = revisions.Keeper()
+            adopted = [keeper.adopt(r) for r in (old, built, built, old)]
+            self.assertEqual([True, True, False, False], adopted)
             difference.objects["request_kind/grid"] = b'{"spec":{}}'
             damaged = revisions.apply_delta(old, difference)
             self.assertIn("hash", damaged.unwrap_err().detail)
