--- a/plantainhook/memberentry.py
+++ b/plantainhook/memberentry.py
@@ -49,7 +49,7 @@
 
 def is_up(entry: wire.MemberEntry) -> bool:
     """Return whether a member takes part: alive or only suspected."""
-    return liveness_of(entry) <= Liveness.SUSPECT
+    return entry.state & LIVENESS_MASK <= Liveness.SUSPECT
 
 
 def shortened(entry: wire.MemberEntry) -> wire.MemberEntry:
--- a/plantainhook/settingssource.py
+++ b/plantainhook/settingssource.py
@@ -1,6 +1,6 @@
 """The revisions that a daemon knows, as gossip takes and gives them.
 
-Implements ``gossip.RevisionSource`` over a settings store: whole revisions
+Implements ``spread.RevisionSource`` over a settings store: whole revisions
 come from the object API, differences from peers, and neither can take the
 daemon back to a lower revision. A revision that this version of the program
 cannot read is refused and the one in force stays.
--- a/tests/test_membertable.py
+++ b/tests/test_membertable.py
@@ -78,6 +78,8 @@
         wanted = first.wanted(second.summary(every))
         first.merge([second.entries[each] for each in wanted], 2.0)
         second.merge(for_second, 2.0)
+        for each in (first, second):
+            each.tick(9.0)
         self.assertEqual(liveness(first), liveness(second))
 
     def test_bucket_hashes_follow_changes(self) -> None:
@@ -110,6 +112,15 @@
         self.assertEqual([2], [each.incarnation for each in known.tick(6.0)])
         self.assertNotIn(2, known.ring())
 
+    def test_reported_death_can_be_refuted(self) -> None:
+        """Guards against live members lost when a partition heals."""
+        known = table()
+        known.merge([entry(2, memberentry.Liveness.DEAD)] * 2, 1.0)
+        self.assertIn(2, known.ring())
+        known.merge([entry(2, memberentry.Liveness.ALIVE, 1)], 2.0)
+        known.tick(9.0)
+        self.assertIn(2, known.ring())
+
     def test_left_is_final(self) -> None:
         """Guards against members that return after a planned stop."""
         known = table()
