--- a/plantainhook/folding.py
+++ b/plantainhook/folding.py
@@ -123,6 +123,7 @@
         ready = await self._contributions()
         await self._fold_months(ready)
         await self._close_months()
+        await self._delete_expired()
 
     async def _seal(self, gone: foldplan.GoneDaemon) -> None:
         last = foldplan.last_segment(
@@ -303,7 +304,10 @@
 
     async def _mark_folded(self, stored: foldplan.StoredSegment) -> None:
         marked = msgspec.structs.replace(
-            stored.head, state=segments.SegmentState.FOLDED, groups={}
+            stored.head,
+            state=segments.SegmentState.FOLDED,
+            folded_wall_s=self._now_wall_s,
+            groups={},
         )
         key = stored.head.key()
         write_id = secrets.token_hex(16)
@@ -322,6 +326,12 @@
         LOGGER.info("Folded {}.", key)
         await documents.drop_parts(self._api, stored.head.groups, {}, write_id)
 
+    async def _delete_expired(self) -> None:
+        """Delete old folded segments; the next pass repeats a failure."""
+        expired = foldplan.expired_segments(self._found, self._now_wall_s)
+        for key, stored in expired.items():
+            await self._api.delete(key, stored.version, secrets.token_hex(16))
+
     async def _close_months(self) -> None:
         listing = await self._api.list(monthdocs.MONTH_PREFIX)
         if isinstance(listing, result.Err):
--- a/plantainhook/foldplan.py
+++ b/plantainhook/foldplan.py
@@ -20,6 +20,13 @@
     steps,
 )
 
+# A folded segment keeps its key taken against a late repetition of the
+# daemon's write, which comes within seconds unless the daemon was paused.
+KEEP_FOLDED_S: typing.Final = 2 * 86_400.0
+# The last segment of a daemon that did not stop in order is kept longer: the
+# daemon may be cut off from the object API and continue from it.
+KEEP_LAST_FOLDED_S: typing.Final = 35 * 86_400.0
+
 READY_STATES: typing.Final = frozenset(
     {segments.SegmentState.CLOSED, segments.SegmentState.SEALED}
 )
@@ -167,6 +174,21 @@
     )
 
 
+def expired_segments(found: Segments, now_wall_s: float) -> Segments:
+    """Return the folded segments that are no longer needed."""
+    expired = {}
+    for key, stored in found.items():
+        head = stored.head
+        if head.state is not segments.SegmentState.FOLDED:
+            continue
+        following = segments.segment_key(head.incarnation, head.generation + 1)
+        is_done = head.final or following in found
+        keep_s = KEEP_FOLDED_S if is_done else KEEP_LAST_FOLDED_S
+        if now_wall_s - head.folded_wall_s > keep_s:
+            expired[key] = stored
+    return expired
+
+
 def folded_list(
     head: monthdocs.MonthHead, new: list[Contribution], found: Segments
 ) -> dict[str, int]:
--- a/plantainhook/segments.py
+++ b/plantainhook/segments.py
@@ -59,7 +59,8 @@
 
     Every record answered after ``covered_from_wall_s`` and up to
     ``covered_to_wall_s`` is counted. ``final`` marks the last segment of a
-    daemon that stopped in order. ``gone_wall_s`` is set when it is sealed.
+    daemon that stopped in order. ``gone_wall_s`` is set when it is sealed,
+    ``folded_wall_s`` when it is folded.
     """
 
     daemon: str
@@ -72,6 +73,7 @@
     write_id: str
     final: bool = False
     gone_wall_s: float = 0.0
+    folded_wall_s: float = 0.0
     groups: dict[str, documents.Group] = {}
 
     def key(self) -> str:
--- a/tests/test_folding.py
+++ b/tests/test_folding.py
@@ -187,6 +187,27 @@
         self.assertEqual(20, value["folded_count"])
         self.assertEqual(1, len(value["folded"]))
 
+    def test_folded_segments_expire(self) -> None:
+        """Guards against a listing that grows for ever."""
+        fleet = foldfleet.Fleet()
+        for stopped in (True, False):
+            daemon = fleet.start()
+            fleet.record(daemon)
+            fleet.flush(daemon)
+            (fleet.stop if stopped else fleet.kill)(daemon)
+        fleet.fold_pass(1).finish()
+        for days, kept_count in ((1, 2), (3, 1), (40, 0)):
+            fleet.wall_s += days * DAY_S
+            fleet.gone.clear()
+            fleet.fold_pass(1).finish()
+            keys = [
+                key
+                for key in fleet.store.objects
+                if key.startswith(segments.SEGMENT_PREFIX)
+            ]
+            self.assertEqual((days, kept_count), (days, len(keys)))
+        self.assertEqual(2, fleet.counted())
+
 
 class SegmentTest(testtools.TestCase):
     """Check the writing of segments."""
