--- a/plantainhook/commands_report.py
+++ b/plantainhook/commands_report.py
@@ -88,18 +88,16 @@
 
 
 def add_source_arguments(parser: argparse.ArgumentParser) -> None:
-    """Add the arguments that name the objects and the definitions."""
+    """Add the arguments that name the objects and the definitions.
+
+    ``replay`` reads only the gaps from the objects, where they are named.
+    """
     parser.add_argument(
         "--from-dir",
         type=pathlib.Path,
         metavar="DIR",
         help="read exported JSON objects from a directory",
     )
-    add_figures_argument(parser)
-
-
-def add_figures_argument(parser: argparse.ArgumentParser) -> None:
-    """Add the argument that names the definitions."""
     parser.add_argument(
         "--figures",
         type=pathlib.Path,
@@ -147,7 +145,7 @@
     parser.add_argument(
         "--month", type=month_argument, metavar="YYYY-MM", required=True
     )
-    add_figures_argument(parser)
+    add_source_arguments(parser)
     parser.set_defaults(run_report=run_replay)
 
 
@@ -228,13 +226,17 @@
 
 
 def run_replay(arguments: argparse.Namespace) -> int:
-    """Print the figures of a log of request records."""
+    """Print the figures of a log, without the records in known gaps."""
     definitions = figure_definitions(arguments)
+    gaps = []
+    if arguments.from_dir is not None:
+        read = read_months(object_api(arguments), [arguments.month])
+        gaps = read[arguments.month].gaps
     try:
         with arguments.log.open("rb") as stream:
             records = requestrecord.read_lines(stream, str(arguments.log))
             values = reportreplay.replay(
-                records, [arguments.month], definitions
+                records, [arguments.month], definitions, gaps
             )
     except OSError as error:
         raise InputError(f"{arguments.log}: {error.strerror}") from None
--- a/plantainhook/objectapidir.py
+++ b/plantainhook/objectapidir.py
@@ -105,6 +105,14 @@
                 steps.Step.FIGURES_FOLD, str(directory), str(error)
             )
         )
+    if not objects:
+        return result.Err(
+            errors.MessageError(
+                steps.Step.FIGURES_FOLD,
+                str(directory),
+                "the directory holds no exported objects (*.json)",
+            )
+        )
     return result.Ok(DirectoryObjectApi(objects))
 
 
--- a/tests/test_reportcompare.py
+++ b/tests/test_reportcompare.py
@@ -101,6 +101,12 @@
         self.assertEqual([], found)
 
 
+def placed(arguments: tuple[str, ...], source: list[str]) -> list[str]:
+    """Put the source behind a subcommand and before other arguments."""
+    count = 1 if arguments and not arguments[0].startswith("-") else 0
+    return [*arguments[:count], *source, *arguments[count:]]
+
+
 class CommandTest(testtools.TestCase):
     """Check the commands on an exported store."""
 
@@ -112,6 +118,9 @@
         fleet = foldfleet.Fleet()
         daemon = fleet.start()
         fleet.record(daemon, 5)
+        fleet.flush(daemon)
+        fleet.record(daemon)
+        fleet.kill(daemon)
         fleet.settle(1)
         objects = [
             fleet.store.stored(key) for key in sorted(fleet.store.objects)
@@ -142,10 +151,8 @@
             "--figures",
             str(self.path / "figures.toml"),
         ]
-        if arguments[0] == "replay":
-            source = source[2:]
         with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
-            code = cli.run(["report", *arguments, *source])
+            code = cli.run(["report", *placed(arguments, source)])
         return code, out.getvalue(), err.getvalue()
 
     def test_csv_is_an_export_that_compares_equal(self) -> None:
@@ -178,6 +185,21 @@
         self.assertEqual(0, code)
         self.assertEqual("2026-10 requests 5\n2026-10 slow 500\n", out)
 
+    def test_bad_inputs(self) -> None:
+        """Guards against inputs that are read as empty ones."""
+        empty = self.path / "empty"
+        empty.mkdir()
+        log = self.write("bad.jsonl", '{"daemon": 1}\n')
+        for arguments, detail in (
+            (["--month", "2026-10", "--from-dir", str(empty)], "no exported"),
+            (["replay", log, "--month", "2026-10"], "line 1"),
+            (["compare", str(empty / "old.csv")], "No such file"),
+            ([], "--month is required"),
+        ):
+            code, out, err = self.run_report(*arguments)
+            self.assertEqual((2, ""), (code, out))
+            self.assertIn(detail, err)
+
     def test_page_with_plots(self) -> None:
         """Guards against plots that share ids or lack a title."""
         page = self.page()
