Bound a folding pass and test the bounds of memory

Cause: after a long time without folding one pass would have loaded every waiting segment and listed all of them in one month object. Change: a pass folds up to 500 segments; tests check that bound and the number of open histograms.

--- a/plantainhook/folding.py
+++ b/plantainhook/folding.py
@@ -36,6 +36,10 @@
 
 LOGGER: typing.Final = logs.part_logger("folding")
 
+# Bounds the memory of a pass, and keeps the list of folded segments in a
+# month object, about 70 bytes each, well below the limit of an object.
+SEGMENTS_PER_PASS_COUNT: typing.Final = 500
+
 
 class FencedWriter(typing.Protocol):
     """Write month objects under a lease."""
@@ -155,10 +159,12 @@
 
     async def _contributions(self) -> list[foldplan.Contribution]:
         ready = []
-        for key in sorted(self._found):
-            stored = self._found[key]
-            if stored.head.state not in foldplan.READY_STATES:
-                continue
+        waiting = [
+            stored
+            for _, stored in sorted(self._found.items())
+            if stored.head.state in foldplan.READY_STATES
+        ]
+        for stored in waiting[:SEGMENTS_PER_PASS_COUNT]:
             loaded = await self._contribution(stored)
             if isinstance(loaded, result.Err):
                 self.summary.failures.append(loaded.err_value)
--- a/tests/test_folding.py
+++ b/tests/test_folding.py
@@ -7,8 +7,10 @@
 import testtools
 from hypothesis import stateful
 from hypothesis import strategies as st
+from testtools import matchers
 
 from plantainhook import (
+    cells,
     errors,
     figures,
     folding,
@@ -187,6 +189,22 @@
         self.assertEqual(20, value["folded_count"])
         self.assertEqual(1, len(value["folded"]))
 
+    def test_pass_is_bounded(self) -> None:
+        """Guards against a pass that grows with the time without one."""
+        fleet = foldfleet.Fleet()
+        for _ in range(5):
+            daemon = fleet.start()
+            fleet.record(daemon)
+            fleet.stop(daemon)
+        with mock.patch.object(folding, "SEGMENTS_PER_PASS_COUNT", 2):
+            for left_count in (3, 1, 0):
+                fleet.fold_pass(1).finish()
+                data = fleet.month_data(foldfleet.MONTH)
+                self.assertThat(
+                    data.live_until_wall_s, matchers.HasLength(left_count)
+                )
+                self.assertEqual(5, fleet.counted())
+
     def test_folded_segments_expire(self) -> None:
         """Guards against a listing that grows for ever."""
         fleet = foldfleet.Fleet()
@@ -212,6 +230,16 @@
 class SegmentTest(testtools.TestCase):
     """Check the writing of segments."""
 
+    def test_few_histograms_are_open(self) -> None:
+        """Guards against memory that grows with the slices of a month."""
+        counted = cells.CellMap()
+        for number in range(200):
+            wall_s = foldfleet.START_WALL_S + number * 900
+            counted.record(foldfleet.make_record(1, number, wall_s))
+        live = [cell for cell in counted.cells.values() if cell.latency.live]
+        self.assertThat(live, matchers.HasLength(cells.OPEN_CELLS_COUNT))
+        self.assertEqual(200, sum(row.count for row in counted.rows()))
+
     def test_large_segment_is_split(self) -> None:
         """Guards against values over the limit of the object API."""
         fleet = foldfleet.Fleet()
