--- a/tests/test_folding.py
+++ b/tests/test_folding.py
@@ -7,8 +7,10 @@
 import testtools
 from hypothesis import stateful
 from hypothesis import strategies as st
+from testtools import matchers
 
 from plantainhook import (
+    cells,
     errors,
     figures,
     folding,
@@ -44,7 +46,7 @@
     def flush(self, number: int) -> None:
         self.fleet.flush(self.daemon(number))
 
-    @stateful.rule(number=st.integers(0, 3), calls_count=st.integers(0, 4))
+    @stateful.rule(number=st.integers(0, 3), calls_count=st.integers(0, 8))
     def kill(self, number: int, calls_count: int) -> None:
         daemon = self.daemon(number)
         self.fleet.kill(daemon, calls_count)
@@ -65,7 +67,7 @@
     def outage(self, out: bool) -> None:
         self.fleet.store.out = out
 
-    @stateful.rule(calls_count=st.integers(1, 40))
+    @stateful.rule(calls_count=st.integers(1, 60))
     def begin_pass(self, calls_count: int) -> None:
         """Begin a pass; it takes over where another is under way."""
         if any(not one.done for one in self.passes):
@@ -73,7 +75,7 @@
         self.passes.append(self.fleet.fold_pass(self.epoch))
         self.passes[-1].step(calls_count)
 
-    @stateful.rule(number=st.integers(0, 9), calls_count=st.integers(1, 40))
+    @stateful.rule(number=st.integers(0, 9), calls_count=st.integers(1, 60))
     def resume_pass(self, number: int, calls_count: int) -> None:
         if self.passes:
             self.passes[number % len(self.passes)].step(calls_count)
@@ -187,10 +189,57 @@
         self.assertEqual(20, value["folded_count"])
         self.assertEqual(1, len(value["folded"]))
 
+    def test_pass_is_bounded(self) -> None:
+        """Guards against a pass that grows with the time without one."""
+        fleet = foldfleet.Fleet()
+        for _ in range(5):
+            daemon = fleet.start()
+            fleet.record(daemon)
+            fleet.stop(daemon)
+        with mock.patch.object(folding, "SEGMENTS_PER_PASS_COUNT", 2):
+            for left_count in (3, 1, 0):
+                fleet.fold_pass(1).finish()
+                data = fleet.month_data(foldfleet.MONTH)
+                self.assertThat(
+                    data.live_until_wall_s, matchers.HasLength(left_count)
+                )
+                self.assertEqual(5, fleet.counted())
+
+    def test_folded_segments_expire(self) -> None:
+        """Guards against a listing that grows for ever."""
+        fleet = foldfleet.Fleet()
+        for stopped in (True, False):
+            daemon = fleet.start()
+            fleet.record(daemon)
+            fleet.flush(daemon)
+            (fleet.stop if stopped else fleet.kill)(daemon)
+        fleet.fold_pass(1).finish()
+        for days, kept_count in ((1, 2), (3, 1), (40, 0)):
+            fleet.wall_s += days * DAY_S
+            fleet.gone.clear()
+            fleet.fold_pass(1).finish()
+            keys = [
+                key
+                for key in fleet.store.objects
+                if key.startswith(segments.SEGMENT_PREFIX)
+            ]
+            self.assertEqual((days, kept_count), (days, len(keys)))
+        self.assertEqual(2, fleet.counted())
+
 
 class SegmentTest(testtools.TestCase):
     """Check the writing of segments."""
 
+    def test_few_histograms_are_open(self) -> None:
+        """Guards against memory that grows with the slices of a month."""
+        counted = cells.CellMap()
+        for number in range(200):
+            wall_s = foldfleet.START_WALL_S + number * 900
+            counted.record(foldfleet.make_record(1, number, wall_s))
+        live = [cell for cell in counted.cells.values() if cell.latency.live]
+        self.assertThat(live, matchers.HasLength(cells.OPEN_CELLS_COUNT))
+        self.assertEqual(200, sum(row.count for row in counted.rows()))
+
     def test_large_segment_is_split(self) -> None:
         """Guards against values over the limit of the object API."""
         fleet = foldfleet.Fleet()
@@ -219,11 +268,25 @@
             )
             daemon.writer.record(record)
 
+    def test_cancelled_flush_keeps_records(self) -> None:
+        """Guards against records lost while a write is prepared."""
+        fleet = foldfleet.Fleet()
+        daemon = fleet.start()
+        fleet.record(daemon, 2)
+        flush = stepping.Stepper(daemon.writer.flush(fleet.wall_s))
+        flush.step(1)
+        flush.crash()
+        fleet.record(daemon, 3)
+        fleet.stop(daemon)
+        self.assertEqual(5, fleet.counted())
+
     def test_foreign_write_is_an_error(self) -> None:
         """Guards against two writers of one segment."""
         fleet = foldfleet.Fleet()
         daemon = fleet.start()
         fleet.flush(daemon)
-        twin = segments.SegmentWriter(fleet.api, "daemon-1", 1, fleet.wall_s)
+        twin = segments.SegmentWriter(
+            fleet.api, "daemon-1", 1, fleet.wall_s, stepping.pause
+        )
         error = stepping.run(twin.flush(fleet.wall_s)).unwrap_err()
         self.assertIsInstance(error, errors.ObjectConflictError)
