--- a/plantainhook/commands_serve.py
+++ b/plantainhook/commands_serve.py
@@ -18,6 +18,7 @@
     clock,
     commands,
     daemon,
+    daemonoutside,
     logs,
     objectapihttp,
     options,
@@ -75,7 +76,7 @@
             )
         )
         nursery = await stack.enter_async_context(trio.open_nursery())
-        outside = daemon.Outside(api, vm_list)
+        outside = daemonoutside.Outside(api, vm_list)
         running = daemon.Daemon(run_options, outside, nursery)
         exit_codes: list[int] = []
         nursery.start_soon(watch_signals, running, nursery, exit_codes)
--- a/plantainhook/demoworld.py
+++ b/plantainhook/demoworld.py
@@ -19,6 +19,7 @@
     blackboard,
     clock,
     daemon,
+    daemonoutside,
     demonetwork,
     deployments,
     errors,
@@ -204,7 +205,7 @@
             self.deployment.zone_delay_ms / 1000,
         )
         async with api as client, trio.open_nursery() as nursery:
-            outside = daemon.Outside(client, reader, connector)
+            outside = daemonoutside.Outside(client, reader, connector)
             running = daemon.Daemon(run_options, outside, nursery)
             await nursery.start(running.run)
             task_status.started(running)
