Add cases for faults that no test caught

New cases: a shard that another attempt still asks for, the load budget, an area with an unknown tile, a restart after attempts that may have run, and hedge counts without the limit of the budget.

--- a/tests/test_query_cases.py
+++ b/tests/test_query_cases.py
@@ -1,8 +1,10 @@
 """Driver of the query cases in test-data/query.toml."""
 
+import dataclasses
+
 import testtools
 
-from plantainhook import query, queryplan, querytypes
+from plantainhook import query, queryplan, querytypes, snapshot
 from tests import datacases, querycase
 
 
@@ -30,17 +32,23 @@
     return machine.start(now_s)
 
 
+def case_view(
+    case: querycase.Table, known: querycase.Table
+) -> snapshot.TargetView:
+    """Build the view of a case for what leafs are known to serve."""
+    return querycase.build_view(
+        case["leafs"], case["versions"], known, case.get("tiles", {})
+    )
+
+
 def run_case(case: querycase.Table) -> tuple[list[str], list[str]]:
     """Run a case and return expected and actual lines."""
     versions: querycase.Table = case["versions"]
-    view = querycase.build_view(
-        case["leafs"],
-        versions,
-        case.get("known", versions),
-        case.get("tiles", {}),
-    )
+    known = case.get("known", versions)
+    views = [case_view(case, known)]
     rules = querycase.build_rules(case.get("rules", {}))
-    plan = querycase.build_plan(view, rules, case.get("area", ()))
+    plan = querycase.build_plan(views[0], rules, case.get("area", ()))
+    plan = dataclasses.replace(plan, latest_view=lambda: views[-1])
     policies = queryplan.build_policies("dc-1", 0)
     for leaf in case.get("lost_before", ()):
         policies.quarantine.lost(leaf, "f1", 0.0)
@@ -55,6 +63,7 @@
             for action in run_event(machine, event)
             if not isinstance(action, querytypes.SetTimer)
         ]
+        views.append(case_view(case, case.get("known_later", known)))
     for name, count in case.get("counters", {}).items():
         expected.append(f"{name}={count}")
         actual.append(f"{name}={getattr(policies.counters, name)}")
--- a/tests/test_query_machine.py
+++ b/tests/test_query_machine.py
@@ -54,7 +54,11 @@
 
     def __init__(self, idempotent: bool, policy: str) -> None:
         rules = querycase.build_rules(
-            {"idempotent": idempotent, "hedge_policy": policy}
+            {
+                "idempotent": idempotent,
+                "hedge_policy": policy,
+                "extra_load_floor_per_s": 1000.0,
+            }
         )
         view = querycase.build_view(
             LEAFS, VERSIONS, {"1": VERSIONS["1"], "2": {"s1": ["b"]}}, {}
