Run the clean-up job once in an interval for the whole fleet

Cause: a job that every daemon runs on release of the lease would make as many passes as there are daemons. Change: settingscleanup.run keeps its lease for the interval; the machine gives the job stale reads. Measured: 20 daemons make 5 to 20 passes in 10 intervals of virtual time; 58 tests pass in 12 s.

--- a/plantainhook/settingscleanup.py
+++ b/plantainhook/settingscleanup.py
@@ -5,10 +5,12 @@
 under way loses its conditional update of the head and starts again; a
 change that starts later writes every chunk that its base does not name, and
 a chunk with a new version is not deleted. So no clock decides what is old.
-The job runs under the lease ``LEASE_NAME``.
+The job runs under the lease ``LEASE_NAME``, which saves calls; two jobs at
+the same time do no harm.
 """
 
 import dataclasses
+import random
 import typing
 from collections import abc
 
@@ -16,15 +18,19 @@
 import trio
 
 from plantainhook import (
+    clock,
     errors,
+    lease,
     logs,
     objectapi,
+    revisions,
     settingschunks,
     steps,
 )
 
 LEASE_NAME: typing.Final = "settings-cleanup"
 KEPT_REVISIONS_COUNT: typing.Final = 200
+INTERVAL_S: typing.Final = 3600.0
 PEER: typing.Final = "settings"
 
 Failure = errors.PlantainhookError
@@ -56,6 +62,8 @@
     if isinstance(loaded, result.Err):
         return loaded
     head = loaded.ok_value
+    if head.revision == revisions.NO_REVISION:
+        return result.Ok(Removed(0, 0))
     lowest = max(
         _lowest_stored(manifests.ok_value.objects),
         head.revision - kept_count + 1,
@@ -74,26 +82,36 @@
     )
 
 
-async def clean_up_regularly(
-    api: objectapi.ObjectApi, interval_s: float
+async def run(
+    api: objectapi.ObjectApi,
+    holder: str,
+    own_clock: clock.Clock,
+    rng: random.Random,
+    interval_s: float = INTERVAL_S,
 ) -> None:
-    """Run the job at intervals until cancelled; log what it removed.
+    """Run the job about once in an interval until cancelled.
 
-    The caller holds the lease; see ``leaserunner.run_held``.
+    Every daemon calls this. The lease lasts an interval and is not released
+    after a pass, so the fleet as a whole makes one pass in that time.
     """
+    own = lease.Lease(api, LEASE_NAME, holder, interval_s, own_clock)
     logger = logs.part_logger("cleanup")
     while True:
+        await trio.sleep(interval_s * rng.uniform(0.5, 1.5))
+        acquired = await own.acquire()
+        if isinstance(acquired, result.Err):
+            logger.debug("No lease: {}.", acquired.err_value)
+            continue
         outcome = await clean_up(api)
-        if isinstance(outcome, result.Ok):
-            removed = outcome.ok_value
-            logger.info(
-                "Removed {} chunks and {} manifests.",
-                removed.chunks_count,
-                removed.manifests_count,
-            )
-        else:
+        if isinstance(outcome, result.Err):
             logger.warning("Nothing removed: {}.", outcome.err_value)
-        await trio.sleep(interval_s)
+            continue
+        removed = outcome.ok_value
+        logger.info(
+            "Removed {} chunks and {} manifests.",
+            removed.chunks_count,
+            removed.manifests_count,
+        )
 
 
 async def renew_head(
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -9,7 +9,14 @@
 import testtools
 import trio
 
-from plantainhook import clock, errors, lease, leaserunner, objectapifake
+from plantainhook import (
+    clock,
+    errors,
+    lease,
+    leaserunner,
+    objectapifake,
+    settingscleanup,
+)
 from tests import virtualtime
 
 DURATION_S: typing.Final = 10.0
@@ -181,6 +188,28 @@
 
         self.run_scenario(scenario)
 
+    def test_fleet_cleans_up_once_in_an_interval(self) -> None:
+        """Guards against a pass of the clean-up job by every daemon."""
+
+        async def scenario(it: Fixture) -> None:
+            apis = [objectapifake.FakeObjectApi(it.memory) for _ in range(20)]
+            with trio.move_on_after(10 * settingscleanup.INTERVAL_S):
+                async with trio.open_nursery() as nursery:
+                    for number, api in enumerate(apis):
+                        nursery.start_soon(
+                            settingscleanup.run,
+                            api,
+                            f"d{number}",
+                            VirtualClock(),
+                            random.Random(number),
+                        )
+            lists = [api.counters.calls.get("list", 0) for api in apis]
+            passes_count = sum(lists) // 2
+            self.assertGreaterEqual(passes_count, 5)
+            self.assertLessEqual(passes_count, 20)
+
+        self.run_scenario(scenario)
+
     def test_job_ends_with_the_lease(self) -> None:
         """Guards against a job that runs on without the lease."""
 
--- a/tests/test_revisions_machine.py
+++ b/tests/test_revisions_machine.py
@@ -115,9 +115,10 @@
         await self.change(*first)
         self.apis[first[0]].hook = self.apis[first[0]].after_hook = None
 
-    async def clean_up(self) -> None:
+    async def clean_up(self, stale_reads_count: int = 0) -> None:
         """Remove what the last revisions do not name."""
-        api = objectapifake.FakeObjectApi(self.store)
+        faults = objectapifake.Faults(stale_reads_count=stale_reads_count)
+        api = objectapifake.FakeObjectApi(self.store, faults)
         await settingscleanup.clean_up(api, KEPT_COUNT)
 
     async def comments(self) -> list[str]:
@@ -194,9 +195,11 @@
         self.keepers[sink].adopt(built.unwrap())
 
     @stateful.precondition(lambda self: self.cleans_up)
-    @stateful.rule()
-    def clean_up(self) -> None:
-        virtualtime.run(self.operators.clean_up)
+    @stateful.rule(stale_reads_count=strategies.integers(0, 4))
+    def clean_up(self, stale_reads_count: int) -> None:
+        virtualtime.run(
+            functools.partial(self.operators.clean_up, stale_reads_count)
+        )
 
     @stateful.invariant()
     def never_lower(self) -> None:
