--- a/plantainhook/cli.py
+++ b/plantainhook/cli.py
@@ -14,9 +14,11 @@
     commands_client,
     commands_controlbench,
     commands_report,
+    commands_serve,
     commands_settings,
     commands_standin,
     commands_standin_platform,
+    demo,
     openapi,
 )
 
@@ -26,9 +28,11 @@
     commands_client,
     commands_controlbench,
     commands_report,
+    commands_serve,
     commands_settings,
     commands_standin,
     commands_standin_platform,
+    demo,
     openapi,
 )
 
--- a/plantainhook/folding.py
+++ b/plantainhook/folding.py
@@ -22,8 +22,10 @@
 
 import msgspec
 import result
+import trio
 
 from plantainhook import (
+    cells,
     documents,
     errors,
     figures,
@@ -36,6 +38,10 @@
 
 LOGGER: typing.Final = logs.part_logger("folding")
 
+# Bounds the memory of a pass, and keeps the list of folded segments in a
+# month object, about 70 bytes each, well below the limit of an object.
+SEGMENTS_PER_PASS_COUNT: typing.Final = 500
+
 
 class FencedWriter(typing.Protocol):
     """Write month objects under a lease."""
@@ -73,10 +79,17 @@
 
     _api: objectapi.ObjectApi
     _writer: FencedWriter
+    _pause: cells.Pause
 
-    def __init__(self, api: objectapi.ObjectApi, writer: FencedWriter) -> None:
+    def __init__(
+        self,
+        api: objectapi.ObjectApi,
+        writer: FencedWriter,
+        pause: cells.Pause = trio.lowlevel.checkpoint,
+    ) -> None:
         self._api = api
         self._writer = writer
+        self._pause = pause
 
     async def fold(
         self, now_wall_s: float, gone: abc.Sequence[foldplan.GoneDaemon]
@@ -86,7 +99,11 @@
         if isinstance(listed, result.Err):
             return listed
         fold_pass = FoldPass(
-            self._api, self._writer, now_wall_s, listed.ok_value
+            self._api,
+            self._writer,
+            self._pause,
+            now_wall_s,
+            listed.ok_value,
         )
         await fold_pass.run(gone)
         return result.Ok(fold_pass.summary)
@@ -98,6 +115,7 @@
     summary: FoldSummary
     _api: objectapi.ObjectApi
     _writer: FencedWriter
+    _pause: cells.Pause
     _epoch: int
     _now_wall_s: float
     _found: foldplan.Segments
@@ -106,12 +124,14 @@
         self,
         api: objectapi.ObjectApi,
         writer: FencedWriter,
+        pause: cells.Pause,
         now_wall_s: float,
         found: foldplan.Segments,
     ) -> None:
         self.summary = FoldSummary()
         self._api = api
         self._writer = writer
+        self._pause = pause
         self._epoch = writer.epoch
         self._now_wall_s = now_wall_s
         self._found = found
@@ -123,6 +143,7 @@
         ready = await self._contributions()
         await self._fold_months(ready)
         await self._close_months()
+        await self._delete_expired()
 
     async def _seal(self, gone: foldplan.GoneDaemon) -> None:
         last = foldplan.last_segment(
@@ -154,10 +175,12 @@
 
     async def _contributions(self) -> list[foldplan.Contribution]:
         ready = []
-        for key in sorted(self._found):
-            stored = self._found[key]
-            if stored.head.state not in foldplan.READY_STATES:
-                continue
+        waiting = [
+            stored
+            for _, stored in sorted(self._found.items())
+            if stored.head.state in foldplan.READY_STATES
+        ]
+        for stored in waiting[:SEGMENTS_PER_PASS_COUNT]:
             loaded = await self._contribution(stored)
             if isinstance(loaded, result.Err):
                 self.summary.failures.append(loaded.err_value)
@@ -265,7 +288,9 @@
             )
             if isinstance(loaded, result.Err):
                 return loaded
-            merged = monthdocs.merge_rows(loaded.ok_value, added)
+            merged = await cells.paused_sum(
+                [*loaded.ok_value, *added], self._pause
+            )
             groups[name] = documents.Group(rows=merged)
         return result.Ok(groups)
 
@@ -303,7 +328,10 @@
 
     async def _mark_folded(self, stored: foldplan.StoredSegment) -> None:
         marked = msgspec.structs.replace(
-            stored.head, state=segments.SegmentState.FOLDED, groups={}
+            stored.head,
+            state=segments.SegmentState.FOLDED,
+            folded_wall_s=self._now_wall_s,
+            groups={},
         )
         key = stored.head.key()
         write_id = secrets.token_hex(16)
@@ -322,6 +350,12 @@
         LOGGER.info("Folded {}.", key)
         await documents.drop_parts(self._api, stored.head.groups, {}, write_id)
 
+    async def _delete_expired(self) -> None:
+        """Delete old folded segments; the next pass repeats a failure."""
+        expired = foldplan.expired_segments(self._found, self._now_wall_s)
+        for key, stored in expired.items():
+            await self._api.delete(key, stored.version, secrets.token_hex(16))
+
     async def _close_months(self) -> None:
         listing = await self._api.list(monthdocs.MONTH_PREFIX)
         if isinstance(listing, result.Err):
