--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,19 @@
 typecheck: $(STAMP)
 	$(BIN)/python -m mypy
 
+# One file that runs as one process. It unpacks at start below SHIV_ROOT,
+# which belongs on a memory-backed file system where there is no disk.
+dist: $(STAMP)
+	rm -rf build dist
+	mkdir -p dist
+	$(BIN)/shiv --quiet -c plantainhook -o dist/plantainhook \
+		-p '/usr/bin/env python3.11' \
+		-- -q -c constraints.txt .
+	SHIV_ROOT=build/shiv $(BIN)/python dist/plantainhook --help > /dev/null
+	SHIV_ROOT=build/shiv $(BIN)/python dist/plantainhook serve --help > /dev/null
+	SHIV_ROOT=build/shiv $(BIN)/python dist/plantainhook query --help > /dev/null
+	rm -rf build
+
 check: lint typecheck test
 
 clean:
