--- /dev/null
+++ b/examples/embed_lease.py
@@ -0,0 +1,27 @@
+"""Embed one part: a lease with fencing over an object API.
+
+Runs against the in-memory object API; a program of your own passes a client
+of its platform that implements ``objectapi.ObjectApi``.
+"""
+
+import trio
+
+from plantainhook import clock, lease, objectapifake
+
+
+async def main() -> None:
+    """Let two holders compete; the first one's late write is refused."""
+    api = objectapifake.FakeObjectApi()
+    own_clock = clock.TrioClock()
+    first = lease.Lease(api, "job", "holder-1", 0.2, own_clock)
+    second = lease.Lease(api, "job", "holder-2", 0.2, own_clock)
+    print("first acquires:", (await first.acquire(["result"])).is_ok())
+    print("second has to wait:", (await second.acquire()).is_err())
+    await trio.sleep(0.5)
+    print("second takes over:", (await second.acquire(["result"])).is_ok())
+    print("first is fenced:", (await first.fenced_put("result", 1)).is_err())
+    print("second writes:", (await second.fenced_put("result", 2)).is_ok())
+
+
+if __name__ == "__main__":
+    trio.run(main)
--- a/plantainhook/commands_serve.py
+++ b/plantainhook/commands_serve.py
@@ -10,6 +10,7 @@
 import signal
 import sys
 import typing
+from collections import abc
 
 import result
 import trio
@@ -56,10 +57,22 @@
     try:
         return trio.run(serve, run_options)
     except* OSError as group:
-        print(f"error: {group.exceptions[0]}", file=sys.stderr)
+        for error in leaf_errors(group):
+            print(f"error: {error}", file=sys.stderr)
     return commands.EXIT_FAILED
 
 
+def leaf_errors(
+    group: BaseExceptionGroup[OSError],
+) -> abc.Iterator[OSError]:
+    """Yield the errors of a group of groups."""
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from leaf_errors(error)
+        else:
+            yield error
+
+
 async def serve(run_options: options.Options) -> int:
     """Run a daemon with real clients of the outside systems."""
     own_clock = clock.TrioClock()
