Fix a type error in a test driver and the order of crashed calls

A crashed fake leaf ended its calls in the order of a set of objects, which is not the same in every process, and random draws depend on the order.

--- a/plantainhook/benchleaf.py
+++ b/plantainhook/benchleaf.py
@@ -119,7 +119,8 @@
         self.restart_count = 0
         self._world = world
         self._warm_count = 0
-        self._connected: set[Call] = set()
+        # A dict keeps the order of calls, on which random draws depend.
+        self._connected: dict[Call, None] = {}
         self._pool: collections.deque[Call] = collections.deque()
         self._queue: collections.deque[Call] = collections.deque()
         self._running: set[Call] = set()
@@ -164,7 +165,7 @@
         while self._pool and len(self._connected) < self.pool_limit_count:
             call = self._pool.popleft()
             call.state = CallState.TRAVEL
-            self._connected.add(call)
+            self._connected[call] = None
             count = len(self._connected)
             self._world.observer.note_connections(count, limit)
             delay_s = self._delay_s() + self._loss_delay_s()
@@ -274,7 +275,7 @@
         call.state = CallState.ENDED
 
         def arrive() -> None:
-            self._connected.discard(call)
+            self._connected.pop(call, None)
             self._fill()
             deliver()
 
--- a/tests/test_query_cases.py
+++ b/tests/test_query_cases.py
@@ -44,7 +44,8 @@
 def run_case(case: querycase.Table) -> tuple[list[str], list[str]]:
     """Run a case and return expected and actual lines."""
     versions: querycase.Table = case["versions"]
-    known = case.get("known", versions)
+    known: querycase.Table = case.get("known", versions)
+    known_later: querycase.Table = case.get("known_later", known)
     views = [case_view(case, known)]
     rules = querycase.build_rules(case.get("rules", {}))
     plan = querycase.build_plan(views[0], rules, case.get("area", ()))
@@ -63,7 +64,7 @@
             for action in run_event(machine, event)
             if not isinstance(action, querytypes.SetTimer)
         ]
-        views.append(case_view(case, case.get("known_later", known)))
+        views.append(case_view(case, known_later))
     for name, count in case.get("counters", {}).items():
         expected.append(f"{name}={count}")
         actual.append(f"{name}={getattr(policies.counters, name)}")
