Keep folded segments of daemons that are still declared as gone

Cause: once the last segment of a stopped daemon was deleted, a declaration of its death that was still repeated made an empty sealed segment and with it a gap that did not exist. Change: such segments are not deleted. The counters of a kind and slice are now called a tally, because cell already names a set of leafs.

--- a/plantainhook/documents.py
+++ b/plantainhook/documents.py
@@ -1,6 +1,6 @@
-"""Documents of cells in the object API, split into parts where large.
+"""Documents of tallies in the object API, split into parts where large.
 
-A document is a head object and the parts that it names. Cells are grouped by
+A document is a head object and the parts that it names. Tallies are grouped by
 the UTC day of arrival. Groups stand in the head while it stays small; the
 others are written to part objects first, and one conditional update of the
 head then replaces the whole document. A part belongs to one write and is
@@ -16,7 +16,7 @@
 import msgspec
 import result
 
-from plantainhook import cells, errors, figures, objectapi, steps
+from plantainhook import errors, figures, objectapi, steps, tallies
 
 PART_PREFIX: typing.Final = "figures/part/"
 # A head of this size stays below the object API's limit of 1 MB with its
@@ -29,20 +29,20 @@
     [str, typing.Any, int, str],
     abc.Coroutine[typing.Any, typing.Any, "PutOutcome"],
 ]
-Rows = list[cells.CellRow]
+Rows = list[tallies.TallyRow]
 
 
 class Group(msgspec.Struct, frozen=True):
-    """Hold the cells of one group, or the keys of the parts with them."""
+    """Hold the tallies of one group, or the keys of the parts with them."""
 
-    rows: list[cells.CellRow] = []
+    rows: list[tallies.TallyRow] = []
     parts: list[str] = []
 
 
 class Part(msgspec.Struct, frozen=True):
-    """Hold cells outside the head."""
+    """Hold tallies outside the head."""
 
-    rows: list[cells.CellRow]
+    rows: list[tallies.TallyRow]
 
 
 class GroupWrite(typing.NamedTuple):
@@ -52,8 +52,8 @@
     write_id: str
 
 
-def rows_by_day(rows: abc.Iterable[cells.CellRow]) -> dict[str, Rows]:
-    """Group cells by the UTC day of arrival."""
+def rows_by_day(rows: abc.Iterable[tallies.TallyRow]) -> dict[str, Rows]:
+    """Group tallies by the UTC day of arrival."""
     groups: dict[str, Rows] = {}
     for row in rows:
         day = figures.day_of_slice(row.arrival_slice)
@@ -62,7 +62,7 @@
 
 
 def encoded_size(rows: Rows) -> int:
-    """Return the size of the cells as JSON in bytes."""
+    """Return the size of the tallies as JSON in bytes."""
     return len(msgspec.json.encode(rows))
 
 
@@ -143,7 +143,7 @@
 async def load_group(
     api: objectapi.ObjectApi, group: Group
 ) -> result.Result[Rows, errors.PlantainhookError]:
-    """Return the cells of a group with those of its parts."""
+    """Return the tallies of a group with those of its parts."""
     rows = list(group.rows)
     for key in group.parts:
         read = await api.get(key)
--- a/plantainhook/folding.py
+++ b/plantainhook/folding.py
@@ -25,7 +25,6 @@
 import trio
 
 from plantainhook import (
-    cells,
     documents,
     errors,
     figures,
@@ -34,6 +33,7 @@
     monthdocs,
     objectapi,
     segments,
+    tallies,
 )
 
 LOGGER: typing.Final = logs.part_logger("folding")
@@ -79,13 +79,13 @@
 
     _api: objectapi.ObjectApi
     _writer: FencedWriter
-    _pause: cells.Pause
+    _pause: tallies.Pause
 
     def __init__(
         self,
         api: objectapi.ObjectApi,
         writer: FencedWriter,
-        pause: cells.Pause = trio.lowlevel.checkpoint,
+        pause: tallies.Pause = trio.lowlevel.checkpoint,
     ) -> None:
         self._api = api
         self._writer = writer
@@ -115,7 +115,7 @@
     summary: FoldSummary
     _api: objectapi.ObjectApi
     _writer: FencedWriter
-    _pause: cells.Pause
+    _pause: tallies.Pause
     _epoch: int
     _now_wall_s: float
     _found: foldplan.Segments
@@ -124,7 +124,7 @@
         self,
         api: objectapi.ObjectApi,
         writer: FencedWriter,
-        pause: cells.Pause,
+        pause: tallies.Pause,
         now_wall_s: float,
         found: foldplan.Segments,
     ) -> None:
@@ -143,7 +143,7 @@
         ready = await self._contributions()
         await self._fold_months(ready)
         await self._close_months()
-        await self._delete_expired()
+        await self._delete_expired(gone)
 
     async def _seal(self, gone: foldplan.GoneDaemon) -> None:
         last = foldplan.last_segment(
@@ -288,7 +288,7 @@
             )
             if isinstance(loaded, result.Err):
                 return loaded
-            merged = await cells.paused_sum(
+            merged = await tallies.paused_sum(
                 [*loaded.ok_value, *added], self._pause
             )
             groups[name] = documents.Group(rows=merged)
@@ -350,9 +350,13 @@
         LOGGER.info("Folded {}.", key)
         await documents.drop_parts(self._api, stored.head.groups, {}, write_id)
 
-    async def _delete_expired(self) -> None:
+    async def _delete_expired(
+        self, gone: abc.Sequence[foldplan.GoneDaemon]
+    ) -> None:
         """Delete old folded segments; the next pass repeats a failure."""
-        expired = foldplan.expired_segments(self._found, self._now_wall_s)
+        expired = foldplan.expired_segments(
+            self._found, gone, self._now_wall_s
+        )
         for key, stored in expired.items():
             await self._api.delete(key, stored.version, secrets.token_hex(16))
 
--- a/plantainhook/foldplan.py
+++ b/plantainhook/foldplan.py
@@ -37,7 +37,8 @@
     """Name an incarnation that serves no more requests.
 
     ``gone_wall_s`` is fixed when the daemon is declared dead; a later time
-    for the same incarnation stands for a further declaration.
+    for the same incarnation stands for a further declaration. A declaration
+    is repeated until a pass without failures, for a day at most.
     ``started_wall_s`` is where its gap begins if it has written nothing.
     """
 
@@ -174,13 +175,22 @@
     )
 
 
-def expired_segments(found: Segments, now_wall_s: float) -> Segments:
-    """Return the folded segments that are no longer needed."""
+def expired_segments(
+    found: Segments, gone: abc.Sequence[GoneDaemon], now_wall_s: float
+) -> Segments:
+    """Return the folded segments that are no longer needed.
+
+    Those of daemons that are still declared as gone stay, because they tell
+    that the daemon has left no gap.
+    """
+    declared = {segments.incarnation_name(one.incarnation) for one in gone}
     expired = {}
     for key, stored in found.items():
         head = stored.head
         if head.state is not segments.SegmentState.FOLDED:
             continue
+        if head.incarnation in declared:
+            continue
         following = segments.segment_key(head.incarnation, head.generation + 1)
         is_done = head.final or following in found
         keep_s = KEEP_FOLDED_S if is_done else KEEP_LAST_FOLDED_S
--- a/plantainhook/monthdocs.py
+++ b/plantainhook/monthdocs.py
@@ -1,6 +1,6 @@
-"""Month objects: the folded cells, gaps and corrections of a UTC month.
+"""Month objects: the folded tallies, gaps and corrections of a UTC month.
 
-A cell belongs to the UTC month of its slice of arrival. The groups of a month
+A tally belongs to the UTC month of its slice of arrival. The groups of a month
 object are named by section and day. The section ``month`` is what was folded
 before the month was closed; later sections are corrections, named by the day
 on which they were folded.
@@ -78,7 +78,7 @@
 def rows_by_month(
     rows: documents.Rows,
 ) -> dict[figures.Month, documents.Rows]:
-    """Group cells by the UTC month of arrival."""
+    """Group tallies by the UTC month of arrival."""
     months: dict[figures.Month, documents.Rows] = {}
     for row in rows:
         month = figures.month_of_quarter(row.arrival_slice)
--- a/plantainhook/report.py
+++ b/plantainhook/report.py
@@ -1,4 +1,4 @@
-"""Monthly figures from cells, and their text, JSON and CSV forms."""
+"""Monthly figures from tallies, and their text, JSON and CSV forms."""
 
 import csv
 import dataclasses
@@ -10,12 +10,12 @@
 import msgspec
 
 from plantainhook import (
-    cells,
     documents,
     figures,
     monthdocs,
     reportdata,
     schema,
+    tallies,
 )
 
 PPM: typing.Final = 1_000_000
@@ -130,7 +130,7 @@
 def figure_value(
     figure: schema.Figure, month: figures.Month, rows: documents.Rows
 ) -> FigureValue:
-    """Compute one figure from cells."""
+    """Compute one figure from tallies."""
     selected = select_rows(figure, month, rows)
     if figure.measure in schema.PERCENTILE_MEASURES:
         return _percentile_value(figure, selected)
@@ -143,7 +143,7 @@
 def select_rows(
     figure: schema.Figure, month: figures.Month, rows: documents.Rows
 ) -> documents.Rows:
-    """Return the cells that a figure counts in a month."""
+    """Return the tallies that a figure counts in a month."""
     kinds = frozenset(figure.request_kinds)
     quarters = figures.month_range(month, figure.time_zone)
     at_arrival = figure.counted_at is schema.CountedAt.ARRIVAL
@@ -163,8 +163,10 @@
     figure: schema.Figure, rows: documents.Rows
 ) -> FigureValue:
     is_latency = figure.measure is schema.Measure.LATENCY_PERCENTILE
-    limit = cells.LATENCY_LIMIT_US if is_latency else cells.SHORTFALL_LIMIT_PPM
-    merged = cells.Histogram(limit)
+    limit = (
+        tallies.LATENCY_LIMIT_US if is_latency else tallies.SHORTFALL_LIMIT_PPM
+    )
+    merged = tallies.Histogram(limit)
     for row in rows:
         merged.merge_encoded(row.latency if is_latency else row.shortfall)
     count = merged.count()
@@ -175,14 +177,14 @@
     )
     at_rank = merged.value_at_ranks()
     if is_latency:
-        exact = ranks.value(at_rank) / cells.US_PER_MS
-        unit = 1 / cells.US_PER_MS
-        resolution = max(unit, exact * cells.RESOLUTION_RATIO)
+        exact = ranks.value(at_rank) / tallies.US_PER_MS
+        unit = 1 / tallies.US_PER_MS
+        resolution = max(unit, exact * tallies.RESOLUTION_RATIO)
         return _rounded(figure, exact, resolution)
     # The ranks count from the lowest coverage, the histogram from the
     # lowest shortfall.
     exact = ranks.value(lambda rank: 1 - at_rank(count + 1 - rank) / PPM)
-    resolution = max(1 / PPM, (1 - exact) * cells.RESOLUTION_RATIO)
+    resolution = max(1 / PPM, (1 - exact) * tallies.RESOLUTION_RATIO)
     return _rounded(figure, exact, resolution)
 
 
--- a/plantainhook/reportdata.py
+++ b/plantainhook/reportdata.py
@@ -1,4 +1,4 @@
-"""Reading of the cells of a month from the object API.
+"""Reading of the tallies of a month from the object API.
 
 A month in any time zone needs the UTC month itself and its two neighbours.
 Segments that are not folded yet are added, so the figures of the current
@@ -11,7 +11,6 @@
 import result
 
 from plantainhook import (
-    cells,
     documents,
     errors,
     figures,
@@ -20,9 +19,10 @@
     objectapi,
     segments,
     steps,
+    tallies,
 )
 
-# Folding may move cells while they are read; one pass a minute leaves time
+# Folding may move tallies while they are read; one pass a minute leaves time
 # for a quiet reading.
 READ_ATTEMPTS_COUNT: typing.Final = 5
 LIVE_SECTION: typing.Final = "live"
@@ -35,7 +35,7 @@
 class MonthData:
     """Hold what the object API knows of a month and its neighbours.
 
-    ``sections`` are the cells by section, see ``monthdocs``, and ``live``.
+    ``sections`` are the tallies by section, see ``monthdocs``, and ``live``.
     ``live_until_wall_s`` maps each daemon segment that is not folded to the
     time up to which it is counted.
     """
@@ -54,20 +54,20 @@
         return sorted(name for name in self.sections if name not in fixed)
 
     def rows(self, sections: list[str]) -> documents.Rows:
-        """Return the cells of some sections."""
+        """Return the tallies of some sections."""
         return [
             row for name in sections for row in self.sections.get(name, [])
         ]
 
     def closed_rows(self) -> documents.Rows:
-        """Return the cells without corrections."""
+        """Return the tallies without corrections."""
         return self.rows([monthdocs.BASE_SECTION, LIVE_SECTION])
 
 
 async def read_month(
     api: objectapi.ObjectApi, month: figures.Month
 ) -> result.Result[MonthData, errors.PlantainhookError]:
-    """Read a month; repeat while folding moves cells."""
+    """Read a month; repeat while folding moves tallies."""
     outcome: result.Result[MonthData, errors.PlantainhookError]
     for _ in range(READ_ATTEMPTS_COUNT):
         outcome = await _read_once(api, month)
@@ -175,7 +175,7 @@
     return result.Ok(None)
 
 
-def _is_near(row: cells.CellRow, month: figures.Month) -> bool:
+def _is_near(row: tallies.TallyRow, month: figures.Month) -> bool:
     home = figures.month_of_quarter(row.arrival_slice)
     return month.shift(-1) <= home <= month.shift(1)
 
--- a/plantainhook/reporthtml.py
+++ b/plantainhook/reporthtml.py
@@ -12,12 +12,12 @@
 import typing
 
 from plantainhook import (
-    cells,
     documents,
     figures,
     messages,
     report,
     reportdata,
+    tallies,
 )
 
 PERCENTILES: typing.Final = (50, 99)
@@ -188,8 +188,8 @@
     """Return the percentiles of each request kind that has answers."""
     found = []
     for kind in sorted({row.kind for row in rows}):
-        latency = cells.Histogram(cells.LATENCY_LIMIT_US)
-        shortfall = cells.Histogram(cells.SHORTFALL_LIMIT_PPM)
+        latency = tallies.Histogram(tallies.LATENCY_LIMIT_US)
+        shortfall = tallies.Histogram(tallies.SHORTFALL_LIMIT_PPM)
         for row in rows:
             if row.kind == kind:
                 latency.merge_encoded(row.latency)
@@ -200,7 +200,7 @@
 
 
 def _kind_values(
-    kind: str, latency: cells.Histogram, shortfall: cells.Histogram
+    kind: str, latency: tallies.Histogram, shortfall: tallies.Histogram
 ) -> KindValues:
     latency_at, shortfall_at = (
         latency.value_at_ranks(),
@@ -211,7 +211,7 @@
     ]
     return KindValues(
         kind,
-        tuple(latency_at(rank) / cells.US_PER_MS for rank in ranks),
+        tuple(latency_at(rank) / tallies.US_PER_MS for rank in ranks),
         tuple(1 - shortfall_at(rank) / report.PPM for rank in ranks),
     )
 
--- a/plantainhook/reportreplay.py
+++ b/plantainhook/reportreplay.py
@@ -1,7 +1,7 @@
 """Reference computation of the figures from single request records.
 
 It shares the month boundaries, the ranks and the rounding with the
-incremental path and nothing else: no slices, cells, histograms or segments.
+incremental path and nothing else: no slices, tallies, histograms or segments.
 Values of percentiles are sorted exactly. Resends are found by the identity
 of the request, not by the daemon's mark.
 """
--- a/plantainhook/segments.py
+++ b/plantainhook/segments.py
@@ -25,7 +25,6 @@
 import trio
 
 from plantainhook import (
-    cells,
     documents,
     errors,
     figures,
@@ -33,6 +32,7 @@
     objectapi,
     requestrecord,
     steps,
+    tallies,
 )
 
 SEGMENT_PREFIX: typing.Final = "figures/segment/"
@@ -46,7 +46,7 @@
 
     Its daemon writes an open segment. A closed one was ended by its daemon
     and a sealed one by the folding; neither changes any more. A folded one
-    has no cells left and only keeps its key taken.
+    has no tallies left and only keeps its key taken.
     """
 
     OPEN = "open"
@@ -96,7 +96,7 @@
 class Taken:
     """Hold what the next write adds, from the moment of the flush on."""
 
-    counted: cells.CellMap
+    counted: tallies.TallyMap
     count: int
     covered_to_wall_s: float
     closing: bool
@@ -107,7 +107,7 @@
 class Flight:
     """Hold a write that is not confirmed yet.
 
-    ``rows`` are the cells that the stored segment lacks. ``may_have_run``
+    ``rows`` are the tallies that the stored segment lacks. ``may_have_run``
     is set once an attempt ended without a certain outcome.
     """
 
@@ -128,14 +128,14 @@
     _stored: dict[str, documents.Group]
     _stored_rows: dict[str, documents.Rows]
     _stored_count: int
-    _pending: cells.CellMap
+    _pending: tallies.TallyMap
     _pending_count: int
     _covered_from_wall_s: float
     _covered_to_wall_s: float
     _last_answer_wall_s: float
     _taken: Taken | None
     _flight: Flight | None
-    _pause: cells.Pause
+    _pause: tallies.Pause
 
     def __init__(
         self,
@@ -143,14 +143,14 @@
         daemon: str,
         incarnation: int,
         started_wall_s: float,
-        pause: cells.Pause = trio.lowlevel.checkpoint,
+        pause: tallies.Pause = trio.lowlevel.checkpoint,
     ) -> None:
         self.daemon = daemon
         self.incarnation = incarnation_name(incarnation)
         self.closed = False
         self._api = api
         self._generation = 0
-        self._pending = cells.CellMap()
+        self._pending = tallies.TallyMap()
         self._pending_count = 0
         self._last_answer_wall_s = started_wall_s
         self._taken = None
@@ -215,13 +215,13 @@
             closing=closing,
             final=final,
         )
-        self._pending = cells.CellMap()
+        self._pending = tallies.TallyMap()
         self._pending_count = 0
         return taken
 
     async def _prepare(self, taken: Taken) -> Flight:
         """Encode the write; a call that is cancelled here can be repeated."""
-        rows = await cells.paused_rows(taken.counted, self._pause)
+        rows = await tallies.paused_rows(taken.counted, self._pause)
         head = SegmentHead(
             daemon=self.daemon,
             incarnation=self.incarnation,
@@ -241,7 +241,7 @@
     ) -> dict[str, documents.Group]:
         groups = dict(self._stored)
         for day, added in documents.rows_by_day(rows).items():
-            merged = await cells.paused_sum(
+            merged = await tallies.paused_sum(
                 [*self._stored_rows.get(day, []), *added], self._pause
             )
             groups[day] = documents.Group(rows=merged)
--- a/plantainhook/cells.py
+++ b/plantainhook/tallies.py
@@ -1,8 +1,8 @@
 """Counters and histograms per request kind and slice of time.
 
-A cell counts the records that share a kind, the slices of arrival and
-answer, and whether they are resends. Every figure is a sum over cells, so
-cells merge in any order.
+A tally counts the records that share a kind, the slices of arrival and
+answer, and whether they are resends. Every figure is a sum over tallies, so
+tallies merge in any order.
 
 Latency is kept in microseconds and the missing part of the coverage in
 parts per million, both in HDR histograms with three significant digits: a
@@ -27,15 +27,15 @@
 RESOLUTION_RATIO: typing.Final = 1 / 2048
 US_PER_MS: typing.Final = 1000
 # An open histogram of latency takes 188 KB, an encoded one a few.
-OPEN_CELLS_COUNT: typing.Final = 32
+OPEN_TALLIES_COUNT: typing.Final = 32
 
 
 # Gives way to other tasks; ``trio.lowlevel.checkpoint`` in a daemon.
 Pause = abc.Callable[[], abc.Awaitable[None]]
 
 
-class CellKey(typing.NamedTuple):
-    """Identify a cell; the slices are numbers of quarter hours."""
+class TallyKey(typing.NamedTuple):
+    """Identify a tally; the slices are numbers of quarter hours."""
 
     kind: str
     arrival_slice: int
@@ -43,8 +43,8 @@
     resend: bool
 
 
-class CellRow(msgspec.Struct, frozen=True, array_like=True):
-    """Hold a cell as it is stored; histograms are in HDR V2 encoding."""
+class TallyRow(msgspec.Struct, frozen=True, array_like=True):
+    """Hold a tally as it is stored; histograms are in HDR V2 encoding."""
 
     kind: str
     arrival_slice: int
@@ -59,9 +59,9 @@
     latency: str
     shortfall: str
 
-    def key(self) -> CellKey:
-        """Return the key of the cell."""
-        return CellKey(
+    def key(self) -> TallyKey:
+        """Return the key of the tally."""
+        return TallyKey(
             self.kind, self.arrival_slice, self.answer_slice, self.resend
         )
 
@@ -145,8 +145,8 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Cell:
-    """Hold the counters and histograms of one cell."""
+class Tally:
+    """Hold the counters and histograms of one tally."""
 
     count: int = 0
     complete_count: int = 0
@@ -182,8 +182,8 @@
         elif record.request_class == schema.RequestClass.ARCHIVE:
             self.archive_served_count += 1
 
-    def merge(self, row: CellRow) -> None:
-        """Add a stored cell."""
+    def merge(self, row: TallyRow) -> None:
+        """Add a stored tally."""
         self.count += row.count
         self.complete_count += row.complete_count
         self.partial_count += row.partial_count
@@ -193,9 +193,9 @@
         self.latency.merge_encoded(row.latency)
         self.shortfall.merge_encoded(row.shortfall)
 
-    def row(self, key: CellKey) -> CellRow:
-        """Return the cell as it is stored."""
-        return CellRow(
+    def row(self, key: TallyKey) -> TallyRow:
+        """Return the tally as it is stored."""
+        return TallyRow(
             *key,
             self.count,
             self.complete_count,
@@ -213,66 +213,66 @@
         self.shortfall.close()
 
 
-class CellMap:
-    """Hold cells by key; only the last used ones are open."""
+class TallyMap:
+    """Hold tallies by key; only the last used ones are open."""
 
-    cells: dict[CellKey, Cell]
-    _open: "collections.OrderedDict[CellKey, None]"
+    tallies: dict[TallyKey, Tally]
+    _open: "collections.OrderedDict[TallyKey, None]"
 
-    def __init__(self, rows: abc.Iterable[CellRow] = ()) -> None:
-        self.cells = {}
+    def __init__(self, rows: abc.Iterable[TallyRow] = ()) -> None:
+        self.tallies = {}
         self._open = collections.OrderedDict()
         self.merge(rows)
 
     def record(self, record: requestrecord.RequestRecord) -> None:
-        """Count one record in its cell."""
-        key = CellKey(
+        """Count one record in its tally."""
+        key = TallyKey(
             record.kind,
             figures.slice_of(record.arrived_wall_s),
             figures.slice_of(record.answered_wall_s),
             bool(record.resend_of),
         )
-        self._cell(key).record(record)
+        self._tally(key).record(record)
 
-    def merge(self, rows: abc.Iterable[CellRow]) -> None:
-        """Add stored cells."""
+    def merge(self, rows: abc.Iterable[TallyRow]) -> None:
+        """Add stored tallies."""
         for row in rows:
-            self._cell(row.key()).merge(row)
+            self._tally(row.key()).merge(row)
 
-    def rows(self) -> list[CellRow]:
-        """Return all cells as they are stored, in order of their keys."""
-        return [self.cells[key].row(key) for key in sorted(self.cells)]
+    def rows(self) -> list[TallyRow]:
+        """Return all tallies as they are stored, in order of their keys."""
+        return [self.tallies[key].row(key) for key in sorted(self.tallies)]
 
-    def _cell(self, key: CellKey) -> Cell:
-        cell = self.cells.get(key)
-        if cell is None:
-            cell = self.cells[key] = Cell()
+    def _tally(self, key: TallyKey) -> Tally:
+        tally = self.tallies.get(key)
+        if tally is None:
+            tally = self.tallies[key] = Tally()
         self._open[key] = None
         self._open.move_to_end(key)
-        if len(self._open) > OPEN_CELLS_COUNT:
+        if len(self._open) > OPEN_TALLIES_COUNT:
             oldest, _ = self._open.popitem(last=False)
-            self.cells[oldest].close()
-        return cell
+            self.tallies[oldest].close()
+        return tally
 
 
-async def paused_rows(counted: CellMap, pause: Pause) -> list[CellRow]:
-    """Return all cells as they are stored, with a pause after each.
+async def paused_rows(counted: TallyMap, pause: Pause) -> list[TallyRow]:
+    """Return all tallies as they are stored, with a pause after each.
 
-    Encoding a cell takes about a millisecond, which would add to the latency
-    of queries if all cells were encoded at once.
+    Encoding a tally takes about a millisecond, which would add to the latency
+    of queries if all tallies were encoded at once.
     """
     rows = []
-    for key in sorted(counted.cells):
-        rows.append(counted.cells[key].row(key))
+    for key in sorted(counted.tallies):
+        rows.append(counted.tallies[key].row(key))
         await pause()
     return rows
 
 
 async def paused_sum(
-    rows: abc.Iterable[CellRow], pause: Pause
-) -> list[CellRow]:
-    """Return the sum of stored cells, with a pause after each."""
-    counted = CellMap()
+    rows: abc.Iterable[TallyRow], pause: Pause
+) -> list[TallyRow]:
+    """Return the sum of stored tallies, with a pause after each."""
+    counted = TallyMap()
     for row in rows:
         counted.merge([row])
         await pause()
--- a/tests/foldfleet.py
+++ b/tests/foldfleet.py
@@ -157,7 +157,7 @@
         return list(found.values())
 
     def counted(self) -> int:
-        """Return the number of requests in all cells."""
+        """Return the number of requests in all tallies."""
         return sum(
             row.count
             for month in self.months()
--- a/tests/test_figures.py
+++ b/tests/test_figures.py
@@ -6,7 +6,7 @@
 import testtools
 from hypothesis import strategies as st
 
-from plantainhook import cells, figures, reportreplay, schema
+from plantainhook import figures, reportreplay, schema, tallies
 from tests import casefiles
 
 ZONES = ["UTC", "Europe/Helsinki", "Asia/Kathmandu", "America/St_Johns"]
@@ -92,21 +92,21 @@
 
     @hypothesis.given(
         st.lists(
-            st.integers(0, cells.LATENCY_LIMIT_US), min_size=1, max_size=20
+            st.integers(0, tallies.LATENCY_LIMIT_US), min_size=1, max_size=20
         )
     )
     def test_resolution(self, values: list[int]) -> None:
         """Guards against a resolution that is coarser than stated."""
         first, second = (
-            cells.Histogram(cells.LATENCY_LIMIT_US) for _ in range(2)
+            tallies.Histogram(tallies.LATENCY_LIMIT_US) for _ in range(2)
         )
         for number, value in enumerate(values):
             (first, second)[number % 2].record(value)
         first.merge_encoded(second.encode())
-        at_rank = cells.Histogram(
-            cells.LATENCY_LIMIT_US, first.encode()
+        at_rank = tallies.Histogram(
+            tallies.LATENCY_LIMIT_US, first.encode()
         ).value_at_ranks()
         for rank, value in enumerate(sorted(values), start=1):
             found = at_rank(rank)
-            limit = found * cells.RESOLUTION_RATIO if value >= 2048 else 0
+            limit = found * tallies.RESOLUTION_RATIO if value >= 2048 else 0
             self.assertTrue(abs(found - value) <= limit, (found, value))
--- a/tests/test_folding.py
+++ b/tests/test_folding.py
@@ -10,13 +10,13 @@
 from testtools import matchers
 
 from plantainhook import (
-    cells,
     errors,
     figures,
     folding,
     monthdocs,
     objectapi,
     segments,
+    tallies,
 )
 from tests import foldfleet, stepping
 
@@ -205,6 +205,18 @@
                 )
                 self.assertEqual(5, fleet.counted())
 
+    def test_stopped_daemon_declared_gone_has_no_gap(self) -> None:
+        """Guards against a gap invented once the last segment is deleted."""
+        fleet = foldfleet.Fleet()
+        daemon = fleet.start()
+        fleet.record(daemon)
+        fleet.declare_gone(daemon)
+        fleet.stop(daemon)
+        for _ in range(3):
+            fleet.fold_pass(1).finish()
+            fleet.wall_s += 3 * DAY_S
+        self.assertEqual([], fleet.gaps())
+
     def test_folded_segments_expire(self) -> None:
         """Guards against a listing that grows for ever."""
         fleet = foldfleet.Fleet()
@@ -232,12 +244,14 @@
 
     def test_few_histograms_are_open(self) -> None:
         """Guards against memory that grows with the slices of a month."""
-        counted = cells.CellMap()
+        counted = tallies.TallyMap()
         for number in range(200):
             wall_s = foldfleet.START_WALL_S + number * 900
             counted.record(foldfleet.make_record(1, number, wall_s))
-        live = [cell for cell in counted.cells.values() if cell.latency.live]
-        self.assertThat(live, matchers.HasLength(cells.OPEN_CELLS_COUNT))
+        live = [
+            tally for tally in counted.tallies.values() if tally.latency.live
+        ]
+        self.assertThat(live, matchers.HasLength(tallies.OPEN_TALLIES_COUNT))
         self.assertEqual(200, sum(row.count for row in counted.rows()))
 
     def test_large_segment_is_split(self) -> None:
--- a/tests/test_reportcompare.py
+++ b/tests/test_reportcompare.py
@@ -12,7 +12,6 @@
 import testtools
 
 from plantainhook import (
-    cells,
     cli,
     figures,
     messages,
@@ -22,6 +21,7 @@
     reportdata,
     requestrecord,
     schema,
+    tallies,
 )
 from tests import casefiles, foldfleet
 
@@ -32,7 +32,7 @@
     """Return the data of a month from the records of a case."""
     sections = {}
     for name, records in case["sections"].items():
-        counted = cells.CellMap()
+        counted = tallies.TallyMap()
         for fields in records:
             counted.record(_record(fields))
         sections[name] = counted.rows()
