Find daemons that died between two segments

Change: the last segment of each incarnation decides. Result: a test with a stopped, a rotated and a live daemon passes.

--- a/plantainhook/foldplan.py
+++ b/plantainhook/foldplan.py
@@ -86,7 +86,7 @@
 
 
 def gone_daemons(
-    found: abc.Iterable[StoredSegment],
+    found: Segments,
     live: abc.Container[int],
     now_wall_s: float,
     silent_s: float,
@@ -94,19 +94,26 @@
     """Return the incarnations that are not live and have been silent.
 
     ``live`` holds the incarnations that membership knows as alive. For
-    callers that have no record of when a daemon was declared dead.
+    callers that have no record of when a daemon was declared dead; the time
+    is that of the call. An incarnation that is sealed is not returned again.
     """
-    gone = {}
-    for stored in found:
-        head = stored.head
-        incarnation = int(head.incarnation, 16)
-        silent = now_wall_s - head.covered_to_wall_s >= silent_s
-        is_open = head.state is segments.SegmentState.OPEN
-        if is_open and silent and incarnation not in live:
-            gone[incarnation] = GoneDaemon(
-                head.daemon, incarnation, head.covered_from_wall_s, now_wall_s
-            )
-    return list(gone.values())
+    last: dict[str, segments.SegmentHead] = {}
+    for key in sorted(found):
+        head = found[key].head
+        last[head.incarnation] = head
+    return [
+        GoneDaemon(
+            head.daemon,
+            int(head.incarnation, 16),
+            head.covered_from_wall_s,
+            now_wall_s,
+        )
+        for head in last.values()
+        if not head.final
+        and not head.gone_wall_s
+        and now_wall_s - head.covered_to_wall_s >= silent_s
+        and int(head.incarnation, 16) not in live
+    ]
 
 
 def last_segment(found: Segments, incarnation: str) -> StoredSegment | None:
--- a/tests/test_folding.py
+++ b/tests/test_folding.py
@@ -13,6 +13,7 @@
     errors,
     figures,
     folding,
+    foldplan,
     monthdocs,
     objectapi,
     segments,
@@ -176,6 +177,31 @@
             [daemon.started_wall_s], [gap.from_wall_s for gap in fleet.gaps()]
         )
 
+    def test_silent_daemons_are_gone_once(self) -> None:
+        """Guards against a daemon that died between two segments."""
+        fleet = foldfleet.Fleet()
+        stopped, rotated, fresh = (fleet.start() for _ in range(3))
+        fleet.stop(stopped)
+        fleet.flush(rotated)
+        fleet.wall_s += DAY_S
+        for daemon in (rotated, fresh):
+            fleet.flush(daemon)
+        fleet.wall_s += 60
+        for gone_incarnations in ([2], []):
+            found = stepping.run(foldplan.list_segments(fleet.api)).unwrap()
+            gone = foldplan.gone_daemons(found, {3}, fleet.wall_s, 30.0)
+            self.assertEqual(
+                gone_incarnations, [one.incarnation for one in gone]
+            )
+            fleet.gone = gone
+            fleet.fold_pass(1).finish()
+        self.assertEqual(61, round(self.gap_s(fleet)))
+
+    def gap_s(self, fleet: foldfleet.Fleet) -> float:
+        """Return the length of the only gap in seconds."""
+        (gap,) = fleet.gaps()
+        return gap.to_wall_s - gap.from_wall_s
+
     def test_folded_list_is_bounded(self) -> None:
         """Guards against a month object that grows with each segment."""
         fleet = foldfleet.Fleet()
