--- a/plantainhook/daemon.py
+++ b/plantainhook/daemon.py
@@ -182,6 +182,7 @@
             self.members.set_share,
             shares.ShareOptions(),
             self.rng,
+            forwarding.PoolSettler(self.board, lambda: self.gateway).wait,
         )
 
     def _build_leafs(self) -> None:
--- a/plantainhook/forwarding.py
+++ b/plantainhook/forwarding.py
@@ -32,6 +32,7 @@
 
 CANCEL_TIMEOUT_S: typing.Final = 1.0
 FIELDS_LIMIT_COUNT: typing.Final = 4096
+SETTLE_LOOK_S: typing.Final = 0.05
 MS_PER_S: typing.Final = 1000
 NO_HOLDER: typing.Final = "no live daemon holds connections to the leaf"
 NOT_HELD: typing.Final = "this daemon holds no connections to the leaf"
@@ -336,3 +337,46 @@
     def allotment_of(self, leaf: shardmap.LeafInfo) -> int:
         """Return the allotment of this daemon for a leaf."""
         return self.board.shares.allotments.get(leaf.name, 0)
+
+
+class Pool(typing.Protocol):
+    """Count the open connections to a leaf; ``LeafPool`` implements it."""
+
+    @property
+    def open_count(self) -> int:
+        """Return the connections that count towards the allotment."""
+
+
+class Pools(typing.Protocol):
+    """Find the pool of a leaf; ``LeafGateway`` implements it."""
+
+    def pool(self, leaf: str) -> Pool | None:
+        """Return the pool of a leaf."""
+
+
+@dataclasses.dataclass(slots=True)
+class PoolSettler:
+    """Wait until no pool has more connections than its allotment.
+
+    Busy connections close after their call, so this takes up to the longest
+    deadline in flight. ``pools`` is called at each wait.
+    """
+
+    board: blackboard.Blackboard
+    pools: abc.Callable[[], Pools]
+
+    async def wait(self) -> None:
+        """Return once all allotments are kept."""
+        while True:
+            if not self._has_excess():
+                return
+            await trio.sleep(SETTLE_LOOK_S)
+
+    def _has_excess(self) -> bool:
+        pools = self.pools()
+        allotments = self.board.shares.allotments
+        return any(
+            (pool := pools.pool(leaf)) is not None
+            and pool.open_count > allotments.get(leaf, 0)
+            for leaf in self.board.settings.leafs
+        )
--- a/plantainhook/shareclaim.py
+++ b/plantainhook/shareclaim.py
@@ -211,6 +211,20 @@
     ]
 
 
+def marked(stored: StoredClaim, vms: VmListing) -> Claim:
+    """Return the claim with the record that its owner's VM is listed."""
+    if stored.claim is None:
+        raise ValueError(f"share {stored.share} has no claim")
+    return msgspec.structs.replace(stored.claim, listed_as_of_s=vms.as_of_s)
+
+
+def freed(claim: Claim) -> Claim:
+    """Return the claim without an owner; its plans are for the record."""
+    return msgspec.structs.replace(
+        claim, owner=NO_OWNER, listed_as_of_s=0.0, memory=()
+    )
+
+
 def extras(
     listed: Listed, kept: int, own: Claimant, vms: VmListing
 ) -> list[StoredClaim]:
--- a/tests/test_forwarding.py
+++ b/tests/test_forwarding.py
@@ -243,3 +243,35 @@
                 self.assertEqual(1, cancelled)
 
         self.run_trio(run)
+
+
+@dataclasses.dataclass
+class FakePools:
+    """Hold one pool with some open connections."""
+
+    open_count: int
+
+    def pool(self, leaf: str) -> forwarding.Pool | None:
+        return self
+
+
+class PoolSettlerTest(testtools.TestCase):
+    """Check the wait for connections above the allotment."""
+
+    def test_waits_for_excess(self) -> None:
+        """Guards against a share released while connections are open."""
+
+        async def run() -> None:
+            async with daemons() as three:
+                pools = FakePools(open_count=5)
+                board = three.boards[1]
+                settler = forwarding.PoolSettler(board, lambda: pools)
+                with trio.move_on_after(10) as early:
+                    await settler.wait()
+                pools.open_count = 4
+                with trio.move_on_after(10) as late:
+                    await settler.wait()
+            self.assertTrue(early.cancelled_caught)
+            self.assertFalse(late.cancelled_caught)
+
+        trio.run(run, clock=trio.testing.MockClock(autojump_threshold=0))
