--- a/tests/test_folding.py
+++ b/tests/test_folding.py
@@ -10,13 +10,14 @@
 from testtools import matchers
 
 from plantainhook import (
-    cells,
     errors,
     figures,
     folding,
+    foldplan,
     monthdocs,
     objectapi,
     segments,
+    tallies,
 )
 from tests import foldfleet, stepping
 
@@ -176,6 +177,31 @@
             [daemon.started_wall_s], [gap.from_wall_s for gap in fleet.gaps()]
         )
 
+    def test_silent_daemons_are_gone_once(self) -> None:
+        """Guards against a daemon that died between two segments."""
+        fleet = foldfleet.Fleet()
+        stopped, rotated, fresh = (fleet.start() for _ in range(3))
+        fleet.stop(stopped)
+        fleet.flush(rotated)
+        fleet.wall_s += DAY_S
+        for daemon in (rotated, fresh):
+            fleet.flush(daemon)
+        fleet.wall_s += 60
+        for gone_incarnations in ([2], []):
+            found = stepping.run(foldplan.list_segments(fleet.api)).unwrap()
+            gone = foldplan.gone_daemons(found, {3}, fleet.wall_s, 30.0)
+            self.assertEqual(
+                gone_incarnations, [one.incarnation for one in gone]
+            )
+            fleet.gone = gone
+            fleet.fold_pass(1).finish()
+        self.assertEqual(61, round(self.gap_s(fleet)))
+
+    def gap_s(self, fleet: foldfleet.Fleet) -> float:
+        """Return the length of the only gap in seconds."""
+        (gap,) = fleet.gaps()
+        return gap.to_wall_s - gap.from_wall_s
+
     def test_folded_list_is_bounded(self) -> None:
         """Guards against a month object that grows with each segment."""
         fleet = foldfleet.Fleet()
@@ -205,6 +231,18 @@
                 )
                 self.assertEqual(5, fleet.counted())
 
+    def test_stopped_daemon_declared_gone_has_no_gap(self) -> None:
+        """Guards against a gap invented once the last segment is deleted."""
+        fleet = foldfleet.Fleet()
+        daemon = fleet.start()
+        fleet.record(daemon)
+        fleet.declare_gone(daemon)
+        fleet.stop(daemon)
+        for _ in range(3):
+            fleet.fold_pass(1).finish()
+            fleet.wall_s += 3 * DAY_S
+        self.assertEqual([], fleet.gaps())
+
     def test_folded_segments_expire(self) -> None:
         """Guards against a listing that grows for ever."""
         fleet = foldfleet.Fleet()
@@ -232,12 +270,14 @@
 
     def test_few_histograms_are_open(self) -> None:
         """Guards against memory that grows with the slices of a month."""
-        counted = cells.CellMap()
+        counted = tallies.TallyMap()
         for number in range(200):
             wall_s = foldfleet.START_WALL_S + number * 900
             counted.record(foldfleet.make_record(1, number, wall_s))
-        live = [cell for cell in counted.cells.values() if cell.latency.live]
-        self.assertThat(live, matchers.HasLength(cells.OPEN_CELLS_COUNT))
+        live = [
+            tally for tally in counted.tallies.values() if tally.latency.live
+        ]
+        self.assertThat(live, matchers.HasLength(tallies.OPEN_TALLIES_COUNT))
         self.assertEqual(200, sum(row.count for row in counted.rows()))
 
     def test_large_segment_is_split(self) -> None:
