--- a/plantainhook/blackboard.py
+++ b/plantainhook/blackboard.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import enum
+from collections import abc
 
 import trio
 
@@ -116,6 +117,9 @@
         default_factory=dict
     )
     life: LifeState = LifeState.STARTING
+    listeners: list[abc.Callable[[Topic], None]] = dataclasses.field(
+        default_factory=list
+    )
     _events: dict[Topic, trio.Event] = dataclasses.field(default_factory=dict)
 
     def changed(self, topic: Topic) -> trio.Event:
@@ -124,6 +128,8 @@
 
     def notify(self, topic: Topic) -> None:
         """Wake every task that waits for a change of a view."""
+        for listener in self.listeners:
+            listener(topic)
         event = self._events.pop(topic, None)
         if event is not None:
             event.set()
--- a/plantainhook/daemon.py
+++ b/plantainhook/daemon.py
@@ -133,10 +133,11 @@
     def _build_settings(self) -> None:
         run_options = self.options
         store = settingsstore.SettingsStore(self.outside.api, self.clock)
+        self.source = settingssource.SettingsSource(store, self.clock)
         self.gossip = gossip.Gossip(
             self.board,
             self.members,
-            settingssource.SettingsSource(store, self.clock),
+            self.source,
             self.outside.api,
             self.links,
             self.handlers,
--- a/plantainhook/queryservice.py
+++ b/plantainhook/queryservice.py
@@ -297,6 +297,9 @@
             self._ticketed_task, ticket, body, done, responses
         )
         await done.wait()
+        if not responses:
+            # The daemon stops at once and has cut the request off.
+            return callerapi.refusal_response(outcome_unknown("daemon"))
         return responses[0]
 
     async def _ticketed_task(
--- /dev/null
+++ b/tests/matrixworld.py
@@ -0,0 +1,618 @@
+"""A small deployment on a virtual clock, for the fault matrix.
+
+Three whole daemons, four stand-in leafs, an in-memory object API and VM
+list. Seams are wrapped so that ``reach`` is called when a query comes to a
+step; a case registers there what has to go wrong. Everything is seeded, so
+a case repeats exactly.
+"""
+
+import dataclasses
+import errno
+import json
+import random
+import typing
+from collections import abc
+
+import result
+import trio
+import trio.testing
+
+from plantainhook import (
+    blackboard,
+    callerapi,
+    daemon,
+    daemonoutside,
+    errors,
+    leafprotocol,
+    leaftransport,
+    memorynet,
+    objectapi,
+    objectapifake,
+    options,
+    peers,
+    queryservice,
+    querytypes,
+    schema,
+    settingsapply,
+    settingschunks,
+    settingsobjects,
+    settingsstore,
+    standin_leaf,
+    standin_model,
+    steps,
+    vmlist,
+    wire,
+)
+from tests import leafhelp
+
+SHARD_COUNT: typing.Final = 4
+DEADLINE_MS: typing.Final = 2000
+# The deadline of the kinds, and a second for what a real network would add.
+ANSWER_LIMIT_S: typing.Final = 3.0
+DAEMON_COUNT: typing.Final = 3
+LEAF_SHARDS: typing.Final = {
+    "a1": ("dc-1", "g1", ("s1", "s2")),
+    "a2": ("dc-2", "g1", ("s1", "s2")),
+    "b1": ("dc-2", "g2", ("s3", "s4")),
+    "b2": ("dc-3", "g2", ("s3", "s4")),
+}
+SLOW_WRITE_S: typing.Final = 0.01
+SLOW_WRITE_BYTES: typing.Final = 16
+READY_TIMEOUT_S: typing.Final = 60.0
+EPOCH_S: typing.Final = 1_790_000_000.0
+
+LIFE_STEPS: typing.Final = {
+    blackboard.LifeState.LEAVING: steps.Step.STOP_ANNOUNCE,
+    blackboard.LifeState.DRAINING: steps.Step.STOP_DRAIN,
+    blackboard.LifeState.STOPPED: steps.Step.STOP_EXIT,
+}
+
+Hook = abc.Callable[[], abc.Awaitable[None]]
+
+
+@dataclasses.dataclass(slots=True)
+class WorldClock:
+    """Read trio's virtual clock; ``jump_s`` moves the wall clock."""
+
+    jump_s: float = 0.0
+
+    def now_s(self) -> float:
+        """Return monotonic seconds."""
+        return trio.current_time()
+
+    def wall_s(self) -> float:
+        """Return seconds since the Unix epoch."""
+        return EPOCH_S + trio.current_time() + self.jump_s
+
+
+@dataclasses.dataclass(slots=True)
+class FakeVmList:
+    """Return the VM list of the world."""
+
+    vms: dict[str, leafprotocol.VmEntry]
+
+    async def read(
+        self,
+    ) -> result.Result[leafprotocol.VmListing, vmlist.VmListError]:
+        """Return the list as of now."""
+        await trio.lowlevel.checkpoint()
+        listing = leafprotocol.VmListing(
+            tuple(self.vms.values()), EPOCH_S + trio.current_time()
+        )
+        return result.Ok(listing)
+
+
+class MemoryLinks(memorynet.MemoryTransport):
+    """Give a memory transport the life of peer links."""
+
+    async def run(
+        self, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Stay reachable until cancelled."""
+        task_status.started(self._address)
+        try:
+            await trio.sleep_forever()
+        finally:
+            self.close()
+
+
+@dataclasses.dataclass(slots=True)
+class WatchedTransport:
+    """Tell the world when a search is sent and when its reply arrives."""
+
+    inner: leaftransport.Transport
+    world: "World"
+    searching: bool = False
+
+    async def send_some(self, data: bytes) -> int:
+        """Write; a search reaches the step ``query.send``."""
+        if data.startswith(b"POST"):
+            self.searching = True
+            await self.world.reach(steps.Step.QUERY_SEND)
+        if self.world.writes_slowly:
+            await trio.sleep(SLOW_WRITE_S)
+            return await self.inner.send_some(data[:SLOW_WRITE_BYTES])
+        return await self.inner.send_some(data)
+
+    async def receive_some(self, max_bytes: int) -> bytes:
+        """Read; the reply to a search reaches ``query.merge``."""
+        data = await self.inner.receive_some(max_bytes)
+        if self.searching:
+            self.searching = False
+            await self.world.reach(steps.Step.QUERY_MERGE)
+            if self.world.duplicates_replies:
+                return data + data
+        return data
+
+    def is_readable(self) -> bool:
+        """Return whether bytes, an end of stream or an error wait."""
+        return self.inner.is_readable()
+
+    def send_eof(self) -> None:
+        """Close the sending side."""
+        self.inner.send_eof()
+
+    def close(self) -> None:
+        """Close both sides."""
+        self.inner.close()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchedApi:
+    """Tell the world when the head is written and when it is noticed."""
+
+    inner: objectapi.ObjectApi
+    world: "World"
+
+    async def get(self, key: str) -> typing.Any:
+        """Return an object."""
+        return await self.inner.get(key)
+
+    async def list(self, prefix: str) -> typing.Any:
+        """Return all objects under a prefix."""
+        return await self.inner.list(prefix)
+
+    async def put(
+        self, key: str, value: typing.Any, if_version: int, request_id: str
+    ) -> typing.Any:
+        """Write; the head reaches ``settings.write``."""
+        if key == settingschunks.HEAD_KEY:
+            await self.world.reach(steps.Step.SETTINGS_WRITE)
+        return await self.inner.put(key, value, if_version, request_id)
+
+    async def delete(
+        self, key: str, if_version: int, request_id: str
+    ) -> typing.Any:
+        """Delete an object."""
+        return await self.inner.delete(key, if_version, request_id)
+
+    async def watch(
+        self, prefix: str, from_version: int, timeout_s: float
+    ) -> typing.Any:
+        """Wait for changes; a change of the head is a notice."""
+        changes = await self.inner.watch(prefix, from_version, timeout_s)
+        if changes.is_ok() and changes.unwrap():
+            await self.world.reach(steps.Step.SETTINGS_NOTICE)
+        return changes
+
+
+@dataclasses.dataclass(slots=True)
+class Node:
+    """Hold a running daemon and the scope that kills it."""
+
+    daemon: daemon.Daemon
+    scope: trio.CancelScope
+    revisions: list[int] = dataclasses.field(default_factory=list)
+
+    def is_alive(self) -> bool:
+        """Return whether the daemon was not killed and has not stopped."""
+        return not (self.scope.cancel_called or self.daemon.stopped.is_set())
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Exchange:
+    """Hold a request and what its caller received.
+
+    ``may_lack_reply`` is set where the caller left or its daemon was killed.
+    """
+
+    body: callerapi.QueryBody
+    response: callerapi.Response | None
+    may_lack_reply: bool
+    took_s: float
+
+
+class World:
+    """Build, run and disturb the deployment in the running trio loop."""
+
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        mock_clock: trio.testing.MockClock,
+        seed: int,
+    ) -> None:
+        self.nursery = nursery
+        self.mock_clock = mock_clock
+        self.paused_s = 0.0
+        self.broken: list[str] = []
+        self.draining_since_s: dict[str, float] = {}
+        self.rng = random.Random(seed)
+        self.clock = WorldClock()
+        self.api = objectapifake.FakeObjectApi()
+        self.vms: dict[str, leafprotocol.VmEntry] = {}
+        self.network = memorynet.MemoryNetwork(
+            nursery, random.Random(seed + 1)
+        )
+        self.leaf_network = leafhelp.Network(nursery)
+        self.leafs: dict[str, standin_leaf.StandinLeaf] = {}
+        self.nodes: list[Node] = []
+        self.exchanges: list[Exchange] = []
+        self.reached: set[steps.Step] = set()
+        self.writes_slowly = False
+        self.duplicates_replies = False
+        self.descriptors_used_up = False
+        self.caller: trio.CancelScope | None = None
+        self.settings = schema.Settings()
+        self.store = settingsstore.SettingsStore(self.api, self.clock)
+        self._hooks: dict[steps.Step, list[Hook]] = {}
+
+    # Steps
+
+    def at(self, step: steps.Step, hook: Hook) -> None:
+        """Run a hook once when the step is reached."""
+        self._hooks.setdefault(step, []).append(hook)
+
+    async def reach(self, step: steps.Step) -> None:
+        """Note a step and run its hooks."""
+        self.reached.add(step)
+        for hook in self._hooks.pop(step, []):
+            await hook()
+
+    # Set-up
+
+    async def start(self) -> None:
+        """Start leafs and daemons, apply the settings, wait until ready."""
+        for number, name in enumerate(LEAF_SHARDS):
+            self._add_leaf(name, number)
+        self.settings = self._settings()
+        await self.apply(settingsobjects.specs_of(self.settings))
+        for number in range(DAEMON_COUNT):
+            await self.start_daemon(number)
+        with trio.fail_after(READY_TIMEOUT_S):
+            while not all(self._is_ready(node) for node in self.nodes):
+                await trio.sleep(0.1)
+
+    def _add_leaf(self, name: str, number: int) -> None:
+        _, _, shards = LEAF_SHARDS[name]
+        leaf = standin_leaf.StandinLeaf(
+            name,
+            {1: set(shards)},
+            standin_model.Behaviour(connection_limit_count=8),
+            seed=number,
+        )
+        start = leaf.journal.start
+
+        def watched(*given: typing.Any) -> typing.Any:
+            self.nursery.start_soon(self.reach, steps.Step.QUERY_WAIT)
+            return start(*given)
+
+        wrapped: typing.Any = leaf.journal
+        wrapped.start = watched
+        self.leafs[name] = leaf
+        self.leaf_network.servers[address_of(number)] = leaf
+
+    def _settings(self) -> schema.Settings:
+        groups: dict[str, schema.Group] = {}
+        for number, (name, placed) in enumerate(LEAF_SHARDS.items()):
+            data_centre, group, _ = placed
+            leaf = schema.Leaf(
+                name=name,
+                address=address_of(number),
+                data_centre=data_centre,
+                slot_count=2,
+                connection_limit_count=8,
+            )
+            known = groups.setdefault(
+                group, schema.Group.model_construct(service="s", leafs=[])
+            )
+            known.leafs.append(leaf)
+        record = schema.Rules(idempotent=False, deadline_ms=DEADLINE_MS)
+        return schema.Settings(
+            defaults=schema.Defaults(deadline_ms=DEADLINE_MS),
+            data_centre={f"dc-{n}": schema.DataCentre() for n in (1, 2, 3)},
+            service={"s": schema.Service()},
+            request_kind={
+                "search": schema.RequestKind(),
+                "record": schema.RequestKind(rules=record),
+            },
+            group=groups,
+            target={"t": schema.Target(groups=sorted(groups))},
+            index={f"t{schema.INDEX_KEY_SEPARATOR}1": index_of(1)},
+            share_plan=schema.SharePlan(share_count=4, holders_per_leaf=4),
+        )
+
+    async def start_daemon(self, number: int) -> Node:
+        """Start a daemon on the VM of this number."""
+        run_options = options.Options(
+            name=f"d{number}",
+            vm_id=f"vm-{number}",
+            # Two daemons share a data centre and one watches for both, so
+            # the other learns revisions from its peer.
+            data_centre=f"dc-{number // 2 + 1}",
+            watcher_count=1,
+            peer_address=f"10.1.0.{number}:7080",
+            seed_peers=["10.1.0.0:7080", "10.1.0.1:7080"],
+            drain_notice_s=0.5,
+        )
+        self.vms[run_options.vm_id] = leafprotocol.VmEntry(
+            run_options.vm_id,
+            run_options.peer_address,
+            run_options.data_centre,
+            "live",
+        )
+        node: Node = await self.nursery.start(
+            self._run_daemon, run_options, self.rng.getrandbits(32)
+        )
+        self.nodes.append(node)
+        return node
+
+    async def _run_daemon(
+        self,
+        run_options: options.Options,
+        seed: int,
+        task_status: trio.TaskStatus[Node],
+    ) -> None:
+        outside = daemonoutside.Outside(
+            api=WatchedApi(self.api, self),
+            vm_list=FakeVmList(self.vms),
+            connector=self._connect,
+            build_links=self._build_links,
+            serve_http=False,
+            time_source=self.clock,
+            seed=seed,
+        )
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as nursery:
+                running = daemon.Daemon(run_options, outside, nursery)
+                node = Node(running, scope)
+                self._watch_steps(running)
+                self._watch_control_steps(running)
+                nursery.start_soon(self._watch_revisions, node)
+                await nursery.start(running.run)
+                task_status.started(node)
+                await running.stopped.wait()
+                nursery.cancel_scope.cancel()
+
+    def expect(self, holds: bool, text: str) -> None:
+        """Note a promise that a scenario found broken."""
+        if not holds:
+            self.broken.append(text)
+
+    async def setting_in_force(self, name: str) -> typing.Any:
+        """Return a default of the revision in force at the object API."""
+        current = (await self.store.load_current()).unwrap()
+        settings = settingsobjects.settings_of(current.records)
+        return getattr(settings.defaults, name)
+
+    def _build_links(
+        self, hello: wire.HelloFrame, handlers: peers.Handlers
+    ) -> daemonoutside.PeerLinks:
+        return MemoryLinks(self.network, hello, handlers)
+
+    async def _connect(self, address: str) -> leaftransport.Transport:
+        await self.reach(steps.Step.QUERY_CONNECT)
+        if self.descriptors_used_up:
+            raise OSError(errno.EMFILE, "too many open files")
+        return WatchedTransport(await self.leaf_network.connect(address), self)
+
+    def _is_ready(self, node: Node) -> bool:
+        board = node.daemon.board
+        known = len(board.leafs) == len(self.leafs)
+        return known and len(board.members) == DAEMON_COUNT
+
+    async def _watch_revisions(self, node: Node) -> None:
+        while True:
+            node.revisions.append(node.daemon.board.settings.revision)
+            await trio.sleep(0.05)
+
+    def _watch_steps(self, running: daemon.Daemon) -> None:
+        """Wrap the parts of a daemon that mark the steps of a query."""
+        parts = running.service.parts
+        offer = parts.gate.queue.offer
+        machine = parts.planner.machine
+        call = running.router.call
+        record = parts.recorder.record
+
+        def watched_offer(*given: typing.Any) -> typing.Any:
+            self.reach_soon(steps.Step.QUERY_ADMIT)
+            return offer(*given)
+
+        def watched_machine(*given: typing.Any) -> typing.Any:
+            self.reach_soon(steps.Step.QUERY_PIN)
+            self.reach_soon(steps.Step.QUERY_PLAN)
+            return machine(*given)
+
+        async def watched_call(
+            request: querytypes.QueryRequest, send: querytypes.Send
+        ) -> typing.Any:
+            if send.reason is querytypes.AttemptReason.HEDGE:
+                await self.reach(steps.Step.QUERY_HEDGE)
+            return await call(request, send)
+
+        def watched_record(served: queryservice.Served) -> None:
+            self.reach_soon(steps.Step.QUERY_ANSWER)
+            record(served)
+            self.reach_soon(steps.Step.QUERY_RECORD)
+
+        wrapped: list[tuple[typing.Any, str, typing.Any]] = [
+            (parts.gate.queue, "offer", watched_offer),
+            (parts.planner, "machine", watched_machine),
+            (running.router, "call", watched_call),
+            (parts.recorder, "record", watched_record),
+        ]
+        for part, name, function in wrapped:
+            setattr(part, name, function)
+
+    def _watch_control_steps(self, running: daemon.Daemon) -> None:
+        """Wrap the parts that mark the steps of settings and stops."""
+        adopt = running.source.adopt
+        release = running.claims.release
+
+        async def watched_adopt(delta: wire.RevisionDelta) -> typing.Any:
+            await self.reach(steps.Step.SETTINGS_SPREAD)
+            return await adopt(delta)
+
+        def watched_notify(topic: blackboard.Topic) -> None:
+            if topic is blackboard.Topic.SETTINGS:
+                self.reach_soon(steps.Step.SETTINGS_APPLY)
+            if topic is blackboard.Topic.LIFE:
+                step = LIFE_STEPS.get(running.board.life)
+                if step is not None:
+                    self.reach_soon(step)
+
+        async def watched_release() -> bool:
+            await self.reach(steps.Step.STOP_HAND_OVER)
+            return await release()
+
+        source: typing.Any = running.source
+        source.adopt = watched_adopt
+        claims: typing.Any = running.claims
+        claims.release = watched_release
+        running.board.listeners.append(watched_notify)
+
+    def reach_soon(self, step: steps.Step) -> None:
+        """Reach a step from code that cannot wait."""
+        self.nursery.start_soon(self.reach, step)
+
+    # What operators and callers do
+
+    async def apply(self, specs: dict[str, settingsobjects.Spec]) -> int:
+        """Put objects in force and return the revision."""
+        request = settingsapply.Request(
+            settingsobjects.Change(specs), author="operator"
+        )
+        applied = await self.store.apply(request)
+        return applied.unwrap().revision.info.revision
+
+    async def try_apply(
+        self, specs: dict[str, settingsobjects.Spec]
+    ) -> settingsapply.Applied | errors.PlantainhookError:
+        """Put objects in force as one of several operators."""
+        store = settingsstore.SettingsStore(
+            WatchedApi(self.api, self), self.clock
+        )
+        request = settingsapply.Request(
+            settingsobjects.Change(specs), author="operator"
+        )
+        applied = await store.apply(request)
+        if isinstance(applied, result.Err):
+            return applied.err_value
+        return applied.ok_value
+
+    def drain_leaf(self, name: str) -> None:
+        """Let a leaf leave, and note when."""
+        self.leafs[name].drain()
+        self.draining_since_s.setdefault(name, trio.current_time())
+
+    def reset_connections(self, name: str) -> None:
+        """Drop every connection of a leaf."""
+        hidden: typing.Any = self.leafs[name]
+        for scope in list(hidden._connections):
+            scope.cancel()
+
+    def jump(self, seconds: float) -> None:
+        """Let time pass in which no process runs."""
+        self.mock_clock.jump(seconds)
+        self.paused_s += seconds
+
+    def head_revision(self) -> int:
+        """Return the revision in force according to the object API."""
+        revision: int = self.stored_value(settingschunks.HEAD_KEY)["revision"]
+        return revision
+
+    def stored_value(self, key: str) -> typing.Any:
+        """Return what the object API holds, past all of its faults."""
+        entry = self.api.store.current(key)
+        if entry is None or entry.text is None:
+            raise KeyError(key)
+        return json.loads(entry.text)
+
+    def heal_store(self) -> None:
+        """End every fault of the object API."""
+        self.api.faults = objectapifake.Faults()
+
+    def live_nodes(self) -> list[Node]:
+        """Return the daemons that run."""
+        return [node for node in self.nodes if node.is_alive()]
+
+    async def query(self, kind: str, number: int, node: Node) -> Exchange:
+        """Send one query as a caller does and keep the exchange."""
+        params: dict[str, typing.Any] = {"number": number}
+        if kind == "poison":
+            kind, params = "search", {"poison": True}
+        body = callerapi.QueryBody(target="t", kind=kind, params=params)
+        if kind == "record":
+            ticket = node.daemon.service.issue_tickets(1)[0]
+            body = body.model_copy(update={"ticket": ticket})
+        await self.reach(steps.Step.QUERY_ACCEPT)
+        return await self.send(body, node)
+
+    async def send(self, body: callerapi.QueryBody, node: Node) -> Exchange:
+        """Send a body to a daemon; a daemon that dies gives no response."""
+        responses: list[callerapi.Response] = []
+        done = trio.Event()
+        started_s = trio.current_time()
+
+        async def answer() -> None:
+            if not node.scope.cancel_called:
+                responses.append(await node.daemon.service.query(body))
+            done.set()
+
+        async def follow() -> None:
+            # A daemon that was killed answers nothing any more.
+            while not (node.scope.cancel_called or done.is_set()):
+                await trio.sleep(0.01)
+            done.set()
+
+        with trio.CancelScope() as self.caller:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(answer)
+                nursery.start_soon(follow)
+                await done.wait()
+                nursery.cancel_scope.cancel()
+        exchange = Exchange(
+            body,
+            responses[0] if responses else None,
+            node.scope.cancel_called or self.caller.cancel_called,
+            trio.current_time() - started_s,
+        )
+        self.exchanges.append(exchange)
+        return exchange
+
+
+def address_of(number: int) -> str:
+    """Return the address of a leaf."""
+    return f"10.0.0.{number}:80"
+
+
+def index_of(version: int) -> schema.Index:
+    """Return an index version in which each shard holds one tile."""
+    shards: dict[str, list[str]] = {}
+    group_of: dict[str, str] = {}
+    for name, (_, group, served) in LEAF_SHARDS.items():
+        for shard in served:
+            shards.setdefault(shard, []).append(name)
+            group_of[shard] = group
+    return schema.Index(
+        target="t",
+        version=version,
+        shards=[
+            schema.Shard(
+                name=shard,
+                group=group_of[shard],
+                leafs=leafs,
+                tiles=[f"tile-{shard}"],
+            )
+            for shard, leafs in shards.items()
+        ],
+    )
