--- a/plantainhook/standin_model.py
+++ b/plantainhook/standin_model.py
@@ -99,6 +99,7 @@
         self._state = standin_journal.History(leafprotocol.HealthState.LIVE)
         self._cold_until_s = -math.inf
         self._slots = trio.Semaphore(self.behaviour.slot_count)
+        self.received_s: list[float] = []
         self._works: dict[str, Work] = {}
 
     def start_cold(self) -> None:
@@ -186,6 +187,7 @@
 
     async def search(self, body: bytes) -> standinhttp.HttpReply:
         """Run a search, or refuse it."""
+        self.received_s.append(trio.current_time())
         try:
             search = _SEARCH_DECODER.decode(body)
         except msgspec.DecodeError as error:
--- /dev/null
+++ b/tests/test_matrix.py
@@ -0,0 +1,206 @@
+"""The short set of the fault matrix, and defects that it has to catch."""
+
+import dataclasses
+import typing
+from collections import abc
+from unittest import mock
+
+import testtools
+
+from plantainhook import (
+    callerapi,
+    coverage,
+    daemon,
+    errors,
+    faults,
+    forwarding,
+    leafbelief,
+    leafwork,
+    planner,
+    steps,
+)
+from tests import matrixdriver, matrixfaults
+
+# The short set takes each fault at one step in this many; make matrix takes
+# every cell.
+SHORT_SET_STRIDE: typing.Final = 12
+
+
+def short_set() -> list[matrixdriver.Case]:
+    """Return cells that cover every fault and every step."""
+    return matrixdriver.all_cells()[::SHORT_SET_STRIDE]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Defect:
+    """Hold a defect, a case that has to catch it, and what it says."""
+
+    name: str
+    owner: typing.Any
+    attribute: str
+    replacement: typing.Any
+    step: steps.Step
+    faults: tuple[faults.Fault, ...]
+    caught_by: str
+
+
+def ignore(*given: typing.Any) -> None:
+    """Do nothing."""
+
+
+async def ignore_soon(*given: typing.Any) -> None:
+    """Do nothing."""
+
+
+_MACHINE: typing.Final = planner.BlackboardPlanner.machine
+_CALL: typing.Final = forwarding.HolderRouter.call
+_REFUSAL_RESPONSE: typing.Final = callerapi.refusal_response
+
+
+def machine_without_idempotence(
+    own: planner.BlackboardPlanner,
+    request: typing.Any,
+    rules: typing.Any,
+    now_s: float,
+) -> typing.Any:
+    """Plan every request as if it could run twice."""
+    rules = dataclasses.replace(rules, idempotent=True)
+    return _MACHINE(own, request, rules, now_s)
+
+
+def refusal_always_not_run(
+    refusal: errors.RefusalError, ticket: str = ""
+) -> callerapi.Response:
+    """Say "not run" whatever happened."""
+    refusal.ran = errors.Ran.NO
+    return _REFUSAL_RESPONSE(refusal, ticket)
+
+
+async def call_of_other_version(
+    own: forwarding.HolderRouter, request: typing.Any, send: typing.Any
+) -> typing.Any:
+    """Ask for version 2 where version 1 is not served, and hide it."""
+    outcome = await _CALL(own, request, send)
+    if outcome.is_ok():
+        return outcome
+    other = dataclasses.replace(send, snapshot=2)
+    reply = await _CALL(own, request, other)
+    return reply.map(
+        lambda found: dataclasses.replace(found, snapshot=send.snapshot)
+    )
+
+
+def fields_of_first_request(
+    own: typing.Any, request: typing.Any
+) -> typing.Any:
+    """Send the fields of the first request for every request."""
+    known = own._fields
+    if not known:
+        known["first"] = leafwork.RequestFields(
+            request.request_id, request.kind, request.fingerprint, b"{}"
+        )
+    return dataclasses.replace(known["first"], request_id=request.request_id)
+
+
+DEFECTS: typing.Final = (
+    Defect(
+        "coverage is always 1",
+        coverage.Merge,
+        "ratio",
+        lambda own: 1.0,
+        steps.Step.QUERY_ACCEPT,
+        (faults.Fault.VERSION_CHANGE,),
+        "coverage 1.0 of",
+    ),
+    Defect(
+        "non-idempotent requests are hedged",
+        planner.BlackboardPlanner,
+        "machine",
+        machine_without_idempotence,
+        steps.Step.QUERY_SEND,
+        (faults.Fault.LATE_REPLY,),
+        "ran more than once",
+    ),
+    Defect(
+        "every refusal says not run",
+        callerapi,
+        "refusal_response",
+        refusal_always_not_run,
+        steps.Step.QUERY_SEND,
+        (faults.Fault.HALF_OPEN,),
+        "false 'not run'",
+    ),
+    Defect(
+        "a stop does not wait for requests in flight",
+        daemon.Daemon,
+        "drain",
+        ignore_soon,
+        steps.Step.STOP_DRAIN,
+        (faults.Fault.CLOCK_JUMP,),
+        "was cut off",
+    ),
+    Defect(
+        "versions are mixed",
+        forwarding.HolderRouter,
+        "call",
+        call_of_other_version,
+        steps.Step.QUERY_ACCEPT,
+        (faults.Fault.VERSION_CHANGE,),
+        "mixed snapshots",
+    ),
+    Defect(
+        "requests share their fields",
+        forwarding.HolderRouter,
+        "_fields_of",
+        fields_of_first_request,
+        steps.Step.QUERY_SEND,
+        (faults.Fault.CLOCK_JUMP,),
+        "the answer of another request",
+    ),
+    Defect(
+        "signs of leaving are ignored",
+        leafbelief.Belief,
+        "on_leaving",
+        ignore,
+        steps.Step.QUERY_SEND,
+        (faults.Fault.LEAF_DRAINS,),
+        "while leaving",
+    ),
+)
+
+
+class MatrixTest(testtools.TestCase):
+    """Run the short set and the defects."""
+
+    def test_every_step_and_fault_is_known(self) -> None:
+        """Guards against a step or a fault that no case brings about."""
+        families = matrixdriver.load_families()
+        covered = [step for found in families.values() for step in found]
+        missing = matrixdriver.steps_without_scenario()
+        self.assertEqual(sorted(steps.Step), sorted(covered + missing))
+        self.assertEqual(set(faults.Fault), set(matrixfaults.BRING_ABOUT))
+
+    def test_short_set(self) -> None:
+        """Guards against a broken promise under a single fault."""
+        failed = broken_lines(short_set())
+        self.assertEqual([], failed)
+
+    def test_defects_are_caught(self) -> None:
+        """Guards against checks of the matrix that cannot fail."""
+        for defect in DEFECTS:
+            case = matrixdriver.Case(defect.step, defect.faults, seed=0)
+            with mock.patch.object(
+                defect.owner, defect.attribute, defect.replacement
+            ):
+                outcome = matrixdriver.run_case(case)
+            found = " ".join(outcome.broken)
+            self.assertIn(defect.caught_by, found, defect.name)
+
+
+def broken_lines(cases: abc.Iterable[matrixdriver.Case]) -> list[str]:
+    """Return a line for each case that broke a promise."""
+    return [
+        f"{outcome.case.text()}: {'; '.join(outcome.broken)}"
+        for outcome in matrixdriver.run_cases(cases)
+        if outcome.broken
+    ]
