Notice vanished peers, log decisions, test stand-in and late replies

A peer that vanishes without closing left its idle connections in the pool; TCP keepalive now ends them after about 5 s. A connection released after its pool stopped is closed. Resends and cancellations write rate-limited log lines.

--- a/plantainhook/leafhealth.py
+++ b/plantainhook/leafhealth.py
@@ -131,6 +131,13 @@
             if own & belief.leaving_s.keys()
         )
 
+    def in_flight_counts(self) -> dict[str, int]:
+        """Return what each leaf last said of its load; it may be wrong."""
+        return {
+            leaf: belief.in_flight_count
+            for leaf, belief in self._beliefs.items()
+        }
+
     def _update(self, nursery: trio.Nursery) -> None:
         """Start and stop pollers as the settings say."""
         leafs = self._board.settings.leafs
--- a/plantainhook/leafpool.py
+++ b/plantainhook/leafpool.py
@@ -169,7 +169,8 @@
 
     def release(self, client: leafclient.LeafClient) -> None:
         """Take back a connection whose exchange ended or failed."""
-        if not client.reusable() or self._excess_count() > 0:
+        stopped = self._nursery is None
+        if stopped or not client.reusable() or self._excess_count() > 0:
             self.busy_count -= 1
             self._close(client)
         elif not self._serve_waiter(client):
--- a/plantainhook/leaftransport.py
+++ b/plantainhook/leaftransport.py
@@ -13,6 +13,20 @@
 
 import trio
 
+# A peer that vanished without closing is noticed after about 5 s on an idle
+# connection, and after 3 s where sent bytes are not acknowledged.
+KEEPALIVE_IDLE_S: typing.Final = 3
+KEEPALIVE_INTERVAL_S: typing.Final = 1
+KEEPALIVE_PROBES_COUNT: typing.Final = 2
+UNACKNOWLEDGED_LIMIT_MS: typing.Final = 3000
+TCP_OPTIONS: typing.Final = (
+    (socket.TCP_NODELAY, 1),
+    (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+    (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+    (socket.TCP_KEEPCNT, KEEPALIVE_PROBES_COUNT),
+    (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS),
+)
+
 
 class Transport(typing.Protocol):
     """Carry bytes to and from one leaf.
@@ -102,7 +116,9 @@
     opened = socket.socket(family, socket.SOCK_STREAM)
     try:
         opened.setblocking(False)
-        opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option, value in TCP_OPTIONS:
+            opened.setsockopt(socket.IPPROTO_TCP, option, value)
         await trio.socket.from_stdlib_socket(opened).connect((host, port))
     except BaseException:
         opened.close()
--- a/plantainhook/leafwork.py
+++ b/plantainhook/leafwork.py
@@ -17,12 +17,14 @@
 
 from plantainhook import (
     blackboard,
+    clock,
     errors,
     leafclient,
     leafconnect,
     leafpool,
     leafprotocol,
     leaftransport,
+    logs,
     metrics,
     querytypes,
     shardmap,
@@ -30,6 +32,7 @@
 
 SEND_TRIES_COUNT: typing.Final = 3
 CONNECTS_AT_ONCE_COUNT: typing.Final = 16
+LOG_LINES_PER_S: typing.Final = 50.0
 UNKNOWN_LEAF: typing.Final = "the settings have no such leaf"
 TOPICS: typing.Final = (blackboard.Topic.SETTINGS, blackboard.Topic.SHARES)
 
@@ -102,6 +105,9 @@
         self._rng = rng
         self._connector = connector
         self._options = options or leafconnect.PoolOptions()
+        self._decisions = logs.DecisionLog(
+            logs.part_logger("leafwork"), clock.TrioClock(), LOG_LINES_PER_S
+        )
         self._gate = trio.Semaphore(CONNECTS_AT_ONCE_COUNT)
         self._pools: dict[str, leafpool.LeafPool] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
@@ -192,6 +198,7 @@
             if not may_resend(outcome):
                 break
             self._metrics.resends.inc()
+            self._decisions.decide(f"{call.request_id} to {leaf} again.")
             outcome = await self._try_once(pool, call)
         return outcome
 
@@ -208,6 +215,10 @@
             cancel_id = ""
             return outcome
         finally:
+            if cancel_id:
+                self._decisions.decide(
+                    f"{cancel_id} at {pool.leaf} cancelled."
+                )
             pool.abandon(client, cancel_id)
 
     def _on_failure(self, leaf: str, error: errors.LeafError) -> None:
--- a/plantainhook/standin_model.py
+++ b/plantainhook/standin_model.py
@@ -155,12 +155,16 @@
             return standinhttp.HttpReply(404)
         return standinhttp.json_reply(200, report())
 
-    def _health(self) -> leafprotocol.HealthReply:
+    def report_health(self) -> leafprotocol.HealthState:
+        """Return the state that the health endpoint reports."""
         lag_s = self.behaviour.health_lag_ms / 1000
         state = self.behaviour.health_says
         if state is None and lag_s:
             state = self._state.at(trio.current_time() - lag_s)
-        return leafprotocol.HealthReply(state or self.state())
+        return state or self.state()
+
+    def _health(self) -> leafprotocol.HealthReply:
+        return leafprotocol.HealthReply(self.report_health())
 
     def _load(self) -> leafprotocol.LoadReply:
         said = self.behaviour.load_says
--- a/tests/test_leafpool.py
+++ b/tests/test_leafpool.py
@@ -91,6 +91,56 @@
 
         self.run_virtual(case)
 
+    def test_shrink_to_zero_while_connecting(self) -> None:
+        """Guards against a connection that opens after the share moved."""
+
+        async def case() -> None:
+            async with leafhelp.running_rig(allotment_count=0) as rig:
+                rig.network.connect_delay_s = 0.1
+                rig.change_allotment(2)
+                await trio.sleep(0.05)
+                rig.change_allotment(0)
+                await trio.sleep(0.2)
+                self.assertEqual(1, len(rig.network.connects))
+                self.assertEqual(0, rig.leafs[0].open_count)
+                self.assertEqual(0, self.pool(rig).open_count)
+
+        self.run_virtual(case)
+
+    def test_late_reply(self) -> None:
+        """Guards against a late reply that reaches the next request."""
+
+        async def case() -> None:
+            async with leafhelp.running_rig(
+                allotment_count=1,
+                reply_fault="delay",
+                reply_delay_ms=150.0,
+                fault_count=1,
+            ) as rig:
+                late = (await rig.call(timeout_s=0.05)).unwrap_err()
+                self.assertEqual(errors.LeafFailureKind.TIMEOUT, late.kind)
+                reply = (await rig.call(request_id="q2")).unwrap()
+                self.assertEqual("q2", reply.request_id)
+                self.assertEqual(1, len(rig.network.connects))
+
+        self.run_virtual(case)
+
+    def test_stop_with_call_in_flight(self) -> None:
+        """Guards against a connection that outlives its pool."""
+
+        async def case() -> None:
+            async with leafhelp.running_rig(service_median_ms=100.0) as rig:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self.call, rig, "q1", 1.0)
+                    await trio.sleep(0.05)
+                    rig.board.settings = blackboard.SettingsView()
+                    rig.board.notify(blackboard.Topic.SETTINGS)
+                await trio.sleep(0.01)
+                self.assertEqual(2, rig.leafs[0].journal.runs_of("q1"))
+                self.assertEqual(0, rig.leafs[0].open_count)
+
+        self.run_virtual(case)
+
     def test_waiters_by_deadline(self) -> None:
         """Guards against an urgent call behind one that has time."""
 
