--- a/plantainhook/gossip.py
+++ b/plantainhook/gossip.py
@@ -40,6 +40,7 @@
 PULL_PEER_COUNT: typing.Final = 3
 PULL_TRIES: typing.Final = 8
 API_PAUSE_S: typing.Final = 1.0
+NOTICE_READS_COUNT: typing.Final = 6
 API_PAUSE_MAX_S: typing.Final = 30.0
 ANNOUNCER_COUNT: typing.Final = 8
 FAR_LINK_COUNT: typing.Final = 1
@@ -178,7 +179,20 @@
             for change in changes.ok_value:
                 version = max(version, change.version)
             if changes.ok_value:
-                await self._refresh()
+                await self._refresh_after_notice()
+
+    async def _refresh_after_notice(self) -> None:
+        """Read the head until it is newer, within bounds.
+
+        A read may be older than the notice that led to it; without a
+        second read the daemon would wait for the slow poll.
+        """
+        before = self._board.settings.revision
+        for _ in range(NOTICE_READS_COUNT):
+            await self._refresh()
+            if self._board.settings.revision > before:
+                return
+            await self._back_off(API_PAUSE_S)
 
     async def _poll_loop(self) -> None:
         """Poll slowly, so that a broken watch delays but never loses."""
--- a/plantainhook/leafhealth.py
+++ b/plantainhook/leafhealth.py
@@ -31,10 +31,11 @@
 )
 
 POLL_TIMEOUT_S: typing.Final = 0.5
+# The load endpoint is only a hint, and each read costs as much as a health
+# read.
+LOAD_STRIDE_COUNT: typing.Final = 5
 RETRY_S: typing.Final = 0.2
 JITTER_RATIO: typing.Final = 0.1
-# Load is a hint only; reading it in each poll made polls a third dearer.
-LOAD_EVERY_COUNT: typing.Final = 4
 
 _HEALTH: typing.Final = msgspec.json.Decoder(leafprotocol.HealthReply)
 _LOAD: typing.Final = msgspec.json.Decoder(leafprotocol.LoadReply)
@@ -133,6 +134,13 @@
             if own & belief.leaving_s.keys()
         )
 
+    def in_flight_counts(self) -> dict[str, int]:
+        """Return what each leaf last said of its load; it may be wrong."""
+        return {
+            leaf: belief.in_flight_count
+            for leaf, belief in self._beliefs.items()
+        }
+
     def _update(self, nursery: trio.Nursery) -> None:
         """Start and stop pollers as the settings say."""
         leafs = self._board.settings.leafs
@@ -218,7 +226,7 @@
             for version, shards in versions.ok_value.versions.items()
         }
         belief.poll_count += 1
-        if belief.poll_count % LOAD_EVERY_COUNT:
+        if belief.poll_count % LOAD_STRIDE_COUNT != 1:
             return result.Ok(None)
         load = await client.get(leafprotocol.LOAD_PATH, _LOAD, deadline_s)
         if isinstance(load, result.Err):
