--- a/plantainhook/replicas.py
+++ b/plantainhook/replicas.py
@@ -37,10 +37,13 @@
         errors.LeafFailureKind.CONNECT,
         errors.LeafFailureKind.CONNECTION_LOST,
         errors.LeafFailureKind.REFUSED,
-        # Invalid replies come fast and would otherwise draw more calls.
-        errors.LeafFailureKind.MALFORMED,
     }
 )
+# Invalid replies come fast, so a leaf that sends nothing else would draw
+# more calls. A single one can belong to another leaf's fault.
+UNANSWERED_KINDS: typing.Final = frozenset(
+    {errors.LeafFailureKind.MALFORMED, errors.LeafFailureKind.TIMEOUT}
+)
 OVERLOAD_KINDS: typing.Final = frozenset(
     {errors.LeafFailureKind.REFUSED, errors.LeafFailureKind.TIMEOUT}
 )
@@ -222,7 +225,7 @@
             self._penalise(state, now_s)
         if kind in OVERLOAD_KINDS:
             state.limit.on_overload(now_s)
-        if kind is errors.LeafFailureKind.TIMEOUT:
+        if kind in UNANSWERED_KINDS:
             self._note_unanswered(state, now_s)
         if kind is errors.LeafFailureKind.NOT_SERVED:
             self._note_not_served(state.name, version, now_s)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -251,6 +251,14 @@
             self.replicas.on_cancelled(state, 0.1, 0.005, 0.0)
         self.assertEqual(0.0, self.share("a", 0.1))
 
+    def test_invalid_replies(self) -> None:
+        """Guards against a penalty for one, and none for many of them."""
+        self.fail_near("malformed", 0.0)
+        self.assertEqual(0.0, self.share("c", 0.1))
+        for _ in range(replicas.UNANSWERED_MAX):
+            self.fail_near("malformed", 0.1)
+        self.assertEqual(1.0, self.share("c", 0.2))
+
     def test_not_served(self) -> None:
         """Guards against a leaf asked again for a version it lacks."""
         self.fail_near("not_served", 0.0)
