--- a/tests/test_query_machine.py
+++ b/tests/test_query_machine.py
@@ -3,8 +3,8 @@
 import dataclasses
 import typing
 
+import hypothesis
 import testtools
-from hypothesis import given
 from hypothesis import strategies as st
 
 from plantainhook import errors, query, queryplan, querytypes
@@ -167,7 +167,7 @@
 class QueryMachineTest(testtools.TestCase):
     """Check what must hold whatever the leafs do."""
 
-    @given(
+    @hypothesis.given(
         st.booleans(), st.sampled_from(["plain", "fixed", "adaptive"]), EVENTS
     )
     def test_invariants(
@@ -193,7 +193,7 @@
         assert not any(in_flight), "a finished query leaves calls in flight"
         assert not any(run.policies.quarantine.running.values())
 
-    @given(EVENTS)
+    @hypothesis.given(EVENTS)
     def test_hedges_per_shard_set(self, events: list[Event]) -> None:
         """Guards against more than two hedges of one shard set."""
         run = Run(True, "adaptive")
