--- a/plantainhook/cli.py
+++ b/plantainhook/cli.py
@@ -12,8 +12,13 @@
     commands,
     commands_bench,
     commands_client,
+    commands_controlbench,
     commands_report,
+    commands_serve,
     commands_settings,
+    commands_standin,
+    commands_standin_platform,
+    demo,
     openapi,
 )
 
@@ -21,8 +26,13 @@
 COMMAND_MODULES: typing.Final = (
     commands_bench,
     commands_client,
+    commands_controlbench,
     commands_report,
+    commands_serve,
     commands_settings,
+    commands_standin,
+    commands_standin_platform,
+    demo,
     openapi,
 )
 
--- a/plantainhook/commands_report.py
+++ b/plantainhook/commands_report.py
@@ -22,6 +22,7 @@
     reportcompare,
     reportdata,
     reporthtml,
+    reportmeasure,
     reportreplay,
     reportselfcheck,
     requestrecord,
@@ -87,18 +88,16 @@
 
 
 def add_source_arguments(parser: argparse.ArgumentParser) -> None:
-    """Add the arguments that name the objects and the definitions."""
+    """Add the arguments that name the objects and the definitions.
+
+    ``replay`` reads only the gaps from the objects, where they are named.
+    """
     parser.add_argument(
         "--from-dir",
         type=pathlib.Path,
         metavar="DIR",
         help="read exported JSON objects from a directory",
     )
-    add_figures_argument(parser)
-
-
-def add_figures_argument(parser: argparse.ArgumentParser) -> None:
-    """Add the argument that names the definitions."""
     parser.add_argument(
         "--figures",
         type=pathlib.Path,
@@ -123,6 +122,7 @@
     _add_compare(subparsers)
     _add_replay(subparsers)
     _add_selfcheck(subparsers)
+    _add_measure(subparsers)
 
 
 Subparsers = typing.Any
@@ -145,7 +145,7 @@
     parser.add_argument(
         "--month", type=month_argument, metavar="YYYY-MM", required=True
     )
-    add_figures_argument(parser)
+    add_source_arguments(parser)
     parser.set_defaults(run_report=run_replay)
 
 
@@ -173,6 +173,16 @@
     parser.set_defaults(run_report=run_selfcheck)
 
 
+def _add_measure(subparsers: Subparsers) -> None:
+    parser = subparsers.add_parser(
+        "measure", help="measure time and memory of reports"
+    )
+    parser.add_argument("--daemons", type=int, nargs="+", default=[7])
+    parser.add_argument("--days", type=int, nargs="+", default=[30])
+    parser.add_argument("--requests-per-day", type=int, default=500)
+    parser.set_defaults(run_report=run_measure)
+
+
 def run_show(arguments: argparse.Namespace) -> int:
     """Print the figures of a month."""
     month = arguments.month
@@ -216,13 +226,17 @@
 
 
 def run_replay(arguments: argparse.Namespace) -> int:
-    """Print the figures of a log of request records."""
+    """Print the figures of a log, without the records in known gaps."""
     definitions = figure_definitions(arguments)
+    gaps = []
+    if arguments.from_dir is not None:
+        read = read_months(object_api(arguments), [arguments.month])
+        gaps = read[arguments.month].gaps
     try:
         with arguments.log.open("rb") as stream:
             records = requestrecord.read_lines(stream, str(arguments.log))
             values = reportreplay.replay(
-                records, [arguments.month], definitions
+                records, [arguments.month], definitions, gaps
             )
     except OSError as error:
         raise InputError(f"{arguments.log}: {error.strerror}") from None
@@ -247,6 +261,18 @@
     return commands.EXIT_FAILED if failed else commands.EXIT_DONE
 
 
+def run_measure(arguments: argparse.Namespace) -> int:
+    """Print the cost of a report for each size."""
+    logs.configure_logs("text", "WARNING")
+    for daemon_count in arguments.daemons:
+        for day_count in arguments.days:
+            measured = reportmeasure.measure(
+                daemon_count, day_count, arguments.requests_per_day
+            )
+            sys.stdout.write(reportmeasure.as_text(measured))
+    return commands.EXIT_DONE
+
+
 @commands.command(
     "report", "Print monthly figures and compare them.", add_report_arguments
 )
--- a/plantainhook/foldplan.py
+++ b/plantainhook/foldplan.py
@@ -20,6 +20,13 @@
     steps,
 )
 
+# A folded segment keeps its key taken against a late repetition of the
+# daemon's write, which comes within seconds unless the daemon was paused.
+KEEP_FOLDED_S: typing.Final = 2 * 86_400.0
+# The last segment of a daemon that did not stop in order is kept longer: the
+# daemon may be cut off from the object API and continue from it.
+KEEP_LAST_FOLDED_S: typing.Final = 35 * 86_400.0
+
 READY_STATES: typing.Final = frozenset(
     {segments.SegmentState.CLOSED, segments.SegmentState.SEALED}
 )
@@ -30,7 +37,8 @@
     """Name an incarnation that serves no more requests.
 
     ``gone_wall_s`` is fixed when the daemon is declared dead; a later time
-    for the same incarnation stands for a further declaration.
+    for the same incarnation stands for a further declaration. A declaration
+    is repeated until a pass without failures, for a day at most.
     ``started_wall_s`` is where its gap begins if it has written nothing.
     """
 
@@ -78,7 +86,7 @@
 
 
 def gone_daemons(
-    found: abc.Iterable[StoredSegment],
+    found: Segments,
     live: abc.Container[int],
     now_wall_s: float,
     silent_s: float,
@@ -86,19 +94,26 @@
     """Return the incarnations that are not live and have been silent.
 
     ``live`` holds the incarnations that membership knows as alive. For
-    callers that have no record of when a daemon was declared dead.
+    callers that have no record of when a daemon was declared dead; the time
+    is that of the call. An incarnation that is sealed is not returned again.
     """
-    gone = {}
-    for stored in found:
-        head = stored.head
-        incarnation = int(head.incarnation, 16)
-        silent = now_wall_s - head.covered_to_wall_s >= silent_s
-        is_open = head.state is segments.SegmentState.OPEN
-        if is_open and silent and incarnation not in live:
-            gone[incarnation] = GoneDaemon(
-                head.daemon, incarnation, head.covered_from_wall_s, now_wall_s
-            )
-    return list(gone.values())
+    last: dict[str, segments.SegmentHead] = {}
+    for key in sorted(found):
+        head = found[key].head
+        last[head.incarnation] = head
+    return [
+        GoneDaemon(
+            head.daemon,
+            int(head.incarnation, 16),
+            head.covered_from_wall_s,
+            now_wall_s,
+        )
+        for head in last.values()
+        if not head.final
+        and not head.gone_wall_s
+        and now_wall_s - head.covered_to_wall_s >= silent_s
+        and int(head.incarnation, 16) not in live
+    ]
 
 
 def last_segment(found: Segments, incarnation: str) -> StoredSegment | None:
@@ -167,6 +182,30 @@
     )
 
 
+def expired_segments(
+    found: Segments, gone: abc.Sequence[GoneDaemon], now_wall_s: float
+) -> Segments:
+    """Return the folded segments that are no longer needed.
+
+    Those of daemons that are still declared as gone stay, because they tell
+    that the daemon has left no gap.
+    """
+    declared = {segments.incarnation_name(one.incarnation) for one in gone}
+    expired = {}
+    for key, stored in found.items():
+        head = stored.head
+        if head.state is not segments.SegmentState.FOLDED:
+            continue
+        if head.incarnation in declared:
+            continue
+        following = segments.segment_key(head.incarnation, head.generation + 1)
+        is_done = head.final or following in found
+        keep_s = KEEP_FOLDED_S if is_done else KEEP_LAST_FOLDED_S
+        if now_wall_s - head.folded_wall_s > keep_s:
+            expired[key] = stored
+    return expired
+
+
 def folded_list(
     head: monthdocs.MonthHead, new: list[Contribution], found: Segments
 ) -> dict[str, int]:
--- a/plantainhook/monthdocs.py
+++ b/plantainhook/monthdocs.py
@@ -1,6 +1,6 @@
-"""Month objects: the folded cells, gaps and corrections of a UTC month.
+"""Month objects: the folded tallies, gaps and corrections of a UTC month.
 
-A cell belongs to the UTC month of its slice of arrival. The groups of a month
+A tally belongs to the UTC month of its slice of arrival. The groups of a month
 object are named by section and day. The section ``month`` is what was folded
 before the month was closed; later sections are corrections, named by the day
 on which they were folded.
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from plantainhook import cells, documents, figures
+from plantainhook import documents, figures
 
 MONTH_PREFIX: typing.Final = "figures/month/"
 BASE_SECTION: typing.Final = "month"
@@ -78,7 +78,7 @@
 def rows_by_month(
     rows: documents.Rows,
 ) -> dict[figures.Month, documents.Rows]:
-    """Group cells by the UTC month of arrival."""
+    """Group tallies by the UTC month of arrival."""
     months: dict[figures.Month, documents.Rows] = {}
     for row in rows:
         month = figures.month_of_quarter(row.arrival_slice)
@@ -92,10 +92,3 @@
     ended = next_month.first_quarter() + figures.LATEST_MONTH_START_QUARTERS
     due_wall_s = ended * figures.QUARTER_S + CLOSE_AFTER_S
     return not head.closed_wall_s and now_wall_s >= due_wall_s
-
-
-def merge_rows(rows: documents.Rows, added: documents.Rows) -> documents.Rows:
-    """Return the sum of two lists of cells."""
-    merged = cells.CellMap(rows)
-    merged.merge(added)
-    return merged.rows()
--- a/plantainhook/schema.py
+++ b/plantainhook/schema.py
@@ -78,7 +78,7 @@
     max_hedges_count: int = pydantic.Field(default=2, ge=0, le=4)
     max_retries_count: int = pydantic.Field(default=2, ge=0, le=5)
     extra_load_ratio: Ratio = 0.03
-    extra_load_floor_per_s: float = pydantic.Field(default=1.0, ge=0)
+    extra_load_floor_per_s: float = pydantic.Field(default=0.1, ge=0)
     cross_zone_max_ratio: Ratio = 0.2
     queue_limit_count: int = pydantic.Field(default=1000, ge=1)
 
@@ -145,12 +145,17 @@
 
 
 class SharePlan(Model):
-    """Fix how the connection limits of leafs are divided."""
+    """Fix how the connection limits of leafs are divided.
 
+    A change of any value needs a higher generation. The scope can't change
+    while daemons run: claims of two scopes don't exclude each other.
+    """
+
+    scope: typing.Literal["deployment", "data_centre"] = "deployment"
     generation: int = pydantic.Field(default=1, ge=1)
     share_count: int = pydantic.Field(default=8, ge=1, le=10_000)
     holders_per_leaf: int = pydantic.Field(default=8, ge=1)
-    cell_leaf_count: int = pydantic.Field(default=16, ge=1)
+    cells_per_group: int = pydantic.Field(default=1, ge=1)
 
 
 class Measure(enum.StrEnum):
