--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,7 +9,7 @@
 import trio
 import trio.testing
 
-from plantainhook import controlfleet
+from plantainhook import blackboard, controlfleet
 
 CASES_FILE: typing.Final = (
     pathlib.Path(__file__).parent.parent / "test-data" / "fleet.toml"
@@ -25,6 +25,7 @@
         self.fleet = fleet
         self.case = case
         self.revision = 0
+        self.quarantined: set[str] = set()
 
     async def step(self, step: dict[str, typing.Any]) -> None:
         match step["do"]:
@@ -44,6 +45,16 @@
                 }
             case "heal":
                 self.fleet.cut.clear()
+            case "quarantine":
+                board = self.fleet.nodes[step["index"]].board
+                until_s = trio.current_time() + 600
+                board.quarantine_until_s[step["name"]] = until_s
+                board.notify(blackboard.Topic.QUARANTINE)
+                self.quarantined.add(step["name"])
+            case "clear":
+                sync = self.fleet.nodes[step["index"]].spread.quarantine
+                sync.clear(step["name"], trio.current_time())
+                self.quarantined.discard(step["name"])
             case "down":
                 self.fleet.store.set_down(True)
             case "sleep":
@@ -54,7 +65,9 @@
     def converged(self) -> bool:
         count = len(self.fleet.nodes)
         return all(
-            node.revision == self.revision and node.live_count() == count
+            node.revision == self.revision
+            and node.live_count() == count
+            and set(node.board.quarantine_until_s) == self.quarantined
             for node in self.fleet.nodes
         )
 
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -505,3 +505,16 @@
             for share in range(share_count)
         )
         self.assertLessEqual(total, limit)
+
+    def test_moved_leafs(self) -> None:
+        """Guards against a leaf that gets other holders unnoticed."""
+        old = settings_of(schema.SharePlan())
+        same = settings_of(schema.SharePlan())
+        self.assertEqual([], shareplan.moved_leafs(old, same))
+        moved = settings_of(schema.SharePlan())
+        moved.group["other"] = moved.group.pop("group-1")
+        self.assertEqual(["leaf-1"], shareplan.moved_leafs(old, moved))
+        changed = settings_of(schema.SharePlan(share_count=9))
+        self.assertEqual(["share_plan"], shareplan.moved_leafs(old, changed))
+        raised = settings_of(schema.SharePlan(generation=2, share_count=9))
+        self.assertEqual([], shareplan.moved_leafs(old, raised))
