Keep allotments between member changes

Cause: with 4,900 members and 21,000 leafs every member change cost 17 to 30 ms, because all allotments were computed again. Change: allotments are kept until the revision, the share or the plans change.

--- a/plantainhook/shareplan.py
+++ b/plantainhook/shareplan.py
@@ -79,6 +79,19 @@
     return found
 
 
+def leafs_in_scope(
+    view: blackboard.SettingsView, data_centre: str
+) -> list[shardmap.LeafInfo]:
+    """Return the leafs whose limits the shares of a scope divide."""
+    plan = view.settings.share_plan
+    own_scope = scope_of(plan, data_centre)
+    return [
+        leaf
+        for leaf in view.leafs.values()
+        if scope_of(plan, leaf.data_centre) == own_scope
+    ]
+
+
 def owners(
     members: abc.Iterable[blackboard.MemberInfo], plan: schema.SharePlan
 ) -> dict[str, dict[int, int]]:
--- a/plantainhook/shares.py
+++ b/plantainhook/shares.py
@@ -26,7 +26,6 @@
     claimstore,
     logs,
     schema,
-    shardmap,
     shareclaim,
     shareplan,
 )
@@ -78,8 +77,8 @@
         self._plans: frozenset[shareplan.Plan] = frozenset()
         self._must_list = True
         self._is_stopping = False
-
-    # Entry points
+        self._allotments_key: object = None
+        self._allotments_kept: dict[str, int] = {}
 
     async def run(self) -> None:
         """Keep a share until cancelled."""
@@ -132,14 +131,9 @@
     def publish(self) -> None:
         """Write the share and its allotments to the blackboard."""
         held = self._held
-        allotments: dict[str, int] = {}
+        share, allotments = None, dict[str, int]()
         if held is not None and self._plans:
-            plans = self._plans | {self._own_plan()}
-            if held.claim is not None:
-                plans |= set(held.claim.plans)
-            leafs = self._leafs_in_scope()
-            allotments = shareplan.allotments(leafs, held.share, plans)
-        share = held.share if held is not None and self._plans else None
+            share, allotments = held.share, self._allotments(held)
         owners = shareplan.owners(
             self._board.members.values(), self._settings_plan()
         )
@@ -382,13 +376,21 @@
     def _listed_as_of_s(self, vm_id: str) -> float:
         return self._vms.as_of_s if vm_id in self._vms.vm_ids else 0.0
 
-    def _leafs_in_scope(self) -> list[shardmap.LeafInfo]:
-        own_scope = self._own_scope()
-        return [
-            leaf
-            for leaf in self._board.settings.leafs.values()
-            if self._scope(leaf.data_centre) == own_scope
-        ]
+    def _allotments(self, held: shareclaim.StoredClaim) -> dict[str, int]:
+        """Return the allotments; they change less often than members."""
+        plans = self._plans | {self._own_plan()}
+        if held.claim is not None:
+            plans |= set(held.claim.plans)
+        key = (self._board.settings.revision, held.share, plans)
+        if key != self._allotments_key:
+            leafs = shareplan.leafs_in_scope(
+                self._board.settings, self._data_centre
+            )
+            self._allotments_key = key
+            self._allotments_kept = shareplan.allotments(
+                leafs, held.share, plans
+            )
+        return self._allotments_kept
 
     async def _follow_members(self) -> None:
         """Publish the owners that members announce."""
