--- a/plantainhook/membersync.py
+++ b/plantainhook/membersync.py
@@ -13,7 +13,8 @@
 
 SYNC_MIN_INTERVAL_S: typing.Final = 10.0
 SYNC_BUCKET_COUNT: typing.Final = 4
-SYNC_ENTRY_COUNT: typing.Final = 400
+SYNC_ENTRY_COUNT: typing.Final = 100
+JOIN_ENTRY_COUNT: typing.Final = 400
 JOIN_ROUNDS: typing.Final = 2 * memberentry.BUCKET_COUNT
 
 
@@ -41,7 +42,7 @@
     async def copy_from(self, address: str) -> None:
         """Copy all members of a peer when joining."""
         for _count in range(JOIN_ROUNDS):
-            if not await self._round(address, spread=False):
+            if not await self._round(address, False, JOIN_ENTRY_COUNT):
                 return
 
     async def sync_with(self, address: str) -> None:
@@ -49,9 +50,11 @@
         now_s = self._clock.now_s()
         if now_s - self._synced_s >= SYNC_MIN_INTERVAL_S:
             self._synced_s = now_s
-            await self._round(address, spread=True)
+            await self._round(address, True, SYNC_ENTRY_COUNT)
 
-    async def _round(self, address: str, spread: bool) -> bool:
+    async def _round(
+        self, address: str, spread: bool, limit_count: int
+    ) -> bool:
         """Run one round of anti-entropy; return whether anything differed."""
         hashes = list(self._table.bucket_hashes)
         reply = await self._transport.request(
@@ -63,10 +66,10 @@
         if not isinstance(summary, wire.MemberSummary):
             return False
         newer = self._table.newer_than(summary.buckets, summary.versions)
-        wanted = self._table.wanted(summary.versions)[:SYNC_ENTRY_COUNT]
+        wanted = self._table.wanted(summary.versions)[:limit_count]
         if not newer and not wanted:
             return False
-        body = wire.MemberSync(newer[:SYNC_ENTRY_COUNT], wanted)
+        body = wire.MemberSync(newer[:limit_count], wanted)
         answer = await self._transport.request(address, body, self._timeout_s)
         if not isinstance(answer, result.Ok):
             return False
@@ -88,6 +91,6 @@
     ) -> wire.AnyBody:
         self._table.merge(body.members, self._clock.now_s())
         known = self._table.entries
-        wanted = body.wanted[:SYNC_ENTRY_COUNT]
+        wanted = body.wanted[:JOIN_ENTRY_COUNT]
         found = [known[each] for each in wanted if each in known]
         return wire.MemberSync(found, [])
