Send known members in short form when they return

Cause: members that return after a partition travelled with all their texts, 100 bytes instead of 18, and healing took up to 6 KB/s on a daemon. Change: a member that the receivers know travels without texts; one that a receiver has forgotten is repaired by sync.

--- a/plantainhook/membertable.py
+++ b/plantainhook/membertable.py
@@ -147,7 +147,6 @@
         rank = memberentry.rank_of(known_version)
         if memberentry.rank_of(version) <= rank:
             return
-        was_down = not memberentry.is_up(known)
         merged = msgspec.structs.replace(
             known,
             state=entry.state,
@@ -163,8 +162,7 @@
             )
             if memberentry.rank_of(memberentry.version_of(merged)) <= rank:
                 return
-        full = was_down and memberentry.is_up(merged)
-        self._store(merged, full=full)
+        self._store(merged, full=False)
 
     def suspect(self, incarnation: int, now_s: float) -> bool:
         """Suspect a live member; return whether that is new."""
