--- a/plantainhook/reportmeasure.py
+++ b/plantainhook/reportmeasure.py
@@ -64,7 +64,8 @@
     month_start_wall_s = MONTH.first_quarter() * figures.QUARTER_S
     started_s = time.perf_counter()
     now_wall_s = month_start_wall_s + day_count * DAY_S
-    trio.run(folder.fold, now_wall_s, [])
+    while trio.run(folder.fold, now_wall_s, []).unwrap().folded_count:
+        pass
     folding_s = time.perf_counter() - started_s
     after = _report_cost(store)
     return Measurement(daemon_count, day_count, before, after, folding_s)
