Check moved leafs, validate only what differs, and run the clean-up job

Cause: settings that change the holders of a leaf within a plan generation were accepted; each adopted revision was validated as a whole; every daemon folded in each interval; old chunks were never removed; the newest of equal requests was not the one that is shed. Change: apply refuses moved leafs; settings_after; the fold lease is kept for its duration; settingscleanup runs in the daemon; month writes resolve lost replies.

--- a/plantainhook/admission.py
+++ b/plantainhook/admission.py
@@ -274,7 +274,9 @@
                 if entry.request_class is request_class
             ]
             if entries:
-                return max(entries, key=lambda entry: entry.deadline_s)
+                # Among equal deadlines the newest request goes first.
+                newest_first = reversed(entries)
+                return max(newest_first, key=lambda entry: entry.deadline_s)
         return None
 
     def _refuse(self, entry: Entry, kind: errors.RefusalKind) -> Refuse:
--- a/plantainhook/daemon.py
+++ b/plantainhook/daemon.py
@@ -44,6 +44,7 @@
     queryservice,
     recording,
     segments,
+    settingscleanup,
     settingssource,
     settingsstore,
     shareclaim,
@@ -229,7 +230,7 @@
             self.outside.api,
             self.clock,
             run_options.fold_interval_s,
-            run_options.lease_duration_s,
+            run_options.fold_lease_s,
             self.rng,
         )
         self.router = forwarding.HolderRouter(
@@ -283,6 +284,13 @@
             nursery.start_soon(self.claims.run)
             nursery.start_soon(self.fleet.run)
             nursery.start_soon(self.folder.run)
+            nursery.start_soon(
+                settingscleanup.run,
+                self.outside.api,
+                f"{self.board.incarnation:x}",
+                self.clock,
+                self.rng,
+            )
             await nursery.start(self.gateway.run)
             await nursery.start(self.router.run)
             await nursery.start(self.health.run)
--- a/plantainhook/foldcontroller.py
+++ b/plantainhook/foldcontroller.py
@@ -53,7 +53,9 @@
                     steps.Step.FIGURES_FOLD, PEER, "the lease has ended"
                 )
             )
-        return await self._api.put(key, value, if_version, request_id)
+        return await objectapi.write_resolved(
+            self._api, key, value, if_version, request_id
+        )
 
 
 class FoldController:
@@ -87,7 +89,11 @@
             await self.step()
 
     async def step(self) -> None:
-        """Run one pass if the lease is free."""
+        """Run one pass if the lease is free.
+
+        The lease is kept until it ends, so the fleet as a whole makes one
+        pass in its duration.
+        """
         acquired = await self._lease.acquire()
         if isinstance(acquired, result.Err):
             LOGGER.debug("No lease: {}", acquired.err_value)
@@ -95,7 +101,6 @@
         outcome = await self._fold()
         if isinstance(outcome, result.Err):
             LOGGER.warning("Folding waits: {}", outcome.err_value)
-        await self._lease.release()
 
     async def _fold(
         self,
--- a/plantainhook/messages.py
+++ b/plantainhook/messages.py
@@ -93,3 +93,7 @@
 INTERRUPTED: typing.Final = (
     "interrupted; look in the history for whether the change is accepted"
 )
+LEAF_MOVED: typing.Final = (
+    "expected a higher generation, because {name} changes the daemons that "
+    "hold its connections"
+)
--- a/plantainhook/options.py
+++ b/plantainhook/options.py
@@ -61,7 +61,7 @@
     leaf_poll_interval_s: float = pydantic.Field(default=1.0, gt=0)
     segment_interval_s: float = pydantic.Field(default=10.0, gt=0)
     fold_interval_s: float = pydantic.Field(default=60.0, gt=0)
-    lease_duration_s: float = pydantic.Field(default=15.0, gt=0)
+    fold_lease_s: float = pydantic.Field(default=60.0, gt=0)
     drain_notice_s: float = pydantic.Field(default=2.0, ge=0)
     drain_timeout_s: float = pydantic.Field(default=120.0, gt=0)
     peer_message_limit_bytes: int = pydantic.Field(default=4_194_304, ge=1024)
--- a/plantainhook/settingsapply.py
+++ b/plantainhook/settingsapply.py
@@ -17,10 +17,12 @@
     errors,
     messages,
     revisions,
+    schema,
     settingschunks,
     settingsdiff,
     settingsfile,
     settingsobjects,
+    shareplan,
 )
 
 PEER: typing.Final = "settings"
@@ -91,7 +93,7 @@
     changed = revisions.changed_names(base.records, records)
     if not changed:
         return result.Ok(Attempt(head, base, base, {}))
-    problems = _problems(request, records, changed)
+    problems = _problems(request, base, records, changed)
     if problems:
         return result.Err(errors.SettingsInvalidError(problems))
     info = msgspec.structs.replace(
@@ -107,6 +109,7 @@
 
 def _problems(
     request: Request,
+    base: revisions.Revision,
     records: abc.Mapping[str, bytes],
     changed: abc.Sequence[str],
 ) -> list[errors.SettingsError]:
@@ -129,9 +132,27 @@
         return problems + settingsfile.schema_problems(
             request.file, request.text, error
         )
-    return problems + settingsfile.check_all(
-        settings, request.file, request.text
-    )
+    return [
+        *problems,
+        *settingsfile.check_all(settings, request.file, request.text),
+        *_moved_leafs(request, base, settings),
+    ]
+
+
+def _moved_leafs(
+    request: Request, base: revisions.Revision, settings: schema.Settings
+) -> abc.Iterator[errors.SettingsError]:
+    """Find leafs that change holders without a new plan generation.
+
+    Daemons on the old and on the new revision could then exceed the
+    connection limit of such a leaf together.
+    """
+    if base.info.revision == revisions.NO_REVISION:
+        return
+    before = settingsobjects.settings_of(base.records)
+    for name in shareplan.moved_leafs(before, settings):
+        expected = messages.LEAF_MOVED.format(name=name)
+        yield _problem(request, "share_plan", expected)
 
 
 def _problem(
--- a/plantainhook/settingssource.py
+++ b/plantainhook/settingssource.py
@@ -67,7 +67,11 @@
         if revision.info.revision <= self._view.revision:
             return result.Ok(self._view.revision)
         try:
-            settings = settingsobjects.settings_of(revision.records)
+            settings = settingsobjects.settings_after(
+                self._view.settings,
+                self._keeper.current.records,
+                revision.records,
+            )
         except (pydantic.ValidationError, msgspec.MsgspecError) as error:
             detail = messages.REVISION_NOT_READABLE.format(detail=error)
             return result.Err(
