Add the capacity page and the command that measures its slopes

The page compares each role with its limit; `capacity` measures decision, frame, settings, VM list and membership costs and rewrites two tables.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 0
 CASES ?= 0
 
-.PHONY: demo test lint format typecheck dist check clean
+.PHONY: capacity demo test lint format typecheck dist check clean
 
 $(STAMP): pyproject.toml constraints.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -16,6 +16,10 @@
 demo: $(STAMP)
 	$(BIN)/python -m plantainhook demo
 
+# Rewrites the tables of the page; takes a few minutes.
+capacity: $(STAMP)
+	$(BIN)/python -m plantainhook capacity --write docs/CAPACITY.md
+
 test: $(STAMP)
 	$(BIN)/python -m pytest
 
--- /dev/null
+++ b/plantainhook/capacity.py
@@ -0,0 +1,268 @@
+"""Slopes of cost by size, for ``docs/CAPACITY.md``.
+
+Takes the real code through a few sizes, fits a line to each cost and hands
+the lines to ``capacitytables``. CPU is process time of this process; the
+least of several rounds counts, because other work on the machine only adds.
+"""
+
+import dataclasses
+import math
+import pathlib
+import statistics
+import time
+import typing
+from collections import abc
+
+import msgspec
+import trio
+
+from plantainhook import (
+    benchcpu,
+    controlbench,
+    leafprotocol,
+    peerframes,
+    revisions,
+    settingscost,
+    settingsobjects,
+    wire,
+)
+
+POLICY: typing.Final = "adaptive"
+FRAMES_PER_WRITE: typing.Final = (1, 32, 160)
+FRAMES_TOTAL: typing.Final = 4_800
+FRAME_ROUNDS: typing.Final = 3
+FRAME_LIMIT_BYTES: typing.Final = 4_194_304
+SETTINGS_LEAFS: typing.Final = (1_000, 5_000, 21_000)
+CONTROL_DAEMONS: typing.Final = (70, 140, 280)
+VM_COUNTS: typing.Final = (1_000, 5_000, 25_900)
+VM_LIST_ROUNDS: typing.Final = 7
+LOOPBACK: typing.Final = "127.0.0.1"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Point:
+    """Hold one measurement: a size and the cost at it."""
+
+    size: float
+    cost: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """Hold a least-squares line and how straight its points are.
+
+    ``deviation_ratio`` is the largest distance of a point from the line,
+    relative to the point; ``r_squared`` is 1 for a perfect line.
+    """
+
+    base: float
+    slope: float
+    r_squared: float
+    deviation_ratio: float
+
+    def at(self, size: float) -> float:
+        """Return the cost at a size."""
+        return self.base + self.slope * size
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Measured:
+    """Hold all measurements of one run of the command."""
+
+    decision_us: tuple[Point, ...]
+    frame_us: tuple[Point, ...]
+    settings_bytes: tuple[Point, ...]
+    vm_list_ms: tuple[Point, ...]
+    vm_list_bytes: tuple[Point, ...]
+    control: tuple[controlbench.Report, ...]
+    load_average: float
+
+
+def fit(points: abc.Sequence[Point]) -> Line:
+    """Fit a line by least squares; raises ValueError below three points."""
+    if len(points) < 3:
+        raise ValueError(f"a line needs 3 points, got {len(points)}")
+    sizes = [point.size for point in points]
+    costs = [point.cost for point in points]
+    slope, base = statistics.linear_regression(sizes, costs)
+    errors = [
+        cost - base - slope * size
+        for size, cost in zip(sizes, costs, strict=True)
+    ]
+    mean = statistics.fmean(costs)
+    total = sum((cost - mean) ** 2 for cost in costs)
+    r_squared = 1.0 - sum(e * e for e in errors) / total if total else 1.0
+    deviation = max(
+        abs(error / cost) if cost else 0.0
+        for error, cost in zip(errors, costs, strict=True)
+    )
+    return Line(base, slope, r_squared, deviation)
+
+
+def decision_points() -> tuple[Point, ...]:
+    """Return microseconds of decision CPU per query by fan-out."""
+    return tuple(
+        Point(
+            fan_out,
+            min(
+                benchcpu.measure_fan_out(POLICY, fan_out)
+                for _ in range(benchcpu.ROUND_COUNT)
+            )
+            * 1e6,
+        )
+        for fan_out in benchcpu.FAN_OUTS
+    )
+
+
+def frame_points() -> tuple[Point, ...]:
+    """Return microseconds of CPU per frame by frames in one write.
+
+    A frame is encoded, written, read and decoded; both ends of a TCP
+    connection over loopback are in this process, without TLS.
+    """
+    return tuple(
+        Point(
+            batch,
+            min(trio.run(_frame_us, batch) for _ in range(FRAME_ROUNDS)),
+        )
+        for batch in FRAMES_PER_WRITE
+    )
+
+
+async def _frame_us(batch: int) -> float:
+    listeners = await trio.open_tcp_listeners(0, host=LOOPBACK)
+    port = listeners[0].socket.getsockname()[1]
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, _answer, listeners)
+        async with await trio.open_tcp_stream(LOOPBACK, port) as stream:
+            used_us = await _exchange(stream, batch, nursery)
+        nursery.cancel_scope.cancel()
+    return used_us
+
+
+async def _exchange(
+    stream: trio.abc.Stream, batch: int, nursery: trio.Nursery
+) -> float:
+    """Send batches of requests, read the replies; return us per frame."""
+    queue = peerframes.WriteQueue(FRAME_LIMIT_BYTES)
+    nursery.start_soon(queue.write_all, stream)
+    reader = peerframes.FrameReader(stream, "bench", FRAME_LIMIT_BYTES)
+    writes = FRAMES_TOTAL // batch
+    started_s = time.process_time()
+    for _ in range(writes):
+        for number in range(batch):
+            queue.put(wire.RequestFrame(number, _work(number)))
+        for _ in range(batch):
+            received = await reader.next_frame()
+            if received is None or received.is_err():
+                raise RuntimeError("the peer closed the connection")
+    used_s = time.process_time() - started_s
+    return used_s / (2 * writes * batch) * 1e6
+
+
+async def _answer(stream: trio.abc.Stream) -> None:
+    """Reply to every request on a connection."""
+    queue = peerframes.WriteQueue(FRAME_LIMIT_BYTES)
+    reader = peerframes.FrameReader(stream, "bench", FRAME_LIMIT_BYTES)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(queue.write_all, stream)
+        while (received := await reader.next_frame()) is not None:
+            frame = received.unwrap()
+            if isinstance(frame, wire.RequestFrame):
+                done = wire.LeafWorkDone(1, b'{"s1":[{"id":1,"score":0.5}]}')
+                queue.put(wire.ReplyFrame(frame.request_id, done))
+        nursery.cancel_scope.cancel()
+
+
+def _work(number: int) -> wire.LeafWork:
+    return wire.LeafWork(
+        f"leaf-{number}",
+        f"q-{number}",
+        "search",
+        "0123456789abcdef",
+        1,
+        [f"s-{number}"],
+        b'{"text":"archive","limit":10}',
+        59,
+        True,
+    )
+
+
+def settings_points() -> tuple[Point, ...]:
+    """Return the bytes of a frame with all settings by number of leafs."""
+    return tuple(
+        Point(count, settings_bytes(count)) for count in SETTINGS_LEAFS
+    )
+
+
+def settings_bytes(leaf_count: int) -> int:
+    """Return the bytes of the frame that carries a whole copy."""
+    groups = leaf_count // settingscost.LEAFS_PER_GROUP_COUNT
+    specs = settingscost.example_specs(2 * groups + 2)
+    change = settingsobjects.Change(
+        {
+            name: spec
+            for name, spec in specs.items()
+            if "request_kind" not in name
+        }
+    )
+    info = revisions.Info(1, "operator", 1.8e9, "request")
+    records = settingsobjects.change_records({}, change, info)
+    revision, _ = revisions.build(info, records)
+    whole = revisions.delta(revisions.empty(), revision)
+    return len(wire.encode_frame(wire.RequestFrame(1, whole)))
+
+
+def vm_list_points() -> tuple[Point, ...]:
+    """Return milliseconds of CPU to decode a VM list by number of VMs."""
+    return tuple(Point(count, vm_list_ms(count)) for count in VM_COUNTS)
+
+
+def vm_list_ms(vm_count: int) -> float:
+    """Return milliseconds of CPU to decode one reply of the VM list."""
+    text = vm_list_text(vm_count)
+    decoder = msgspec.json.Decoder(leafprotocol.VmListing)
+    best_s = math.inf
+    for _ in range(VM_LIST_ROUNDS):
+        started_s = time.process_time()
+        decoder.decode(text)
+        best_s = min(best_s, time.process_time() - started_s)
+    return best_s * 1e3
+
+
+def vm_list_text(vm_count: int) -> bytes:
+    """Return a reply of the VM list with short names and addresses."""
+    vms = tuple(
+        leafprotocol.VmEntry(
+            f"vm-{number}",
+            f"10.{number // 62_500}.{number // 250 % 250}.{number % 250}:9000",
+            f"dc-{number % 14}",
+            "live",
+        )
+        for number in range(vm_count)
+    )
+    return msgspec.json.encode(leafprotocol.VmListing(vms, 1.0))
+
+
+def control_reports() -> tuple[controlbench.Report, ...]:
+    """Return the control plane's cost by number of daemons."""
+    return tuple(
+        controlbench.run(
+            controlbench.BenchOptions(daemon_count=count, partition=False)
+        )
+        for count in CONTROL_DAEMONS
+    )
+
+
+def measure() -> Measured:
+    """Run all measurements."""
+    load = pathlib.Path("/proc/loadavg").read_text("ascii").split()
+    return Measured(
+        decision_points(),
+        frame_points(),
+        settings_points(),
+        vm_list_points(),
+        tuple(Point(n, len(vm_list_text(n))) for n in VM_COUNTS),
+        control_reports(),
+        float(load[0]),
+    )
--- a/plantainhook/cli.py
+++ b/plantainhook/cli.py
@@ -9,6 +9,7 @@
 from collections import abc
 
 from plantainhook import (
+    capacitytables,
     commands,
     commands_bench,
     commands_client,
@@ -24,6 +25,7 @@
 
 # Importing a module of commands registers its commands.
 COMMAND_MODULES: typing.Final = (
+    capacitytables,
     commands_bench,
     commands_client,
     commands_controlbench,
