--- a/plantainhook/capacity.py
+++ b/plantainhook/capacity.py
@@ -20,6 +20,7 @@
     benchcpu,
     controlbench,
     leafprotocol,
+    objectapifake,
     peerframes,
     revisions,
     settingscost,
@@ -34,6 +35,7 @@
 FRAME_LIMIT_BYTES: typing.Final = 4_194_304
 SETTINGS_LEAFS: typing.Final = (1_000, 5_000, 21_000)
 CONTROL_DAEMONS: typing.Final = (70, 140, 280)
+SETTINGS_OBJECTS: typing.Final = (500, 2_000, 8_000)
 VM_COUNTS: typing.Final = (1_000, 5_000, 25_900)
 VM_LIST_ROUNDS: typing.Final = 7
 LOOPBACK: typing.Final = "127.0.0.1"
@@ -72,6 +74,7 @@
     decision_us: tuple[Point, ...]
     frame_us: tuple[Point, ...]
     settings_bytes: tuple[Point, ...]
+    settings: tuple[settingscost.Cost, ...]
     vm_list_ms: tuple[Point, ...]
     vm_list_bytes: tuple[Point, ...]
     control: tuple[controlbench.Report, ...]
@@ -213,6 +216,14 @@
     return len(wire.encode_frame(wire.RequestFrame(1, whole)))
 
 
+def settings_costs() -> tuple[settingscost.Cost, ...]:
+    """Return the calls and bytes of settings by number of objects."""
+    return tuple(
+        trio.run(settingscost.measure, objectapifake.FakeObjectApi(), count)
+        for count in SETTINGS_OBJECTS
+    )
+
+
 def vm_list_points() -> tuple[Point, ...]:
     """Return milliseconds of CPU to decode a VM list by number of VMs."""
     return tuple(Point(count, vm_list_ms(count)) for count in VM_COUNTS)
@@ -261,6 +272,7 @@
         decision_points(),
         frame_points(),
         settings_points(),
+        settings_costs(),
         vm_list_points(),
         tuple(Point(n, len(vm_list_text(n))) for n in VM_COUNTS),
         control_reports(),
--- a/plantainhook/capacitytables.py
+++ b/plantainhook/capacitytables.py
@@ -17,6 +17,8 @@
 
 BEGIN: typing.Final = "<!-- begin {} -->"
 END: typing.Final = "<!-- end {} -->"
+# settingscost makes half of its objects groups of four leafs.
+LEAFS_PER_OBJECT_COUNT: typing.Final = 2
 US_PER_S: typing.Final = 1e6
 MS_PER_S: typing.Final = 1e3
 
@@ -110,6 +112,16 @@
             target.leaf_count,
             target.message_bytes,
         ),
+        Slope(
+            "load of all settings, calls",
+            "objects",
+            tuple(
+                capacity.Point(cost.objects_count, cost.load_calls_count)
+                for cost in measured.settings
+            ),
+            target.leaf_count / LEAFS_PER_OBJECT_COUNT,
+            None,
+        ),
         Slope(
             "VM list reply, bytes a second",
             "VMs",
