Let operators stretch the reads of the VM list

Cause: docs/CAPACITY.md shows that reads by each daemon every second break the control budget at the target. Change: option vm_list_interval_s; Makefile target matrix restored after the merge.

--- a/Makefile
+++ b/Makefile
@@ -6,11 +6,7 @@
 SEED ?= 0
 CASES ?= 0
 
-<<<<<<< HEAD
-.PHONY: demo test matrix lint format typecheck dist check clean
-=======
-.PHONY: capacity demo test lint format typecheck dist check clean
->>>>>>> capacity
+.PHONY: capacity demo test matrix lint format typecheck dist check clean
 
 $(STAMP): pyproject.toml constraints.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
--- a/plantainhook/daemon.py
+++ b/plantainhook/daemon.py
@@ -204,6 +204,7 @@
             vm_list,
             run_options.leaf_poll_interval_s,
             self.rng,
+            run_options.vm_list_interval_s,
         )
 
     def _service_parts(self) -> queryservice.Parts:
--- a/plantainhook/leafhealth.py
+++ b/plantainhook/leafhealth.py
@@ -75,11 +75,13 @@
         vm_list: VmListReader | None,
         poll_interval_s: float,
         rng: random.Random,
+        vm_list_interval_s: float | None = None,
     ) -> None:
         self._board = board
         self._gateway = gateway
         self._vm_list = vm_list
         self._poll_interval_s = poll_interval_s
+        self._vm_list_interval_s = vm_list_interval_s or poll_interval_s
         self._rng = rng
         self._beliefs: Beliefs = {}
         self._pollers: dict[str, Poller] = {}
@@ -243,7 +245,7 @@
             else:
                 self._logger.info("{}.", listing.err_value)
             spread = self._rng.uniform(-JITTER_RATIO, JITTER_RATIO)
-            await trio.sleep(self._poll_interval_s * (1 + spread))
+            await trio.sleep(self._vm_list_interval_s * (1 + spread))
 
     def _apply_vm_list(
         self, listing: leafprotocol.VmListing, started_s: float
--- a/plantainhook/options.py
+++ b/plantainhook/options.py
@@ -59,6 +59,7 @@
     digest_interval_s: float = pydantic.Field(default=2.0, gt=0)
     watcher_count: int = pydantic.Field(default=2, ge=1)
     leaf_poll_interval_s: float = pydantic.Field(default=1.0, gt=0)
+    vm_list_interval_s: float = pydantic.Field(default=1.0, gt=0)
     segment_interval_s: float = pydantic.Field(default=10.0, gt=0)
     fold_interval_s: float = pydantic.Field(default=60.0, gt=0)
     fold_lease_s: float = pydantic.Field(default=60.0, gt=0)
