Share crash suspicions between daemons

Cause: only quarantine entries spread, so a non-idempotent request that its caller sent through three daemons crashed 4 leafs; the bound is one leaf of each of the 2 groups and one more. Change: suspicions travel with the quarantine entries and are adopted once; decisions and gossip share the mapping.

--- a/plantainhook/blackboard.py
+++ b/plantainhook/blackboard.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from plantainhook import schema, shardmap
+from plantainhook import quarantine, schema, shardmap
 
 
 class Topic(enum.Enum):
@@ -116,6 +116,9 @@
     quarantine_until_s: dict[str, float] = dataclasses.field(
         default_factory=dict
     )
+    suspicions: dict[str, quarantine.Crash] = dataclasses.field(
+        default_factory=dict
+    )
     life: LifeState = LifeState.STARTING
     listeners: list[abc.Callable[[Topic], None]] = dataclasses.field(
         default_factory=list
--- a/plantainhook/crashwatch.py
+++ b/plantainhook/crashwatch.py
@@ -18,9 +18,7 @@
             was_down = known.get(leaf) is blackboard.LeafState.DOWN
             known[leaf] = view.state
             if view.state is blackboard.LeafState.DOWN and not was_down:
-                before_count = len(entries.until_s)
                 entries.leaf_down(leaf, watch_clock.now_s())
-                if len(entries.until_s) != before_count:
-                    board.notify(blackboard.Topic.QUARANTINE)
+                board.notify(blackboard.Topic.QUARANTINE)
         await changed.wait()
         await trio.lowlevel.checkpoint()
--- a/plantainhook/daemon.py
+++ b/plantainhook/daemon.py
@@ -218,8 +218,9 @@
             run_options.data_centre, self.rng.getrandbits(32)
         )
         # Gossip spreads the entries of the blackboard, so the decisions and
-        # gossip work on the same mapping.
+        # gossip work on the same mappings.
         self.policies.quarantine.until_s = self.board.quarantine_until_s
+        self.policies.quarantine.suspicions = self.board.suspicions
         self.writer = segments.SegmentWriter(
             self.outside.api,
             run_options.name,
--- a/plantainhook/quarantinesync.py
+++ b/plantainhook/quarantinesync.py
@@ -1,8 +1,12 @@
-"""Quarantine entries as they spread between daemons.
+"""Quarantine entries and suspicions as they spread between daemons.
 
 An entry runs until a time; a clearing hides every entry that was added
 before it. Both travel as seconds left, so clocks need not agree. Entries
 are compared in steps of ``COMPARE_STEP_S``, because delays shift them.
+
+A suspicion travels so that a request which its caller sends to another
+daemon is careful there too. Each is adopted once: one that a reply has
+cleared here does not come back from a peer.
 """
 
 import dataclasses
@@ -10,10 +14,12 @@
 
 import xxhash
 
-from plantainhook import blackboard, wire
+from plantainhook import blackboard, quarantine, wire
 
 CLEARED_KEEP_S: typing.Final = 660.0
 COMPARE_STEP_S: typing.Final = 5.0
+CRASH_FINGERPRINTS_LIMIT_COUNT: typing.Final = 64
+CRASHES_LIMIT_COUNT: typing.Final = 256
 
 
 @dataclasses.dataclass(slots=True)
@@ -22,11 +28,15 @@
 
     board: blackboard.Blackboard
     cleared_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    seen_s: dict[tuple[str, str], float] = dataclasses.field(
+        default_factory=dict
+    )
 
     def clear(self, fingerprint: str, now_s: float) -> None:
         """Remove an entry everywhere; later crashes add a new one."""
         self.cleared_until_s[fingerprint] = now_s + CLEARED_KEEP_S
         self.board.quarantine_until_s.pop(fingerprint, None)
+        self.board.suspicions.pop(fingerprint, None)
         self.board.notify(blackboard.Topic.QUARANTINE)
 
     def expire(self, now_s: float) -> None:
@@ -34,6 +44,12 @@
         for entries in (self.board.quarantine_until_s, self.cleared_until_s):
             for key in [k for k, until in entries.items() if until <= now_s]:
                 del entries[key]
+        oldest_s = now_s - quarantine.SUSPICION_S
+        crashes = self.board.suspicions
+        for key in [k for k, c in crashes.items() if c.at_s < oldest_s]:
+            del crashes[key]
+        for pair in [p for p, at_s in self.seen_s.items() if at_s < oldest_s]:
+            del self.seen_s[pair]
 
     def digest(self) -> int:
         """Return a hash that is equal where the entries are equal."""
@@ -44,6 +60,10 @@
         ):
             for key in entries:
                 combined ^= xxhash.xxh3_64_intdigest(f"{kind}/{key}".encode())
+        for key, crash in self.board.suspicions.items():
+            self.seen_s.setdefault((key, crash.leaf), crash.at_s)
+            text = f"crash/{key}/{crash.leaf}"
+            combined ^= xxhash.xxh3_64_intdigest(text.encode())
         return combined
 
     def message(self, now_s: float) -> wire.QuarantineSync:
@@ -51,6 +71,10 @@
         return wire.QuarantineSync(
             _left(self.board.quarantine_until_s, now_s),
             _left(self.cleared_until_s, now_s),
+            [
+                _crash_entry(key, crash, now_s)
+                for key, crash in self.board.suspicions.items()
+            ][:CRASHES_LIMIT_COUNT],
         )
 
     def merge(self, message: wire.QuarantineSync, now_s: float) -> bool:
@@ -65,11 +89,30 @@
                 self.board.quarantine_until_s, key, until_s
             ):
                 news = True
+        for entry in message.crashes[:CRASHES_LIMIT_COUNT]:
+            news |= self._adopt_crash(entry, now_s)
         self._drop_cleared()
         if news:
             self.board.notify(blackboard.Topic.QUARANTINE)
         return news
 
+    def _adopt_crash(self, entry: wire.CrashEntry, now_s: float) -> bool:
+        """Take a suspicion of a peer unless it was known before."""
+        pair = (entry.fingerprint, entry.leaf)
+        known = entry.fingerprint in self.board.suspicions
+        cleared = self._is_cleared(entry.fingerprint, now_s)
+        if known or cleared or pair in self.seen_s:
+            return False
+        at_s = now_s - entry.age_s
+        self.seen_s[pair] = at_s
+        self.board.suspicions[entry.fingerprint] = quarantine.Crash(
+            entry.leaf,
+            at_s,
+            now_s - entry.confirmed_age_s,
+            frozenset(entry.fingerprints),
+        )
+        return True
+
     def _is_cleared(self, key: str, until_s: float) -> bool:
         return until_s <= self.cleared_until_s.get(key, 0.0)
 
@@ -79,6 +122,18 @@
             del entries[key]
 
 
+def _crash_entry(
+    fingerprint: str, crash: quarantine.Crash, now_s: float
+) -> wire.CrashEntry:
+    return wire.CrashEntry(
+        fingerprint,
+        crash.leaf,
+        now_s - crash.at_s,
+        now_s - crash.confirmed_s,
+        sorted(crash.fingerprints)[:CRASH_FINGERPRINTS_LIMIT_COUNT],
+    )
+
+
 def _left(entries: dict[str, float], now_s: float) -> dict[str, float]:
     return {
         key: until_s - now_s
--- a/plantainhook/wire.py
+++ b/plantainhook/wire.py
@@ -135,11 +135,26 @@
     wanted: list[int]
 
 
+class CrashEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Describe the crash for which a fingerprint is under suspicion.
+
+    ``fingerprints`` names the requests that the leaf was running; times are
+    ages, so that clocks need not agree.
+    """
+
+    fingerprint: str
+    leaf: str
+    age_s: float
+    confirmed_age_s: float
+    fingerprints: list[str]
+
+
 class QuarantineSync(Body, frozen=True, tag=True, array_like=True):
     """Carry quarantine entries as fingerprint to seconds left."""
 
     left_s: dict[str, float]
     cleared_left_s: dict[str, float]
+    crashes: list[CrashEntry] = []
 
 
 class StatusQuery(Body, frozen=True, tag=True, array_like=True):
--- a/tests/matrixworld.py
+++ b/tests/matrixworld.py
@@ -520,6 +520,20 @@
         self.leafs[name].drain()
         self.draining_since_s.setdefault(name, trio.current_time())
 
+    def watch_crashes(
+        self, leaf: standin_leaf.StandinLeaf, crashes: list[str]
+    ) -> None:
+        """Note each crash, and start the leaf again as its server would."""
+        crash = leaf.crash
+
+        def watched() -> None:
+            crashes.append(leaf.name)
+            crash()
+            self.nursery.start_soon(leaf.recover)
+
+        watched_leaf: typing.Any = leaf
+        watched_leaf.crash = watched
+
     def reset_connections(self, name: str) -> None:
         """Drop every connection of a leaf."""
         hidden: typing.Any = self.leafs[name]
@@ -554,8 +568,9 @@
     async def query(self, kind: str, number: int, node: Node) -> Exchange:
         """Send one query as a caller does and keep the exchange."""
         params: dict[str, typing.Any] = {"number": number}
-        if kind == "poison":
-            kind, params = "search", {"poison": True}
+        if kind.startswith("poison"):
+            params = {"poison": True}
+            kind = "record" if kind == "poison-record" else "search"
         body = callerapi.QueryBody(target="t", kind=kind, params=params)
         if kind == "record":
             ticket = node.daemon.service.issue_tickets(1)[0]
