--- a/plantainhook/commands_report.py
+++ b/plantainhook/commands_report.py
@@ -14,10 +14,8 @@
     commands,
     errors,
     figures,
-    figuresfile,
     logs,
     objectapi,
-    objectapidir,
     report,
     reportcompare,
     reportdata,
@@ -25,8 +23,8 @@
     reportmeasure,
     reportreplay,
     reportselfcheck,
+    reportsource,
     requestrecord,
-    schema,
 )
 
 FORMATS: typing.Final = {
@@ -58,22 +56,6 @@
     return outcome.ok_value
 
 
-def object_api(arguments: argparse.Namespace) -> objectapi.ObjectApi:
-    """Return the object API that the arguments name."""
-    if arguments.from_dir is None:
-        raise InputError("--from-dir is required")
-    return checked(objectapidir.load_directory(arguments.from_dir))
-
-
-def figure_definitions(
-    arguments: argparse.Namespace,
-) -> dict[str, schema.Figure]:
-    """Return the figures that the arguments name."""
-    if arguments.figures is None:
-        raise InputError("--figures is required")
-    return checked(figuresfile.load_figures(arguments.figures))
-
-
 def read_months(
     api: objectapi.ObjectApi, months: abc.Iterable[figures.Month]
 ) -> dict[figures.Month, reportdata.MonthData]:
@@ -87,25 +69,6 @@
     return found
 
 
-def add_source_arguments(parser: argparse.ArgumentParser) -> None:
-    """Add the arguments that name the objects and the definitions.
-
-    ``replay`` reads only the gaps from the objects, where they are named.
-    """
-    parser.add_argument(
-        "--from-dir",
-        type=pathlib.Path,
-        metavar="DIR",
-        help="read exported JSON objects from a directory",
-    )
-    parser.add_argument(
-        "--figures",
-        type=pathlib.Path,
-        metavar="FILE",
-        help="read the figure definitions from a settings file",
-    )
-
-
 def add_report_arguments(parser: argparse.ArgumentParser) -> None:
     """Add the arguments of ``report`` and its subcommands."""
     parser.add_argument("--month", type=month_argument, metavar="YYYY-MM")
@@ -116,7 +79,7 @@
         metavar="FILE",
         help="write an HTML page with plots instead",
     )
-    add_source_arguments(parser)
+    reportsource.add_arguments(parser)
     parser.set_defaults(run_report=run_show)
     subparsers = parser.add_subparsers(metavar="SUBCOMMAND")
     _add_compare(subparsers)
@@ -133,7 +96,7 @@
         "compare", help="compare with an export of the old system"
     )
     parser.add_argument("old", type=pathlib.Path, metavar="OLD.csv")
-    add_source_arguments(parser)
+    reportsource.add_arguments(parser)
     parser.set_defaults(run_report=run_compare)
 
 
@@ -145,7 +108,7 @@
     parser.add_argument(
         "--month", type=month_argument, metavar="YYYY-MM", required=True
     )
-    add_source_arguments(parser)
+    reportsource.add_arguments(parser)
     parser.set_defaults(run_report=run_replay)
 
 
@@ -188,9 +151,9 @@
     month = arguments.month
     if month is None:
         raise InputError("--month is required")
-    definitions = figure_definitions(arguments)
+    definitions = checked(reportsource.load_definitions(arguments))
     months = [month, month.shift(-1)] if arguments.html else [month]
-    data = read_months(object_api(arguments), months)
+    data = read_months(checked(reportsource.load_objects(arguments)), months)
     built = report.build_report(data[month], definitions)
     if arguments.html is None:
         sys.stdout.write(FORMATS[arguments.format](built))
@@ -203,7 +166,7 @@
 
 def run_compare(arguments: argparse.Namespace) -> int:
     """Print each figure beside the old system's."""
-    definitions = figure_definitions(arguments)
+    definitions = checked(reportsource.load_definitions(arguments))
     try:
         content = arguments.old.read_bytes()
     except OSError as error:
@@ -213,7 +176,7 @@
         raise InputError("\n".join(str(bad) for bad in read.err_value))
     old_values = read.ok_value
     months = sorted({old.month for old in old_values})
-    data = read_months(object_api(arguments), months)
+    data = read_months(checked(reportsource.load_objects(arguments)), months)
     compared = [
         reportcompare.compare(old, definitions[old.name], data[old.month])
         for old in old_values
@@ -227,10 +190,12 @@
 
 def run_replay(arguments: argparse.Namespace) -> int:
     """Print the figures of a log, without the records in known gaps."""
-    definitions = figure_definitions(arguments)
+    definitions = checked(reportsource.load_definitions(arguments))
     gaps = []
     if arguments.from_dir is not None:
-        read = read_months(object_api(arguments), [arguments.month])
+        read = read_months(
+            checked(reportsource.load_objects(arguments)), [arguments.month]
+        )
         gaps = read[arguments.month].gaps
     try:
         with arguments.log.open("rb") as stream:
