--- a/plantainhook/dispatch.py
+++ b/plantainhook/dispatch.py
@@ -210,17 +210,23 @@
         )
         sent = False
         for assignment in assignments:
-            if not self._spend(shard_set.group, now_s):
+            if not self._spend(shard_set.group, reason, now_s):
                 break
             self._send(shard_set, assignment, reason, actions, now_s)
             sent = True
         return sent
 
-    def _spend(self, group: str, now_s: float) -> bool:
+    def _spend(
+        self, group: str, reason: querytypes.AttemptReason, now_s: float
+    ) -> bool:
         if not self._policy.budgeted:
             return True
         floor = self._plan.rules.extra_load_floor_per_s
-        if self._policies.budgets.spend(group, now_s, floor):
+        budgets = self._policies.budgets
+        spend = budgets.spend_retry
+        if reason is querytypes.AttemptReason.HEDGE:
+            spend = budgets.spend_hedge
+        if spend(group, now_s, floor):
             return True
         self._policies.counters.budget_denied_count += 1
         return False
--- a/plantainhook/loadbudget.py
+++ b/plantainhook/loadbudget.py
@@ -1,10 +1,10 @@
 """Extra-load budgets of hedges and retries: of each shard group and of all.
 
 Each first attempt earns a fraction of a token, a floor adds tokens with
-time, and each hedge or retry spends one from the budget of its group and one
-from the common budget. The first bounds the retry amplification when a whole
-group is out; the second bounds the extra load of a query over many groups,
-each of which has tokens for low traffic.
+time, and each hedge or retry spends one from the budget of its group; a hedge
+spends one from the common budget as well. The first bounds the retry
+amplification when a whole group is out; the second bounds the extra load of a
+query over many groups, each of which has tokens for low traffic.
 """
 
 import dataclasses
@@ -62,7 +62,19 @@
         group.earn(first_count, ratio)
         self.common.earn(first_count, ratio)
 
-    def spend(self, group: str, now_s: float, floor_per_s: float) -> bool:
+    def spend_retry(
+        self, group: str, now_s: float, floor_per_s: float
+    ) -> bool:
+        """Take one token of the group for a retry.
+
+        The common budget does not bound retries: without a retry a lost
+        replica costs coverage, and a hedge only saves time.
+        """
+        return self.of(group).spend(now_s, floor_per_s)
+
+    def spend_hedge(
+        self, group: str, now_s: float, floor_per_s: float
+    ) -> bool:
         """Take one token of the group and of the whole, or none."""
         if not self.common.refill(now_s, floor_per_s):
             return False
--- a/plantainhook/schema.py
+++ b/plantainhook/schema.py
@@ -78,7 +78,7 @@
     max_hedges_count: int = pydantic.Field(default=2, ge=0, le=4)
     max_retries_count: int = pydantic.Field(default=2, ge=0, le=5)
     extra_load_ratio: Ratio = 0.03
-    extra_load_floor_per_s: float = pydantic.Field(default=0.1, ge=0)
+    extra_load_floor_per_s: float = pydantic.Field(default=1.0, ge=0)
     cross_zone_max_ratio: Ratio = 0.2
     queue_limit_count: int = pydantic.Field(default=1000, ge=1)
 
--- a/tests/matrixfaults.py
+++ b/tests/matrixfaults.py
@@ -10,7 +10,7 @@
 import trio
 
 from plantainhook import admission, faults, schema
-from tests import matrixworld
+from tests import matrixlayout, matrixworld
 
 OUTAGE_S: typing.Final = 5.0
 SLOW_S: typing.Final = 3.0
@@ -71,9 +71,9 @@
 
     async def change() -> None:
         key = f"t{schema.INDEX_KEY_SEPARATOR}2"
-        spec = matrixworld.index_of(2).model_dump(mode="json")
+        spec = matrixlayout.index_of(2).model_dump(mode="json")
         await world.apply({f"index/{key}": spec})
-        for name, (_, _, shards) in matrixworld.LEAF_SHARDS.items():
+        for name, (_, _, shards) in matrixlayout.LEAF_SHARDS.items():
             world.leafs[name].set_versions({2: set(shards)})
             await trio.sleep(0.002)
 
@@ -194,7 +194,7 @@
 async def connection_refused(world: matrixworld.World) -> None:
     """Refuse new connections to one leaf and drop those it has."""
     unreachable = world.leaf_network.unreachable
-    address = matrixworld.address_of(0)
+    address = matrixlayout.address_of(0)
     unreachable.add(address)
     world.reset_connections(LEAF)
     heal_later(world, lambda: unreachable.discard(address), OUTAGE_S)
--- /dev/null
+++ b/tests/matrixlayout.py
@@ -0,0 +1,41 @@
+"""Shards, leafs and index versions of the matrix world."""
+
+import typing
+
+from plantainhook import schema
+
+SHARD_COUNT: typing.Final = 4
+LEAF_SHARDS: typing.Final = {
+    "a1": ("dc-1", "g1", ("s1", "s2")),
+    "a2": ("dc-2", "g1", ("s1", "s2")),
+    "b1": ("dc-2", "g2", ("s3", "s4")),
+    "b2": ("dc-3", "g2", ("s3", "s4")),
+}
+
+
+def address_of(number: int) -> str:
+    """Return the address of a leaf."""
+    return f"10.0.0.{number}:80"
+
+
+def index_of(version: int) -> schema.Index:
+    """Return an index version in which each shard holds one tile."""
+    shards: dict[str, list[str]] = {}
+    group_of: dict[str, str] = {}
+    for name, (_, group, served) in LEAF_SHARDS.items():
+        for shard in served:
+            shards.setdefault(shard, []).append(name)
+            group_of[shard] = group
+    return schema.Index(
+        target="t",
+        version=version,
+        shards=[
+            schema.Shard(
+                name=shard,
+                group=group_of[shard],
+                leafs=leafs,
+                tiles=[f"tile-{shard}"],
+            )
+            for shard, leafs in shards.items()
+        ],
+    )
--- a/tests/matrixobserver.py
+++ b/tests/matrixobserver.py
@@ -5,7 +5,7 @@
 from collections import abc
 
 from plantainhook import callerapi, errors
-from tests import matrixworld
+from tests import matrixlayout, matrixworld
 
 NEW_WORK_LIMIT_S: typing.Final = 3.0
 HTTP_OK: typing.Final = 200
@@ -45,9 +45,9 @@
             continue
         answer = callerapi.AnswerBody.model_validate_json(response.body)
         merged = len(answer.results)
-        if abs(answer.coverage - merged / matrixworld.SHARD_COUNT) > 1e-9:
+        if abs(answer.coverage - merged / matrixlayout.SHARD_COUNT) > 1e-9:
             yield f"coverage {answer.coverage} of {merged} shards"
-        if merged + len(answer.missing_shards) != matrixworld.SHARD_COUNT:
+        if merged + len(answer.missing_shards) != matrixlayout.SHARD_COUNT:
             yield "missing shards are not all named"
         if (answer.status == "complete") != (not answer.missing_shards):
             yield f"{answer.status} with missing {answer.missing_shards}"
--- a/tests/matrixworld.py
+++ b/tests/matrixworld.py
@@ -18,7 +18,6 @@
 import trio.testing
 
 from plantainhook import (
-    blackboard,
     callerapi,
     daemon,
     daemonoutside,
@@ -26,12 +25,9 @@
     leafprotocol,
     leaftransport,
     memorynet,
-    objectapi,
     objectapifake,
     options,
     peers,
-    queryservice,
-    querytypes,
     schema,
     settingsapply,
     settingschunks,
@@ -40,162 +36,20 @@
     standin_leaf,
     standin_model,
     steps,
-    vmlist,
     wire,
 )
-from tests import leafhelp
+from tests import leafhelp, matrixlayout, matrixseams, matrixsteps
 
-SHARD_COUNT: typing.Final = 4
 DEADLINE_MS: typing.Final = 2000
 # The deadline of the kinds, and a second for what a real network would add.
 ANSWER_LIMIT_S: typing.Final = 3.0
 DAEMON_COUNT: typing.Final = 3
-LEAF_SHARDS: typing.Final = {
-    "a1": ("dc-1", "g1", ("s1", "s2")),
-    "a2": ("dc-2", "g1", ("s1", "s2")),
-    "b1": ("dc-2", "g2", ("s3", "s4")),
-    "b2": ("dc-3", "g2", ("s3", "s4")),
-}
-SLOW_WRITE_S: typing.Final = 0.01
-SLOW_WRITE_BYTES: typing.Final = 16
 READY_TIMEOUT_S: typing.Final = 60.0
-EPOCH_S: typing.Final = 1_790_000_000.0
 
-LIFE_STEPS: typing.Final = {
-    blackboard.LifeState.LEAVING: steps.Step.STOP_ANNOUNCE,
-    blackboard.LifeState.DRAINING: steps.Step.STOP_DRAIN,
-    blackboard.LifeState.STOPPED: steps.Step.STOP_EXIT,
-}
 
 Hook = abc.Callable[[], abc.Awaitable[None]]
 
 
-@dataclasses.dataclass(slots=True)
-class WorldClock:
-    """Read trio's virtual clock; ``jump_s`` moves the wall clock."""
-
-    jump_s: float = 0.0
-
-    def now_s(self) -> float:
-        """Return monotonic seconds."""
-        return trio.current_time()
-
-    def wall_s(self) -> float:
-        """Return seconds since the Unix epoch."""
-        return EPOCH_S + trio.current_time() + self.jump_s
-
-
-@dataclasses.dataclass(slots=True)
-class FakeVmList:
-    """Return the VM list of the world."""
-
-    vms: dict[str, leafprotocol.VmEntry]
-
-    async def read(
-        self,
-    ) -> result.Result[leafprotocol.VmListing, vmlist.VmListError]:
-        """Return the list as of now."""
-        await trio.lowlevel.checkpoint()
-        listing = leafprotocol.VmListing(
-            tuple(self.vms.values()), EPOCH_S + trio.current_time()
-        )
-        return result.Ok(listing)
-
-
-class MemoryLinks(memorynet.MemoryTransport):
-    """Give a memory transport the life of peer links."""
-
-    async def run(
-        self, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED
-    ) -> None:
-        """Stay reachable until cancelled."""
-        task_status.started(self._address)
-        try:
-            await trio.sleep_forever()
-        finally:
-            self.close()
-
-
-@dataclasses.dataclass(slots=True)
-class WatchedTransport:
-    """Tell the world when a search is sent and when its reply arrives."""
-
-    inner: leaftransport.Transport
-    world: "World"
-    searching: bool = False
-
-    async def send_some(self, data: bytes) -> int:
-        """Write; a search reaches the step ``query.send``."""
-        if data.startswith(b"POST"):
-            self.searching = True
-            await self.world.reach(steps.Step.QUERY_SEND)
-        if self.world.writes_slowly:
-            await trio.sleep(SLOW_WRITE_S)
-            return await self.inner.send_some(data[:SLOW_WRITE_BYTES])
-        return await self.inner.send_some(data)
-
-    async def receive_some(self, max_bytes: int) -> bytes:
-        """Read; the reply to a search reaches ``query.merge``."""
-        data = await self.inner.receive_some(max_bytes)
-        if self.searching:
-            self.searching = False
-            await self.world.reach(steps.Step.QUERY_MERGE)
-            if self.world.duplicates_replies:
-                return data + data
-        return data
-
-    def is_readable(self) -> bool:
-        """Return whether bytes, an end of stream or an error wait."""
-        return self.inner.is_readable()
-
-    def send_eof(self) -> None:
-        """Close the sending side."""
-        self.inner.send_eof()
-
-    def close(self) -> None:
-        """Close both sides."""
-        self.inner.close()
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class WatchedApi:
-    """Tell the world when the head is written and when it is noticed."""
-
-    inner: objectapi.ObjectApi
-    world: "World"
-
-    async def get(self, key: str) -> typing.Any:
-        """Return an object."""
-        return await self.inner.get(key)
-
-    async def list(self, prefix: str) -> typing.Any:
-        """Return all objects under a prefix."""
-        return await self.inner.list(prefix)
-
-    async def put(
-        self, key: str, value: typing.Any, if_version: int, request_id: str
-    ) -> typing.Any:
-        """Write; the head reaches ``settings.write``."""
-        if key == settingschunks.HEAD_KEY:
-            await self.world.reach(steps.Step.SETTINGS_WRITE)
-        return await self.inner.put(key, value, if_version, request_id)
-
-    async def delete(
-        self, key: str, if_version: int, request_id: str
-    ) -> typing.Any:
-        """Delete an object."""
-        return await self.inner.delete(key, if_version, request_id)
-
-    async def watch(
-        self, prefix: str, from_version: int, timeout_s: float
-    ) -> typing.Any:
-        """Wait for changes; a change of the head is a notice."""
-        changes = await self.inner.watch(prefix, from_version, timeout_s)
-        if changes.is_ok() and changes.unwrap():
-            await self.world.reach(steps.Step.SETTINGS_NOTICE)
-        return changes
-
-
 @dataclasses.dataclass(slots=True)
 class Node:
     """Hold a running daemon and the scope that kills it."""
@@ -237,7 +91,7 @@
         self.broken: list[str] = []
         self.draining_since_s: dict[str, float] = {}
         self.rng = random.Random(seed)
-        self.clock = WorldClock()
+        self.clock = matrixseams.WorldClock()
         self.api = objectapifake.FakeObjectApi()
         self.vms: dict[str, leafprotocol.VmEntry] = {}
         self.network = memorynet.MemoryNetwork(
@@ -272,7 +126,7 @@
 
     async def start(self) -> None:
         """Start leafs and daemons, apply the settings, wait until ready."""
-        for number, name in enumerate(LEAF_SHARDS):
+        for number, name in enumerate(matrixlayout.LEAF_SHARDS):
             self._add_leaf(name, number)
         self.settings = self._settings()
         await self.apply(settingsobjects.specs_of(self.settings))
@@ -283,7 +137,7 @@
                 await trio.sleep(0.1)
 
     def _add_leaf(self, name: str, number: int) -> None:
-        _, _, shards = LEAF_SHARDS[name]
+        _, _, shards = matrixlayout.LEAF_SHARDS[name]
         leaf = standin_leaf.StandinLeaf(
             name,
             {1: set(shards)},
@@ -299,15 +153,17 @@
         wrapped: typing.Any = leaf.journal
         wrapped.start = watched
         self.leafs[name] = leaf
-        self.leaf_network.servers[address_of(number)] = leaf
+        self.leaf_network.servers[matrixlayout.address_of(number)] = leaf
 
     def _settings(self) -> schema.Settings:
         groups: dict[str, schema.Group] = {}
-        for number, (name, placed) in enumerate(LEAF_SHARDS.items()):
+        for number, (name, placed) in enumerate(
+            matrixlayout.LEAF_SHARDS.items()
+        ):
             data_centre, group, _ = placed
             leaf = schema.Leaf(
                 name=name,
-                address=address_of(number),
+                address=matrixlayout.address_of(number),
                 data_centre=data_centre,
                 slot_count=2,
                 connection_limit_count=8,
@@ -332,7 +188,9 @@
             },
             group=groups,
             target={"t": schema.Target(groups=sorted(groups))},
-            index={f"t{schema.INDEX_KEY_SEPARATOR}1": index_of(1)},
+            index={
+                f"t{schema.INDEX_KEY_SEPARATOR}1": matrixlayout.index_of(1)
+            },
             share_plan=schema.SharePlan(share_count=4, holders_per_leaf=4),
         )
 
@@ -369,8 +227,8 @@
         task_status: trio.TaskStatus[Node],
     ) -> None:
         outside = daemonoutside.Outside(
-            api=WatchedApi(self.api, self),
-            vm_list=FakeVmList(self.vms),
+            api=matrixseams.WatchedApi(self.api, self),
+            vm_list=matrixseams.FakeVmList(self.vms),
             connector=self._connect,
             build_links=self._build_links,
             serve_http=False,
@@ -381,8 +239,8 @@
             async with trio.open_nursery() as nursery:
                 running = daemon.Daemon(run_options, outside, nursery)
                 node = Node(running, scope)
-                self._watch_steps(running)
-                self._watch_control_steps(running)
+                matrixsteps.watch_query_steps(self, running)
+                matrixsteps.watch_control_steps(self, running)
                 nursery.start_soon(self._watch_revisions, node)
                 await nursery.start(running.run)
                 task_status.started(node)
@@ -403,13 +261,15 @@
     def _build_links(
         self, hello: wire.HelloFrame, handlers: peers.Handlers
     ) -> daemonoutside.PeerLinks:
-        return MemoryLinks(self.network, hello, handlers)
+        return matrixseams.MemoryLinks(self.network, hello, handlers)
 
     async def _connect(self, address: str) -> leaftransport.Transport:
         await self.reach(steps.Step.QUERY_CONNECT)
         if self.descriptors_used_up:
             raise OSError(errno.EMFILE, "too many open files")
-        return WatchedTransport(await self.leaf_network.connect(address), self)
+        return matrixseams.WatchedTransport(
+            await self.leaf_network.connect(address), self
+        )
 
     def _is_ready(self, node: Node) -> bool:
         board = node.daemon.board
@@ -421,71 +281,6 @@
             node.revisions.append(node.daemon.board.settings.revision)
             await trio.sleep(0.05)
 
-    def _watch_steps(self, running: daemon.Daemon) -> None:
-        """Wrap the parts of a daemon that mark the steps of a query."""
-        parts = running.service.parts
-        offer = parts.gate.queue.offer
-        machine = parts.planner.machine
-        call = running.router.call
-        record = parts.recorder.record
-
-        def watched_offer(*given: typing.Any) -> typing.Any:
-            self.reach_soon(steps.Step.QUERY_ADMIT)
-            return offer(*given)
-
-        def watched_machine(*given: typing.Any) -> typing.Any:
-            self.reach_soon(steps.Step.QUERY_PIN)
-            self.reach_soon(steps.Step.QUERY_PLAN)
-            return machine(*given)
-
-        async def watched_call(
-            request: querytypes.QueryRequest, send: querytypes.Send
-        ) -> typing.Any:
-            if send.reason is querytypes.AttemptReason.HEDGE:
-                await self.reach(steps.Step.QUERY_HEDGE)
-            return await call(request, send)
-
-        def watched_record(served: queryservice.Served) -> None:
-            self.reach_soon(steps.Step.QUERY_ANSWER)
-            record(served)
-            self.reach_soon(steps.Step.QUERY_RECORD)
-
-        wrapped: list[tuple[typing.Any, str, typing.Any]] = [
-            (parts.gate.queue, "offer", watched_offer),
-            (parts.planner, "machine", watched_machine),
-            (running.router, "call", watched_call),
-            (parts.recorder, "record", watched_record),
-        ]
-        for part, name, function in wrapped:
-            setattr(part, name, function)
-
-    def _watch_control_steps(self, running: daemon.Daemon) -> None:
-        """Wrap the parts that mark the steps of settings and stops."""
-        adopt = running.source.adopt
-        release = running.claims.release
-
-        async def watched_adopt(delta: wire.RevisionDelta) -> typing.Any:
-            await self.reach(steps.Step.SETTINGS_SPREAD)
-            return await adopt(delta)
-
-        def watched_notify(topic: blackboard.Topic) -> None:
-            if topic is blackboard.Topic.SETTINGS:
-                self.reach_soon(steps.Step.SETTINGS_APPLY)
-            if topic is blackboard.Topic.LIFE:
-                step = LIFE_STEPS.get(running.board.life)
-                if step is not None:
-                    self.reach_soon(step)
-
-        async def watched_release() -> bool:
-            await self.reach(steps.Step.STOP_HAND_OVER)
-            return await release()
-
-        source: typing.Any = running.source
-        source.adopt = watched_adopt
-        claims: typing.Any = running.claims
-        claims.release = watched_release
-        running.board.listeners.append(watched_notify)
-
     def reach_soon(self, step: steps.Step) -> None:
         """Reach a step from code that cannot wait."""
         self.nursery.start_soon(self.reach, step)
@@ -505,7 +300,7 @@
     ) -> settingsapply.Applied | errors.PlantainhookError:
         """Put objects in force as one of several operators."""
         store = settingsstore.SettingsStore(
-            WatchedApi(self.api, self), self.clock
+            matrixseams.WatchedApi(self.api, self), self.clock
         )
         request = settingsapply.Request(
             settingsobjects.Change(specs), author="operator"
@@ -610,31 +405,3 @@
         )
         self.exchanges.append(exchange)
         return exchange
-
-
-def address_of(number: int) -> str:
-    """Return the address of a leaf."""
-    return f"10.0.0.{number}:80"
-
-
-def index_of(version: int) -> schema.Index:
-    """Return an index version in which each shard holds one tile."""
-    shards: dict[str, list[str]] = {}
-    group_of: dict[str, str] = {}
-    for name, (_, group, served) in LEAF_SHARDS.items():
-        for shard in served:
-            shards.setdefault(shard, []).append(name)
-            group_of[shard] = group
-    return schema.Index(
-        target="t",
-        version=version,
-        shards=[
-            schema.Shard(
-                name=shard,
-                group=group_of[shard],
-                leafs=leafs,
-                tiles=[f"tile-{shard}"],
-            )
-            for shard, leafs in shards.items()
-        ],
-    )
