--- a/tests/matrixfaults.py
+++ b/tests/matrixfaults.py
@@ -72,7 +72,7 @@
     async def change() -> None:
         key = f"t{schema.INDEX_KEY_SEPARATOR}2"
         spec = matrixlayout.index_of(2).model_dump(mode="json")
-        await world.apply({f"index/{key}": spec})
+        await world.apply_in_race({f"index/{key}": spec})
         for name, (_, _, shards) in matrixlayout.LEAF_SHARDS.items():
             world.leafs[name].set_versions({2: set(shards)})
             await trio.sleep(0.002)
--- a/tests/matrixworld.py
+++ b/tests/matrixworld.py
@@ -44,6 +44,7 @@
 # The deadline of the kinds, and a second for what a real network would add.
 ANSWER_LIMIT_S: typing.Final = 3.0
 DAEMON_COUNT: typing.Final = 3
+APPLY_AGAIN_S: typing.Final = 1.0
 READY_TIMEOUT_S: typing.Final = 60.0
 
 
@@ -295,6 +296,15 @@
         applied = await self.store.apply(request)
         return applied.unwrap().revision.info.revision
 
+    async def apply_in_race(
+        self, specs: dict[str, settingsobjects.Spec]
+    ) -> None:
+        """Put objects in force, again after each lost race or outage."""
+        while isinstance(
+            await self.try_apply(specs), errors.PlantainhookError
+        ):
+            await trio.sleep(APPLY_AGAIN_S)
+
     async def try_apply(
         self, specs: dict[str, settingsobjects.Spec]
     ) -> settingsapply.Applied | errors.PlantainhookError:
