Pass the versions of a 409 to the query

Cause: the leaf client dropped the versions that a leaf names in a 409, so a query knew no version to restart on. Change: LeafError.served is filled, also through a holder. Result: tests/test_not_served.py; tests of the matrix and of leaf faults pass.

--- a/plantainhook/forwarding.py
+++ b/plantainhook/forwarding.py
@@ -218,7 +218,9 @@
         outcome = await self._runner.call(body.leaf, send, fields, deadline_s)
         if isinstance(outcome, result.Err):
             error = outcome.err_value
-            return wire.LeafWorkFailed(error.kind, error.ran, error.detail)
+            return wire.LeafWorkFailed(
+                error.kind, error.ran, error.detail, list(error.served)
+            )
         reply = outcome.ok_value
         results = {each.shard: each.items for each in reply.results}
         return wire.LeafWorkDone(reply.snapshot, msgspec.json.encode(results))
@@ -258,11 +260,11 @@
     """Turn the reply of a holder into that of a leaf."""
     if isinstance(body, wire.LeafWorkFailed):
         kind = errors.LeafFailureKind(body.kind)
-        return result.Err(
-            leaf_error(
-                send.leaf, holder, body.detail, errors.Ran(body.ran), kind
-            )
+        failure = leaf_error(
+            send.leaf, holder, body.detail, errors.Ran(body.ran), kind
         )
+        failure.served = tuple(body.served)
+        return result.Err(failure)
     if not isinstance(body, wire.LeafWorkDone):
         detail = f"unexpected reply {type(body).__name__}"
         return result.Err(
--- a/plantainhook/leafclient.py
+++ b/plantainhook/leafclient.py
@@ -31,6 +31,9 @@
 
 _ENCODER: typing.Final = msgspec.json.Encoder()
 _REPLY_DECODER: typing.Final = msgspec.json.Decoder(leafprotocol.SearchReply)
+_NOT_SERVED_DECODER: typing.Final = msgspec.json.Decoder(
+    leafprotocol.NotServedReply
+)
 _REFUSAL_DECODER: typing.Final = msgspec.json.Decoder(leafprotocol.RefusalBody)
 
 T = typing.TypeVar("T")
@@ -336,7 +339,10 @@
             leafprotocol.STATUS_DEADLINE: Failure.TIMEOUT,
         }
         kind = kinds.get(raw.status, Failure.MALFORMED)
-        return self._error(kind, f"the leaf answered {raw.status}", ran)
+        error = self._error(kind, f"the leaf answered {raw.status}", ran)
+        if kind is Failure.NOT_SERVED:
+            error.served = read_served(raw.body)
+        return error
 
     def _protocol_error(
         self, error: h11.RemoteProtocolError
@@ -368,6 +374,14 @@
     return None
 
 
+def read_served(body: bytes) -> tuple[int, ...]:
+    """Return the versions that a 409 names; none where it is malformed."""
+    try:
+        return tuple(_NOT_SERVED_DECODER.decode(body).served)
+    except msgspec.DecodeError:
+        return ()
+
+
 def read_refusal(body: bytes) -> leafprotocol.Refusal:
     """Return the reason in a refusal; a leaf need not give one."""
     try:
--- a/plantainhook/leafprotocol.py
+++ b/plantainhook/leafprotocol.py
@@ -91,6 +91,12 @@
     versions: dict[int, list[str]]
 
 
+class NotServedReply(msgspec.Struct, frozen=True):
+    """Name the index versions that a leaf serves instead."""
+
+    served: list[int] = []
+
+
 class VmEntry(msgspec.Struct, frozen=True):
     """Describe one VM of the VM list; the state is live or leaving."""
 
--- a/plantainhook/wire.py
+++ b/plantainhook/wire.py
@@ -234,11 +234,15 @@
 
 
 class LeafWorkFailed(Body, frozen=True, tag=True, array_like=True):
-    """Carry the failure of leaf work."""
+    """Carry the failure of leaf work.
+
+    ``served`` names the index versions of a leaf that lacks the one asked.
+    """
 
     kind: str
     ran: str
     detail: str
+    served: list[int] = []
 
 
 class CancelWork(Body, frozen=True, tag=True, array_like=True):
