Word the leaf state decision in plain terms

Cause: the module spoke of sources that keep and take back their word. Change: docstrings and one private name. Result: tests of the leaf view pass.

--- a/plantainhook/leafbelief.py
+++ b/plantainhook/leafbelief.py
@@ -1,8 +1,7 @@
 """Decision on the state of one leaf, from all signs; no I/O.
 
-Each source of signs keeps its own word. A leaf counts as leaving as long as
-one source says so. A source takes its word back only by a reading that was
-started after the sign that it contradicts. A refusal because of draining
+A leaf counts as leaving as long as one source reports it. A report is
+withdrawn only by a reading of the same source that was started after it. A refusal because of draining
 outweighs the health endpoint for a hold time, which doubles each time the
 leaf refuses again after the endpoint said that it is live.
 """
@@ -70,18 +69,18 @@
         if state is leafprotocol.HealthState.DRAINING:
             self.on_leaving(Source.HEALTH, now_s)
         else:
-            self._take_back(Source.HEALTH, started_s, 0.0)
-            self._take_back(Source.PEER, started_s, 0.0)
-            self._take_back(Source.REFUSAL, started_s, self.hold_s)
+            self._withdraw(Source.HEALTH, started_s, 0.0)
+            self._withdraw(Source.PEER, started_s, 0.0)
+            self._withdraw(Source.REFUSAL, started_s, self.hold_s)
 
     def on_vm_listed(
         self, leaving: bool, started_s: float, now_s: float
     ) -> None:
-        """Note the word of a VM list whose read started at a time."""
+        """Note the state in a VM list whose read started at a time."""
         if leaving:
             self.on_leaving(Source.VM_LIST, now_s)
         else:
-            self._take_back(Source.VM_LIST, started_s, 0.0)
+            self._withdraw(Source.VM_LIST, started_s, 0.0)
 
     def on_unreachable(self, refused: bool, now_s: float) -> None:
         """Note a failed poll; a refused connect takes effect at once."""
@@ -95,7 +94,7 @@
             self.down = True
 
     def expire(self, now_s: float) -> None:
-        """Drop the word of peers where the leaf is not polled here."""
+        """Drop the reports of peers where the leaf is not polled here."""
         said_s = self.leaving_s.get(Source.PEER)
         if said_s is not None and now_s - said_s >= PEER_HOLD_S:
             del self.leaving_s[Source.PEER]
@@ -112,7 +111,7 @@
             return blackboard.LeafState.LIVE
         return None
 
-    def _take_back(
+    def _withdraw(
         self, source: Source, started_s: float, hold_s: float
     ) -> None:
         said_s = self.leaving_s.get(source)
