--- a/plantainhook/leafbelief.py
+++ b/plantainhook/leafbelief.py
@@ -1,9 +1,10 @@
 """Decision on the state of one leaf, from all signs; no I/O.
 
 A leaf counts as leaving as long as one source reports it. A report is
-withdrawn only by a reading of the same source that was started after it. A refusal because of draining
-outweighs the health endpoint for a hold time, which doubles each time the
-leaf refuses again after the endpoint said that it is live.
+withdrawn only by a reading of the same source that was started after it. A
+refusal because of draining outweighs the health endpoint for a hold time,
+which doubles each time the leaf refuses again after the endpoint said that
+it is live.
 """
 
 import dataclasses
