Remove a message that nothing shows

Cause: a read of the whole change found one unused text. Change: NOTHING_IN_FORCE is removed; behaviour is unchanged.

--- a/plantainhook/messages.py
+++ b/plantainhook/messages.py
@@ -88,7 +88,6 @@
     "The plots are missing because matplotlib is not installed; "
     "install plantainhook with the extra 'plots'."
 )
-NOTHING_IN_FORCE: typing.Final = "the change was not put in force: {detail}"
 NOT_ACCEPTED: typing.Final = "the change was not accepted: {detail}"
 INTERRUPTED: typing.Final = (
     "interrupted; look in the history for whether the change is accepted"
