Split the HTTP connection from the leaf client

Cause: the platform's leafs and store speak plain HTTP/1.1, and the client of the leaf protocol mixed its messages with the exchange on a connection. Change: httpconnection carries one exchange; leafclient keeps the messages. New: a reply without a length ends with its connection, a connection with bytes after a reply is not used again, and an announced idle timeout counts.

Continue a segment after it was folded and deleted

Change: the next segment's start tells whether the last write landed. Test: tests/test_folding.py, fails before the change.

--- /dev/null
+++ b/plantainhook/httpconnection.py
@@ -0,0 +1,244 @@
+"""HTTP/1.1 client for one connection to a peer: h11 over a transport.
+
+One request is in flight at a time. Every failure becomes a
+``errors.LeafError`` whose ``ran`` is NO only where that is provable: the
+connection was refused or no byte of the request was written. After a failure
+that leaves the stream in an unknown state the connection is not ``reusable``
+and must be closed.
+"""
+
+import dataclasses
+import enum
+import typing
+
+import h11
+import result
+import trio
+
+from plantainhook import errors, leaftransport, steps
+
+RECEIVE_BYTES: typing.Final = 65_536
+REPLY_LIMIT_BYTES: typing.Final = 4_194_304
+HEAD_LIMIT_BYTES: typing.Final = 16_384
+# A peer closes an idle connection at its announced timeout; a request sent
+# this long before it still arrives in time on a link between data centres.
+IDLE_MARGIN_S: typing.Final = 0.5
+KEEP_ALIVE_HEADER: typing.Final = b"keep-alive"
+TIMEOUT_FIELD: typing.Final = b"timeout="
+
+T = typing.TypeVar("T")
+LeafResult = result.Result[T, errors.LeafError]
+Failure = errors.LeafFailureKind
+Headers = typing.Sequence[tuple[bytes, bytes]]
+
+
+class Phase(enum.Enum):
+    """Order the phases of an exchange on a connection."""
+
+    IDLE = "idle"
+    SENDING = "sending"
+    WAITING = "waiting"
+    BROKEN = "broken"
+
+
+@dataclasses.dataclass(slots=True)
+class RawReply:
+    """Hold an HTTP reply; header names are in lower case."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+    def header(self, name: bytes) -> bytes | None:
+        """Return the value of the first header with a lower-case name."""
+        for key, value in self.headers:
+            if key == name:
+                return value
+        return None
+
+
+class HttpConnection:
+    """Exchange requests and replies on one connection."""
+
+    peer: str
+    address: str
+    phase: Phase
+    used_s: float
+    idle_limit_s: float | None
+
+    def __init__(
+        self, transport: leaftransport.Transport, peer: str, address: str
+    ) -> None:
+        self.peer = peer
+        self.address = address
+        self.phase = Phase.IDLE
+        self.used_s = trio.current_time()
+        self.idle_limit_s = None
+        self._transport = transport
+        self._http = h11.Connection(h11.CLIENT, HEAD_LIMIT_BYTES)
+        self._written_count = 0
+        self._eof = False
+
+    def reusable(self) -> bool:
+        """Return whether another request may be sent."""
+        return self.phase is Phase.IDLE
+
+    def is_stale(self) -> bool:
+        """Return whether an idle connection was closed by the peer.
+
+        Bytes that wait on an idle connection belong to no request, so they
+        make it unusable too, and so does a timeout that the peer announced.
+        """
+        if self.idle_limit_s is not None:
+            idle_s = trio.current_time() - self.used_s
+            if idle_s > self.idle_limit_s:
+                return True
+        return self._transport.is_readable()
+
+    def close(self) -> None:
+        """Close the connection at once."""
+        self.phase = Phase.BROKEN
+        self._transport.close()
+
+    async def close_gracefully(self, timeout_s: float) -> None:
+        """Close and wait until the peer has closed its side too."""
+        self.phase = Phase.BROKEN
+        if timeout_s > 0:
+            with trio.move_on_after(timeout_s):
+                try:
+                    self._transport.send_eof()
+                    while await self._transport.receive_some(RECEIVE_BYTES):
+                        pass
+                except (OSError, trio.BrokenResourceError):
+                    pass
+        self._transport.close()
+
+    async def exchange(
+        self, head: h11.Request, body: bytes, deadline_s: float
+    ) -> LeafResult[RawReply]:
+        """Send a request and return the reply, whatever its status."""
+        with trio.CancelScope(deadline=deadline_s):
+            try:
+                await self._send(head, body)
+                return result.Ok(await self.finish_reply())
+            except errors.LeafError as error:
+                self.phase = Phase.BROKEN
+                return result.Err(error)
+        detail = "the deadline passed before the reply"
+        return result.Err(self._error(Failure.TIMEOUT, detail))
+
+    async def finish_reply(self) -> RawReply:
+        """Read the reply of the request in flight.
+
+        Raises LeafError.
+        """
+        reply = RawReply(0, (), b"")
+        chunks: list[bytes] = []
+        size_bytes = 0
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Response):
+                reply.status = event.status_code
+                reply.headers = event.headers
+            elif isinstance(event, h11.Data):
+                chunks.append(bytes(event.data))
+                size_bytes += len(event.data)
+                self._check_size(size_bytes)
+            elif isinstance(event, h11.EndOfMessage):
+                reply.body = b"".join(chunks)
+                self._end_exchange(reply)
+                return reply
+            elif isinstance(event, h11.ConnectionClosed):
+                raise self._closed_error()
+
+    def ran(self) -> errors.Ran:
+        """Return what is certain of the request in flight by its bytes."""
+        return errors.Ran.MAYBE if self._written_count else errors.Ran.NO
+
+    async def _send(self, head: h11.Request, body: bytes) -> None:
+        self._written_count = 0
+        self.phase = Phase.SENDING
+        data = self._http.send(head) or b""
+        if body:
+            data += self._http.send(h11.Data(data=body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        try:
+            while self._written_count < len(data):
+                rest = data[self._written_count :]
+                self._written_count += await self._transport.send_some(rest)
+        except (OSError, trio.BrokenResourceError) as error:
+            raise self._error(Failure.CONNECTION_LOST, str(error)) from error
+        self.phase = Phase.WAITING
+
+    async def _next_event(self) -> h11.Event:
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                if self._eof:
+                    raise self._closed_error() from error
+                raise self._protocol_error(error) from error
+            if event is h11.NEED_DATA:
+                self._http.receive_data(await self._receive())
+            elif isinstance(event, h11.Event):
+                return event
+            else:
+                raise self._error(Failure.MALFORMED, "the reply has no end")
+
+    async def _receive(self) -> bytes:
+        """Return received bytes; none end a reply without a length."""
+        try:
+            data = await self._transport.receive_some(RECEIVE_BYTES)
+        except (OSError, trio.BrokenResourceError) as error:
+            raise self._error(Failure.CONNECTION_LOST, str(error)) from error
+        self._eof = not data
+        return data
+
+    def _end_exchange(self, reply: RawReply) -> None:
+        if (
+            self._http.our_state is h11.DONE is self._http.their_state
+            and not self._http.trailing_data[0]
+        ):
+            self._http.start_next_cycle()
+            self.phase = Phase.IDLE
+            self.used_s = trio.current_time()
+            self._note_idle_limit(reply)
+        else:
+            self.phase = Phase.BROKEN
+
+    def _note_idle_limit(self, reply: RawReply) -> None:
+        """Take the idle timeout that a reply announces."""
+        announced = reply.header(KEEP_ALIVE_HEADER)
+        if announced is None:
+            return
+        for field in announced.replace(b" ", b"").lower().split(b","):
+            digits = field.removeprefix(TIMEOUT_FIELD)
+            if field.startswith(TIMEOUT_FIELD) and digits.isdigit():
+                self.idle_limit_s = int(digits) - IDLE_MARGIN_S
+
+    def _check_size(self, size_bytes: int) -> None:
+        if size_bytes > REPLY_LIMIT_BYTES:
+            detail = f"the reply is larger than {REPLY_LIMIT_BYTES} bytes"
+            raise self._error(Failure.MALFORMED, detail)
+
+    def _closed_error(self) -> errors.LeafError:
+        detail = "the peer closed the connection before its reply ended"
+        return self._error(Failure.CONNECTION_LOST, detail)
+
+    def _protocol_error(
+        self, error: h11.RemoteProtocolError
+    ) -> errors.LeafError:
+        return self._error(Failure.MALFORMED, str(error))
+
+    def _error(
+        self,
+        kind: errors.LeafFailureKind,
+        detail: str,
+        ran: errors.Ran | None = None,
+    ) -> errors.LeafError:
+        """Build an error at the step that the phase implies."""
+        sending = self.phase is Phase.SENDING
+        step = steps.Step.QUERY_SEND if sending else steps.Step.QUERY_WAIT
+        return errors.LeafError(
+            step, self.address, detail, kind, ran or self.ran()
+        )
--- a/plantainhook/leafconnect.py
+++ b/plantainhook/leafconnect.py
@@ -12,6 +12,7 @@
 
 from plantainhook import (
     errors,
+    httpconnection,
     leafclient,
     leafprotocol,
     leaftransport,
@@ -39,7 +40,7 @@
     leaf: str,
     address: str,
     timeout_s: float,
-) -> leafclient.LeafResult[leafclient.LeafClient]:
+) -> httpconnection.LeafResult[leafclient.LeafClient]:
     """Open and check a connection."""
     deadline_s = trio.current_time() + timeout_s
     transport: leaftransport.Transport | None = None
--- a/plantainhook/leafhealth.py
+++ b/plantainhook/leafhealth.py
@@ -21,6 +21,7 @@
 from plantainhook import (
     blackboard,
     errors,
+    httpconnection,
     leafbelief,
     leafclient,
     leafprotocol,
@@ -210,7 +211,7 @@
         belief: leafbelief.Belief,
         deadline_s: float,
         client: leafclient.LeafClient,
-    ) -> leafclient.LeafResult[None]:
+    ) -> httpconnection.LeafResult[None]:
         started_s = trio.current_time()
         health = await client.get(
             leafprotocol.HEALTH_PATH, _HEALTH, deadline_s
--- a/plantainhook/leafpool.py
+++ b/plantainhook/leafpool.py
@@ -19,6 +19,7 @@
 
 from plantainhook import (
     errors,
+    httpconnection,
     leafclient,
     leafconnect,
     leaftransport,
@@ -34,10 +35,10 @@
     """Wait for a connection; ``outcome`` is set before the event."""
 
     event: trio.Event = dataclasses.field(default_factory=trio.Event)
-    outcome: leafclient.LeafResult[leafclient.LeafClient] | None = None
+    outcome: httpconnection.LeafResult[leafclient.LeafClient] | None = None
 
     def resolve(
-        self, outcome: leafclient.LeafResult[leafclient.LeafClient]
+        self, outcome: httpconnection.LeafResult[leafclient.LeafClient]
     ) -> None:
         """Wake the waiter."""
         self.outcome = outcome
@@ -158,7 +159,7 @@
 
     async def acquire(
         self, deadline_s: float
-    ) -> leafclient.LeafResult[leafclient.LeafClient]:
+    ) -> httpconnection.LeafResult[leafclient.LeafClient]:
         """Lend a connection; waiting callers are served by deadline.
 
         The caller gives it back by ``release`` or ``abandon``.
@@ -195,7 +196,7 @@
         With ``cancel_id`` the leaf is told to stop; without it the leaf is
         expected to stop at the deadline of the request.
         """
-        if client.phase is not leafclient.Phase.WAITING:
+        if client.phase is not httpconnection.Phase.WAITING:
             self.release(client)
         elif self._nursery is None:
             client.close()
@@ -229,7 +230,7 @@
 
     async def _wait(
         self, waiter: Waiter, deadline_s: float
-    ) -> leafclient.LeafResult[leafclient.LeafClient]:
+    ) -> httpconnection.LeafResult[leafclient.LeafClient]:
         started_s = trio.current_time()
         try:
             with trio.CancelScope(deadline=deadline_s):
@@ -304,7 +305,7 @@
         return max(0, min(wanted - self.connecting_count, allowed))
 
     async def _connect(self) -> None:
-        opened: leafclient.LeafResult[leafclient.LeafClient]
+        opened: httpconnection.LeafResult[leafclient.LeafClient]
         opened = result.Err(
             leafconnect.connect_error(self.address, "the pool stopped")
         )
@@ -375,7 +376,7 @@
                 if told:
                     await client.finish_reply()
         except errors.LeafError:
-            client.phase = leafclient.Phase.BROKEN
+            client.phase = httpconnection.Phase.BROKEN
         finally:
             self.release(client)
 
--- a/plantainhook/leafwork.py
+++ b/plantainhook/leafwork.py
@@ -19,6 +19,7 @@
     blackboard,
     clock,
     errors,
+    httpconnection,
     leafclient,
     leafconnect,
     leafpool,
@@ -172,10 +173,11 @@
         self,
         leaf: str,
         read: abc.Callable[
-            [leafclient.LeafClient], abc.Awaitable[leafclient.LeafResult[None]]
+            [leafclient.LeafClient],
+            abc.Awaitable[httpconnection.LeafResult[None]],
         ],
         deadline_s: float,
-    ) -> leafclient.LeafResult[None]:
+    ) -> httpconnection.LeafResult[None]:
         """Lend a connection to a reader of the state endpoints."""
         pool = self._pools.get(leaf)
         if pool is None:
--- a/plantainhook/segments.py
+++ b/plantainhook/segments.py
@@ -309,6 +309,8 @@
     ) -> Outcome:
         read = await self._api.get(flight.head.key())
         if isinstance(read, result.Err):
+            if self._is_cleaned_up(read.err_value):
+                return await self._continue_after_clean_up(flight)
             flight.may_have_run = True
             return read
         converted = documents.convert(read.ok_value, SegmentHead)
@@ -320,6 +322,51 @@
         self._continue_after(flight, head)
         return result.Ok(None)
 
+    def _is_cleaned_up(self, error: errors.PlantainhookError) -> bool:
+        """Return whether a segment that was written exists no more.
+
+        Only folded segments are deleted, and only sealed or closed ones are
+        folded.
+        """
+        existed = self._version != objectapi.ABSENT_VERSION
+        return existed and isinstance(error, errors.ObjectNotFoundError)
+
+    async def _continue_after_clean_up(self, flight: Flight) -> Outcome:
+        """Continue after a segment that was sealed, folded and deleted.
+
+        The next segment of the incarnation begins where the deleted one
+        ended, which tells whether the write under way was part of it. Where
+        that segment is gone too, the write counts as part of the gap that
+        the folding reported.
+        """
+        next_key = segment_key(self.incarnation, self._generation + 1)
+        read = await self._api.get(next_key)
+        if isinstance(read, result.Ok):
+            converted = documents.convert(read.ok_value, SegmentHead)
+            if isinstance(converted, result.Err):
+                return converted
+            covered_wall_s = converted.ok_value.covered_from_wall_s
+            landed = covered_wall_s >= flight.head.covered_to_wall_s
+        elif isinstance(read.err_value, errors.ObjectNotFoundError):
+            covered_wall_s = flight.head.covered_to_wall_s
+            landed = flight.may_have_run
+        else:
+            flight.may_have_run = True
+            return read
+        LOGGER.info(
+            "Segment {} was folded and deleted; its last write {}.",
+            flight.head.key(),
+            "is in it" if landed else "is repeated",
+        )
+        if landed:
+            self.closed = flight.head.final
+        else:
+            self._take_back(flight)
+        self._flight = None
+        self._generation += 1
+        self._begin_generation(covered_wall_s)
+        return result.Ok(None)
+
     def _continue_after(self, flight: Flight, sealed: SegmentHead) -> None:
         LOGGER.info("Segment {} was sealed.", sealed.key())
         if sealed.write_id != flight.head.write_id:
--- a/tests/test_folding.py
+++ b/tests/test_folding.py
@@ -308,6 +308,40 @@
             )
             daemon.writer.record(record)
 
+    def test_writer_continues_after_its_segment_was_deleted(self) -> None:
+        """Guards against a close that never ends after a false death.
+
+        The segment of a daemon that was cut off is sealed, declared gone
+        twice, folded and deleted before the daemon returns.
+        """
+        for landed in (False, True):
+            fleet = foldfleet.Fleet()
+            daemon = fleet.start()
+            fleet.record(daemon, 2)
+            fleet.flush(daemon)
+            fleet.record(daemon, 3)
+            fleet.store.lost_ratio = 1.0
+            fleet.store.out = not landed
+            fleet.flush(daemon)
+            fleet.store.lost_ratio = 0.0
+            fleet.store.out = False
+            fleet.store.deliver_late()
+            for declared in (True, True, False):
+                if declared:
+                    fleet.declare_gone(daemon)
+                fleet.fold_pass(1).finish()
+                fleet.gone.clear()
+                fleet.wall_s += 3 * DAY_S
+            key = segments.segment_key(daemon.writer.incarnation, 0)
+            self.assertNotIn(key, fleet.store.objects)
+            fleet.record(daemon)
+            close = daemon.writer.close(fleet.wall_s)
+            stepping.run(close).unwrap()
+            fleet.daemons.remove(daemon)
+            fleet.settle(1)
+            self.assertEqual(6, fleet.expected())
+            self.assertEqual((landed, 6), (landed, fleet.counted()))
+
     def test_cancelled_flush_keeps_records(self) -> None:
         """Guards against records lost while a write is prepared."""
         fleet = foldfleet.Fleet()
