--- a/plantainhook/attempts.py
+++ b/plantainhook/attempts.py
@@ -23,6 +23,13 @@
     hedge_count: int = 0
     retry_count: int = 0
     settled: bool = False
+    ran_on: set[str] = dataclasses.field(default_factory=set)
+
+    def may_run_on(self, leaf: str, max_runs_count: int | None) -> bool:
+        """Return whether one more leaf may run the work of the set."""
+        if max_runs_count is None or leaf in self.ran_on:
+            return True
+        return len(self.ran_on) < max_runs_count
 
     def lacking(self, attempt: "Attempt") -> set[str]:
         """Return the missing shards of an attempt that no other asks."""
@@ -100,6 +107,7 @@
         self.live[attempt.attempt_id] = attempt
         shard_set.live.append(attempt)
         shard_set.tried += (leaf.name,)
+        shard_set.ran_on.add(leaf.name)
         policies.quarantine.started(
             leaf.name, self.plan.request.fingerprint, now_s
         )
@@ -145,6 +153,8 @@
         """Report a closed attempt that failed."""
         self.note_ran(failure.ran)
         leaf = attempt.leaf.name
+        if failure.ran is errors.Ran.NO:
+            attempt.shard_set.ran_on.discard(leaf)
         fingerprint = self.plan.request.fingerprint
         self.policies.replicas.on_failure(
             attempt.leaf, failure.kind, attempt.snapshot, now_s
--- a/plantainhook/blackboard.py
+++ b/plantainhook/blackboard.py
@@ -11,7 +11,7 @@
 
 import trio
 
-from plantainhook import quarantine, schema, shardmap
+from plantainhook import quarantine, routetable, schema, shardmap
 
 
 class Topic(enum.Enum):
@@ -23,6 +23,7 @@
     SHARES = "shares"
     QUARANTINE = "quarantine"
     LIFE = "life"
+    ROUTES = "routes"
 
 
 class LeafState(enum.StrEnum):
@@ -120,6 +121,8 @@
         default_factory=dict
     )
     life: LifeState = LifeState.STARTING
+    # Routes of forwarded HTTP requests; owner: ``routecontroller``.
+    routes: routetable.RouteTable = routetable.NO_ROUTES
     listeners: list[abc.Callable[[Topic], None]] = dataclasses.field(
         default_factory=list
     )
--- a/plantainhook/cli.py
+++ b/plantainhook/cli.py
@@ -1,52 +1,55 @@
 """Command line: one program with subcommands.
 
-The modules of commands register themselves when they are imported here.
+A module of commands registers its commands when it is imported. A daemon
+starts faster without the modules of the other commands, so only those of the
+command that is asked for are imported where it is known.
 """
 
 import argparse
+import importlib
 import sys
 import typing
 from collections import abc
 
-from plantainhook import (
-    capacitytables,
-    commands,
-    commands_bench,
-    commands_client,
-    commands_controlbench,
-    commands_report,
-    commands_serve,
-    commands_settings,
-    commands_standin,
-    commands_standin_platform,
-    demo,
-    openapi,
-)
+from plantainhook import commands
 
-# Importing a module of commands registers its commands.
-COMMAND_MODULES: typing.Final = (
-    capacitytables,
-    commands_bench,
-    commands_client,
-    commands_controlbench,
-    commands_report,
-    commands_serve,
-    commands_settings,
-    commands_standin,
-    commands_standin_platform,
-    demo,
-    openapi,
+COMMAND_MODULES: typing.Final = {
+    "bench": "commands_bench",
+    "bench-control": "commands_controlbench",
+    "forward": "commands_forward",
+    "serve": "commands_serve",
+    "settings": "commands_settings",
+    "report": "commands_report",
+}
+OTHER_MODULES: typing.Final = (
+    "capacitytables",
+    "commands_client",
+    "commands_standin",
+    "commands_standin_platform",
+    "demo",
+    "openapi",
 )
 
 
-def build_parser() -> argparse.ArgumentParser:
-    """Build the parser with every registered subcommand."""
+def import_commands(argv: abc.Sequence[str]) -> None:
+    """Import the modules of the command, or of all commands."""
+    chosen = COMMAND_MODULES.get(argv[0]) if argv else None
+    modules = (
+        [chosen] if chosen else [*COMMAND_MODULES.values(), *OTHER_MODULES]
+    )
+    for module in modules:
+        importlib.import_module(f"plantainhook.{module}")
+
+
+def build_parser(argv: abc.Sequence[str] = ()) -> argparse.ArgumentParser:
+    """Build the parser for some arguments, or with every subcommand."""
     parser = argparse.ArgumentParser(
         prog="plantainhook",
         description="A query tier over many shards.",
         epilog="Exit codes: 0 done, 1 the operation failed, "
         "2 bad usage, settings or input file.",
     )
+    import_commands(argv)
     subparsers = parser.add_subparsers(
         dest="command", required=True, metavar="COMMAND"
     )
@@ -61,7 +64,8 @@
 
 def run(argv: abc.Sequence[str] | None = None) -> int:
     """Run one subcommand and return its exit code."""
-    arguments = build_parser().parse_args(argv)
+    argv = sys.argv[1:] if argv is None else argv
+    arguments = build_parser(argv).parse_args(argv)
     try:
         code: int = arguments.run(arguments)
     except KeyboardInterrupt:
--- /dev/null
+++ b/plantainhook/commands_forward.py
@@ -0,0 +1,86 @@
+"""Command ``forward``: one daemon that forwards HTTP requests by route.
+
+SIGTERM or SIGINT starts the planned stop. SIGHUP reads the settings file
+again; addresses that changed take effect at the next start.
+"""
+
+import argparse
+import pathlib
+import signal
+import sys
+import typing
+
+import result
+import trio
+
+from plantainhook import commands, forwarddaemon, logs, options
+from plantainhook.platform import outside
+
+LOGGER: typing.Final = logs.part_logger("forward")
+
+
+def add_forward_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the arguments of ``forward``."""
+    parser.add_argument(
+        "--config",
+        type=pathlib.Path,
+        required=True,
+        help="TOML file with the options of this daemon",
+    )
+
+
+@commands.command(
+    "forward",
+    "Run a daemon that forwards HTTP requests by route.",
+    add_forward_arguments,
+)
+def run_forward(arguments: argparse.Namespace) -> int:
+    """Run a daemon until its planned stop has ended."""
+    loaded = options.load_options(arguments.config)
+    if isinstance(loaded, result.Err):
+        print(f"error: {loaded.err_value}", file=sys.stderr)
+        return commands.EXIT_USAGE
+    run_options = loaded.ok_value
+    if run_options.forward is None:
+        print(
+            f"error: {arguments.config}: forward: expected a table",
+            file=sys.stderr,
+        )
+        return commands.EXIT_USAGE
+    logs.configure_logs(run_options.log_format, run_options.log_level)
+    trio.run(forward, run_options, run_options.forward, arguments.config)
+    return commands.EXIT_DONE
+
+
+async def forward(
+    run_options: options.Options,
+    forward_options: options.ForwardOptions,
+    config: pathlib.Path,
+) -> None:
+    """Run a daemon with the real platform."""
+    running = forwarddaemon.ForwardDaemon(
+        run_options, forward_options, outside.build_outside(forward_options)
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watch_signals, running, config)
+        await running.run()
+        nursery.cancel_scope.cancel()
+
+
+async def watch_signals(
+    running: forwarddaemon.ForwardDaemon, config: pathlib.Path
+) -> None:
+    """Stop at SIGTERM; check the settings file at SIGHUP."""
+    with trio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as received:
+        async for number in received:
+            if number != signal.SIGHUP:
+                LOGGER.info("Planned stop.")
+                running.request_stop()
+                continue
+            loaded = options.load_options(config)
+            if isinstance(loaded, result.Err):
+                LOGGER.error("Settings not read: {}", loaded.err_value)
+            else:
+                LOGGER.info("Settings read again.")
--- a/plantainhook/daemon.py
+++ b/plantainhook/daemon.py
@@ -31,6 +31,7 @@
     frontend,
     gossip,
     leafhealth,
+    leafpools,
     leafwork,
     logs,
     membership,
@@ -371,7 +372,7 @@
         while not (self.board.settings.revision and self.board.leafs):
             settings = self.board.changed(blackboard.Topic.SETTINGS)
             leafs = self.board.changed(blackboard.Topic.LEAFS)
-            await leafwork.wait_any([settings, leafs])
+            await leafpools.wait_any([settings, leafs])
         if self.board.life is blackboard.LifeState.STARTING:
             self._enter(blackboard.LifeState.SERVING)
 
--- a/plantainhook/demoworld.py
+++ b/plantainhook/demoworld.py
@@ -23,8 +23,8 @@
     demonetwork,
     deployments,
     errors,
+    leafpools,
     leafprotocol,
-    leafwork,
     objectapifake,
     objectapihttp,
     options,
@@ -96,7 +96,7 @@
             while not self._is_ready(item):
                 life = item.board.changed(blackboard.Topic.LIFE)
                 leafs = item.board.changed(blackboard.Topic.LEAFS)
-                await leafwork.wait_any([life, leafs])
+                await leafpools.wait_any([life, leafs])
 
     async def apply(self, specs: dict[str, settingsobjects.Spec]) -> int:
         """Put objects in force and return the revision."""
--- a/plantainhook/dispatch.py
+++ b/plantainhook/dispatch.py
@@ -14,7 +14,6 @@
     attempts,
     errors,
     hedging,
-    loadbudget,
     quarantine,
     queryplan,
     querytypes,
@@ -32,7 +31,6 @@
     """Hold what the shard sets of a group share during a query."""
 
     estimate: hedging.LatencyEstimate
-    budget: loadbudget.LoadBudget
     delay_s: float
 
 
@@ -115,7 +113,7 @@
         if reason is querytypes.AttemptReason.FIRST:
             self._policies.counters.first_count += 1
             ratio = self._plan.rules.extra_load_ratio
-            self._policies.budgets.earn(group.budget, 1, ratio)
+            self._policies.budgets.earn(assignment.group, 1, ratio, now_s)
         self._send(shard_set, assignment, reason, actions, now_s)
         if group.delay_s < math.inf:
             self._schedule_hedge(len(self.sets) - 1, now_s + group.delay_s)
@@ -128,8 +126,7 @@
         if self._may_hedge():
             rules = self._plan.rules
             delay_s = self._policy.hedge_delay_s(estimate, rules)
-        budget = self._policies.budgets.of(name)
-        group = self._groups[name] = Group(estimate, budget, delay_s)
+        group = self._groups[name] = Group(estimate, delay_s)
         return group
 
     def _send(
@@ -209,7 +206,11 @@
             now_s,
         )
         sent = False
+        max_runs_count = self._plan.rules.max_runs_count
         for assignment in assignments:
+            leaf = assignment.status.info.name
+            if not shard_set.may_run_on(leaf, max_runs_count):
+                continue
             if not self._spend(shard_set.group, reason, now_s):
                 break
             self._send(shard_set, assignment, reason, actions, now_s)
@@ -226,7 +227,7 @@
         spend = budgets.spend_retry
         if reason is querytypes.AttemptReason.HEDGE:
             spend = budgets.spend_hedge
-        if spend(group, now_s, floor):
+        if spend(group, now_s, floor, self._plan.rank):
             return True
         self._policies.counters.budget_denied_count += 1
         return False
--- /dev/null
+++ b/plantainhook/forwarddaemon.py
@@ -0,0 +1,299 @@
+"""One daemon that forwards HTTP requests by route: builds, runs and stops it.
+
+It shares the decision code, the membership and the links with ``daemon``. Its
+configuration and its leafs come from the store of the platform. A planned
+stop makes it unready at the balancer, serves what still arrives, ends each
+connection after its answer, and exits when nothing is in flight.
+"""
+
+import random
+import typing
+
+import prometheus_client
+import trio
+
+from plantainhook import (
+    blackboard,
+    clock,
+    fleetsize,
+    forwardplanner,
+    forwardservice,
+    forwardtypes,
+    goalhedging,
+    httpfront,
+    leafconnect,
+    leafdirectory,
+    leafpools,
+    logs,
+    membership,
+    metrics,
+    objectsource,
+    options,
+    peerlinks,
+    peers,
+    queryplan,
+    routecontroller,
+    routetable,
+    shardmap,
+    windowbudget,
+    wire,
+)
+
+LOGGER: typing.Final = logs.part_logger("daemon")
+INCARNATION_BITS: typing.Final = 64
+# The balancer takes a daemon out after two misses of a check each second.
+NOTICE_S: typing.Final = 2.5
+# Idle connections end this long after the stop began; callers have learnt by
+# then to open new ones elsewhere.
+CLOSE_IDLE_S: typing.Final = 3.0
+# Left for the process to exit before it is killed.
+EXIT_MARGIN_S: typing.Final = 0.4
+IDLE_CHECK_S: typing.Final = 0.05
+# Part of the connections of a leaf that the daemons share out.
+CONNECTIONS_RATIO: typing.Final = 0.9
+POOL_OPTIONS: typing.Final = leafconnect.PoolOptions(
+    settle_timeout_s=0.15,
+    close_timeout_s=0.0,
+    greets=False,
+    warms=False,
+)
+
+
+class ForwardDaemon:
+    """Hold the parts of one forwarding daemon."""
+
+    def __init__(
+        self,
+        run_options: options.Options,
+        forward: options.ForwardOptions,
+        outside: "Outside",
+    ) -> None:
+        self.options = run_options
+        self.forward = forward
+        self.outside = outside
+        self.clock = clock.TrioClock()
+        self.rng = random.Random()
+        self.board = blackboard.Blackboard(
+            incarnation=self.rng.getrandbits(INCARNATION_BITS)
+        )
+        self.registry = prometheus_client.CollectorRegistry()
+        self.instruments = metrics.LeafMetrics(self.registry)
+        self.fleet = fleetsize.FleetSize(
+            self.board, self.clock, forward.fleet_least_count
+        )
+        self.handlers = peers.Handlers()
+        self.hello = wire.HelloFrame(
+            version=wire.PROTOCOL_VERSION,
+            incarnation=self.board.incarnation,
+            name=run_options.name,
+            vm_id=run_options.vm_id,
+            data_centre=run_options.data_centre,
+            peer_address=run_options.peer_address,
+            http_address=forward.front_address,
+        )
+        self.links = peerlinks.TcpPeers(
+            self.hello,
+            self.handlers,
+            run_options.peer_message_limit_bytes,
+            self.clock,
+            self.rng,
+        )
+        self.members = membership.Membership(
+            self.board,
+            membership.own_entry(self.hello),
+            self.links,
+            self.handlers,
+            membership.MembershipOptions(
+                run_options.probe_interval_s,
+                run_options.probe_timeout_s,
+                run_options.suspicion_s,
+                tuple(
+                    seed
+                    for seed in run_options.seed_peers
+                    if seed != run_options.peer_address
+                ),
+            ),
+            self.clock,
+            self.rng,
+        )
+        self.pools = leafpools.LeafPools(
+            self.board,
+            self.allotment_of,
+            self.instruments,
+            self.rng,
+            options=POOL_OPTIONS,
+        )
+        self.planner = forwardplanner.ForwardPlanner(
+            self.board, run_options.data_centre, self._policies()
+        )
+        self.service = forwardservice.ForwardService(
+            forwardservice.Parts(
+                self.board,
+                self.planner,
+                self.pools,
+                outside.dialect,
+                self.instruments,
+                logs.DecisionLog(
+                    logs.part_logger("forward"),
+                    self.clock,
+                    run_options.decision_log_per_s,
+                ),
+                self.rng,
+            )
+        )
+        self.directory = leafdirectory.LeafDirectory(
+            self.board, outside.documents.read_leaf
+        )
+        self.routes = routecontroller.RouteController(
+            self.board,
+            outside.configuration_name,
+            outside.documents.read_routes,
+            self._on_routes,
+        )
+        self.front = httpfront.Front(self._answer, self._limits)
+        self.ready = httpfront.Front(self._answer_ready, routetable_limits)
+
+    def allotment_of(self, info: shardmap.LeafInfo) -> int:
+        """Return how many connections this daemon may open to a leaf."""
+        shared = info.connection_limit_count * CONNECTIONS_RATIO
+        return max(1, int(shared / self.fleet.count()))
+
+    async def run(self) -> None:
+        """Run until the planned stop has ended."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await nursery.start(self.links.run)
+            await nursery.start(self.pools.run)
+            nursery.start_soon(self.members.run)
+            nursery.start_soon(self.directory.run)
+            nursery.start_soon(
+                objectsource.follow,
+                self.outside.leafs,
+                self.directory,
+                self.rng,
+            )
+            nursery.start_soon(
+                objectsource.follow,
+                self.outside.configurations,
+                self.routes,
+                self.rng,
+            )
+            nursery.start_soon(
+                self.ready.serve, self.forward.ready_address, nursery
+            )
+            nursery.start_soon(
+                self.front.serve, self.forward.front_address, nursery
+            )
+            nursery.start_soon(self._share_connections)
+            LOGGER.info("Serving at {}.", self.forward.front_address)
+
+    def request_stop(self) -> None:
+        """Start the planned stop."""
+        if self.board.life is not blackboard.LifeState.LEAVING:
+            self.board.life = blackboard.LifeState.LEAVING
+            self._nursery.start_soon(self._stop)
+
+    def in_flight_count(self) -> int:
+        """Return the requests in flight."""
+        return self.service.in_flight_count
+
+    async def _stop(self) -> None:
+        began_s = trio.current_time()
+        last_s = began_s + self.forward.stop_timeout_s - EXIT_MARGIN_S
+        self.front.drain()
+        self._nursery.start_soon(self._announce)
+        await trio.sleep(NOTICE_S)
+        while trio.current_time() < last_s:
+            if trio.current_time() - began_s >= CLOSE_IDLE_S:
+                self.front.close_idle()
+                if not self.front.connections:
+                    break
+            await trio.sleep(IDLE_CHECK_S)
+        LOGGER.info("Stopped; {} requests cut off.", self.in_flight_count())
+        self._nursery.cancel_scope.cancel()
+
+    async def _announce(self) -> None:
+        await self.members.announce(draining=True, left=False)
+
+    async def _share_connections(self) -> None:
+        """Follow the members: their number sets the allotments."""
+        shared_count = self.fleet.count()
+        while True:
+            with trio.move_on_after(1.0):
+                await self.board.changed(blackboard.Topic.MEMBERS).wait()
+            count = self.fleet.count()
+            if count != shared_count:
+                LOGGER.info("The fleet has {} daemons.", count)
+                shared_count = count
+                self.board.notify(blackboard.Topic.SHARES)
+            await trio.sleep(0.2)
+
+    async def _answer(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: forwardtypes.Headers,
+        body: bytes,
+    ) -> forwardtypes.Response:
+        return await self.service.answer(
+            self.outside.dialect.read_request(method, target, headers, body)
+        )
+
+    async def _answer_ready(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: forwardtypes.Headers,
+        body: bytes,
+    ) -> forwardtypes.Response:
+        status = forwardtypes.STATUS_UNAVAILABLE
+        if self.is_ready():
+            status = forwardtypes.STATUS_OK
+        return forwardtypes.Response(status, [], b"")
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer is to send callers here."""
+        return (
+            self.board.life is not blackboard.LifeState.LEAVING
+            and self.board.routes.version > 0
+            and bool(self.board.leafs)
+        )
+
+    def _limits(self) -> routetable.ClientLimits:
+        return self.board.routes.limits
+
+    def _on_routes(self) -> None:
+        self.planner.forget_views()
+        self.directory.on_routes()
+
+    def _policies(self) -> queryplan.QueryPolicies:
+        forward = self.forward
+        policies = queryplan.build_policies(
+            self.options.data_centre, self.rng.getrandbits(32)
+        )
+        policies.latencies = goalhedging.PooledLatencies()
+        policies.budgets = windowbudget.WindowBudgets(
+            windowbudget.WindowRules(
+                forward.budget_window_s,
+                forward.budget_extra_ratio,
+                forward.budget_extra_count,
+            ),
+            self.fleet.count,
+            self.clock.now_s(),
+        )
+        return policies
+
+
+def routetable_limits() -> routetable.ClientLimits:
+    """Return the limits of the balancer's checks."""
+    return routetable.ClientLimits()
+
+
+class Outside(typing.NamedTuple):
+    """Hold the seams to the platform."""
+
+    dialect: forwardtypes.Dialect
+    documents: forwardtypes.Documents
+    leafs: objectsource.ObjectSource
+    configurations: objectsource.ObjectSource
+    configuration_name: str
--- /dev/null
+++ b/plantainhook/forwardgateway.py
@@ -0,0 +1,125 @@
+"""Runs the attempts of forwarded requests on leafs.
+
+It lends a connection of the leaf's pool, sends the request in the dialect of
+the platform and checks that the reply belongs to it: the right request id, a
+signature, the whole body. Whatever fails the check is no answer.
+"""
+
+import dataclasses
+import typing
+
+import h11
+import result
+import trio
+
+from plantainhook import (
+    errors,
+    forwardtypes,
+    leafconnect,
+    leafpools,
+    metrics,
+    querytypes,
+    steps,
+)
+
+# Tries on another connection of the leaf where no byte was written.
+SEND_TRIES_COUNT: typing.Final = 3
+
+Failure = errors.LeafFailureKind
+ReplyResult = result.Result[querytypes.LeafReply, errors.LeafError]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardGateway:
+    """Send one forwarded request to leafs; an ``executor.LeafCaller``."""
+
+    forwarded: forwardtypes.ForwardRequest
+    dialect: forwardtypes.Dialect
+    pools: leafpools.LeafPools
+    instruments: metrics.LeafMetrics
+
+    async def call(
+        self, request: querytypes.QueryRequest, send: querytypes.Send
+    ) -> ReplyResult:
+        """Return the checked reply of a leaf or a typed failure."""
+        started_s = trio.current_time()
+        outcome = await self._try_once(request, send)
+        for _ in range(SEND_TRIES_COUNT - 1):
+            if not leafpools.may_resend(outcome):
+                break
+            self.instruments.resends.inc()
+            outcome = await self._try_once(request, send)
+        if isinstance(outcome, result.Err):
+            self.instruments.count_failure(outcome.err_value)
+            return outcome
+        self.instruments.count_ok(trio.current_time() - started_s)
+        part = querytypes.ShardResult(send.shards[0], [outcome.ok_value])
+        return result.Ok(
+            querytypes.LeafReply(request.request_id, send.snapshot, (part,))
+        )
+
+    async def _try_once(
+        self, request: querytypes.QueryRequest, send: querytypes.Send
+    ) -> result.Result[forwardtypes.LeafAnswer, errors.LeafError]:
+        pool = self.pools.pool(send.leaf)
+        if pool is None:
+            detail = "the leaf is not registered any more"
+            return result.Err(leafconnect.no_connection(send.leaf, detail))
+        acquired = await pool.acquire(send.deadline_s)
+        if isinstance(acquired, result.Err):
+            return acquired
+        connection = acquired.ok_value
+        try:
+            left_ms = int((send.deadline_s - trio.current_time()) * 1000)
+            if left_ms <= 0:
+                return result.Err(
+                    leafconnect.no_connection(send.leaf, "the time is up")
+                )
+            head = h11.Request(
+                method=self.forwarded.method,
+                target=self.forwarded.target,
+                headers=self.dialect.leaf_headers(
+                    self.forwarded, send.leaf, left_ms
+                ),
+            )
+            exchanged = await connection.exchange(
+                head, self.forwarded.body, send.deadline_s
+            )
+        finally:
+            pool.abandon(connection)
+        if isinstance(exchanged, result.Err):
+            return exchanged
+        answer = self.dialect.read_answer(exchanged.ok_value)
+        return self._checked(send.leaf, answer)
+
+    def _checked(
+        self, leaf: str, answer: forwardtypes.LeafAnswer
+    ) -> result.Result[forwardtypes.LeafAnswer, errors.LeafError]:
+        """Return the answer if it is one to this request."""
+        if answer.misdirected:
+            detail = "another leaf has the address"
+            return _failed(leaf, detail, Failure.NOT_SERVED, errors.Ran.NO)
+        if answer.refused:
+            detail = f"refused with {answer.status}"
+            return _failed(leaf, detail, Failure.REFUSED, errors.Ran.NO)
+        if answer.request_id not in (None, self.forwarded.request_id):
+            detail = f"the reply is for request {answer.request_id!r}"
+            return _failed(leaf, detail, Failure.MALFORMED)
+        if not answer.ok():
+            detail = f"failed with {answer.status}"
+            return _failed(leaf, detail, Failure.MALFORMED, errors.Ran.YES)
+        if answer.signature is None or answer.encoded:
+            detail = "the reply has no signature or an encoding"
+            return _failed(leaf, detail, Failure.MALFORMED)
+        return result.Ok(answer)
+
+
+def _failed(
+    leaf: str,
+    detail: str,
+    kind: errors.LeafFailureKind,
+    ran: errors.Ran = errors.Ran.MAYBE,
+) -> result.Err[errors.LeafError]:
+    return result.Err(
+        errors.LeafError(steps.Step.QUERY_WAIT, leaf, detail, kind, ran)
+    )
--- /dev/null
+++ b/plantainhook/forwardservice.py
@@ -0,0 +1,160 @@
+"""Takes a forwarded HTTP request through routing, run and answer.
+
+A request is answered with 503 only where no leaf has run it and none will;
+one that may have run ends with 502 or 504.
+"""
+
+import dataclasses
+import random
+import typing
+
+import trio
+
+from plantainhook import (
+    blackboard,
+    errors,
+    executor,
+    forwardgateway,
+    forwardplanner,
+    forwardtypes,
+    leafpools,
+    logs,
+    metrics,
+    querytypes,
+    records,
+    routetable,
+)
+
+LOGGER: typing.Final = logs.part_logger("forward")
+# A starting daemon knows its configuration within a moment, and another
+# daemon may know it already.
+STARTING_RETRY_S: typing.Final = 0.1
+# Refused callers come back spread over this time, and not all at once.
+RETRY_MIN_S: typing.Final = 0.05
+RETRY_MAX_S: typing.Final = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parts:
+    """Hold what a forward service works with."""
+
+    board: blackboard.Blackboard
+    planner: forwardplanner.ForwardPlanner
+    pools: leafpools.LeafPools
+    dialect: forwardtypes.Dialect
+    instruments: metrics.LeafMetrics
+    decisions: logs.DecisionLog
+    rng: random.Random
+
+
+class ForwardService:
+    """Answer the HTTP requests of callers."""
+
+    def __init__(self, parts: Parts) -> None:
+        self.parts = parts
+        self.in_flight_count = 0
+
+    async def answer(
+        self, forwarded: forwardtypes.ForwardRequest
+    ) -> forwardtypes.Response:
+        """Answer one request; cancelled when its caller leaves."""
+        self.in_flight_count += 1
+        try:
+            return await self._answer(forwarded)
+        finally:
+            self.in_flight_count -= 1
+
+    async def _answer(
+        self, forwarded: forwardtypes.ForwardRequest
+    ) -> forwardtypes.Response:
+        parts = self.parts
+        table = parts.board.routes
+        if table.version == routetable.NO_ROUTES.version:
+            return self._unavailable(STARTING_RETRY_S)
+        route = table.match(forwarded.host, forwarded.path())
+        if route is None:
+            return forwardtypes.Response(
+                forwardtypes.STATUS_NOT_FOUND, [], b""
+            )
+        started_s = trio.current_time()
+        request = forwardplanner.request_of(forwarded, route, started_s)
+        if route.gather is not None:
+            services = route.gather.shard_services
+        else:
+            services = (route.choose_service(parts.rng),)
+        machine = parts.planner.machine(request, route, services, started_s)
+        gateway = forwardgateway.ForwardGateway(
+            forwarded, parts.dialect, parts.pools, parts.instruments
+        )
+        outcome = await executor.run_query(
+            machine, request, gateway, parts.planner.clock
+        )
+        took_s = trio.current_time() - started_s
+        parts.decisions.decide(describe(request, route, outcome, took_s))
+        if isinstance(outcome, errors.RefusalError):
+            return self._refused(outcome)
+        return self._response(route, outcome)
+
+    def _response(
+        self, route: routetable.Route, outcome: querytypes.Answer
+    ) -> forwardtypes.Response:
+        answers: list[forwardtypes.LeafAnswer] = [
+            items[0] for items in outcome.results.values()
+        ]
+        dialect = self.parts.dialect
+        if route.gather is None:
+            (answer,) = answers
+            return forwardtypes.Response(
+                answer.status, dialect.answer_headers(answer), answer.body
+            )
+        signatures = [
+            answer.signature
+            for answer in answers
+            if answer.signature is not None
+        ]
+        headers = dialect.gathered_headers(
+            signatures, len(outcome.missing_shards)
+        )
+        body = records.greatest_records(
+            (answer.body for answer in answers),
+            route.gather.record_limit_count,
+        )
+        return forwardtypes.Response(forwardtypes.STATUS_OK, headers, body)
+
+    def _refused(self, refusal: errors.RefusalError) -> forwardtypes.Response:
+        if refusal.ran is errors.Ran.NO:
+            if refusal.retry_after_ms:
+                return self._unavailable(refusal.retry_after_ms / 1e3)
+            spread_s = self.parts.rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
+            return self._unavailable(spread_s)
+        if refusal.kind is errors.RefusalKind.DEADLINE:
+            return forwardtypes.Response(forwardtypes.STATUS_TIMEOUT, [], b"")
+        return forwardtypes.Response(forwardtypes.STATUS_BAD_GATEWAY, [], b"")
+
+    def _unavailable(self, retry_after_s: float) -> forwardtypes.Response:
+        """Refuse a request that has not run and will not."""
+        return forwardtypes.Response(
+            forwardtypes.STATUS_UNAVAILABLE,
+            self.parts.dialect.retry_headers(retry_after_s),
+            b"",
+        )
+
+
+def describe(
+    request: querytypes.QueryRequest,
+    route: routetable.Route,
+    outcome: executor.Outcome,
+    took_s: float,
+) -> str:
+    """Return the log line of an answered request."""
+    took_ms = took_s * 1e3
+    if isinstance(outcome, errors.RefusalError):
+        return (
+            f"Request {request.request_id} on {route.name} is refused after "
+            f"{took_ms:.0f} ms: {outcome.kind}, ran {outcome.ran}, "
+            f"{outcome.detail}."
+        )
+    return (
+        f"Request {request.request_id} on {route.name} is answered after "
+        f"{took_ms:.0f} ms, {len(outcome.missing_shards)} parts missing."
+    )
--- /dev/null
+++ b/plantainhook/goalhedging.py
@@ -0,0 +1,56 @@
+"""Hedge policy for requests that are worth most before a goal.
+
+Pattern: leafs pause for a moment or turn slow, each at its own time. The
+delay follows the latency of recent calls of the kind at all shards, because
+the estimate of one shard with a slow leaf would put the hedge off where it is
+needed most. It never exceeds a part of the goal, so that the second leaf can
+still answer in time.
+"""
+
+import typing
+
+from plantainhook import hedging, querytypes
+
+# Part of the goal after which a call is hedged at the latest.
+LATEST_RATIO: typing.Final = 0.4
+# The same before latencies are known.
+UNLEARNED_RATIO: typing.Final = 0.3
+# A hedge this soon would overtake calls that are about to answer.
+MEDIAN_FACTOR: typing.Final = 1.5
+
+
+@hedging.POLICIES.register("goal")
+class GoalPolicy:
+    """Hedge after a learned quantile, at the latest at a part of the goal."""
+
+    budgeted = True
+    finishes_early = False
+
+    def hedge_delay_s(
+        self,
+        estimate: hedging.LatencyEstimate,
+        rules: querytypes.EffectiveRules,
+    ) -> float:
+        """Return the learned quantile within the bounds of the goal."""
+        goal_s = (rules.goal_ms or rules.deadline_ms) / 1e3
+        if not estimate.learned():
+            return UNLEARNED_RATIO * goal_s
+        quantile_s = estimate.quantile_s(rules.hedge_quantile)
+        delay_s = max(quantile_s, MEDIAN_FACTOR * estimate.median_s)
+        return min(delay_s, LATEST_RATIO * goal_s)
+
+    def max_hedges(self, rules: querytypes.EffectiveRules) -> int:
+        """Return the number in the rules."""
+        return rules.max_hedges_count
+
+    def max_retries(self, rules: querytypes.EffectiveRules) -> int:
+        """Return the number in the rules."""
+        return rules.max_retries_count
+
+
+class PooledLatencies(hedging.LatencyBook):
+    """Hold one estimate per request kind for the leafs of all groups."""
+
+    def of(self, group: str, kind: str) -> hedging.LatencyEstimate:
+        """Return the estimate of a kind; that of whole queries is apart."""
+        return super().of("leafs" if group else "", kind)
--- /dev/null
+++ b/plantainhook/httpfront.py
@@ -0,0 +1,275 @@
+"""HTTP/1.1 server for callers: h11 over trio sockets, one task a connection.
+
+It reads whole requests, hands them to a handler and writes the answers. While
+a request runs, the connection is read, so that a caller that leaves cancels
+the work at once. A draining server ends each connection after an answer, or
+when it is idle.
+"""
+
+import socket
+import typing
+from collections import abc
+
+import h11
+import trio
+
+from plantainhook import forwardtypes, leaftransport, logs, routetable
+
+LOGGER: typing.Final = logs.part_logger("front")
+RECEIVE_BYTES: typing.Final = 65_536
+BACKLOG_COUNT: typing.Final = 1024
+WRITE_TIMEOUT_S: typing.Final = 5.0
+STATUS_BAD_REQUEST: typing.Final = 400
+STATUS_TOO_LARGE: typing.Final = 413
+# A connection that is closed while bytes arrive is reset; the rest of a body
+# is read this long before that.
+LINGER_S: typing.Final = 0.2
+
+Handler = abc.Callable[
+    [bytes, bytes, forwardtypes.Headers, bytes],
+    abc.Awaitable[forwardtypes.Response],
+]
+LimitsOf = abc.Callable[[], routetable.ClientLimits]
+
+
+class Front:
+    """Serve callers on a listening socket."""
+
+    def __init__(self, handler: Handler, limits_of: LimitsOf) -> None:
+        self._handler = handler
+        self._limits_of = limits_of
+        self._draining = trio.Event()
+        self.connections: set[FrontConnection] = set()
+
+    async def serve(self, address: str, nursery: trio.Nursery) -> None:
+        """Accept connections until cancelled."""
+        listener = listen(address)
+        with listener:
+            while True:
+                try:
+                    accepted, _ = await listener.accept()
+                except OSError as error:
+                    LOGGER.warning("Accept failed: {}", error)
+                    await trio.sleep(0.01)
+                    continue
+                nursery.start_soon(self._serve_connection, accepted)
+
+    def drain(self) -> None:
+        """Let each connection end after its answer."""
+        self._draining.set()
+
+    def is_draining(self) -> bool:
+        """Return whether connections end after their answer."""
+        return self._draining.is_set()
+
+    def close_idle(self) -> None:
+        """End the connections that wait for a request."""
+        for connection in self.connections:
+            connection.close_if_idle()
+
+    async def _serve_connection(
+        self, accepted: trio.socket.SocketType
+    ) -> None:
+        accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        plain = socket.socket(fileno=accepted.detach())
+        transport = leaftransport.SocketTransport(plain)
+        connection = FrontConnection(
+            transport, self._handler, self._limits_of(), self
+        )
+        self.connections.add(connection)
+        try:
+            await connection.serve()
+        except (
+            OSError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            trio.TooSlowError,
+            h11.LocalProtocolError,
+        ) as error:
+            LOGGER.debug("A connection of a caller ended: {!r}", error)
+        finally:
+            self.connections.discard(connection)
+            transport.close()
+
+
+class FrontConnection:
+    """Serve the requests of one connection in turn."""
+
+    def __init__(
+        self,
+        transport: leaftransport.SocketTransport,
+        handler: Handler,
+        limits: routetable.ClientLimits,
+        front: Front,
+    ) -> None:
+        self._transport = transport
+        self._handler = handler
+        self._limits = limits
+        self._front = front
+        self._http = h11.Connection(h11.SERVER, limits.head_bytes)
+        self._idle: trio.CancelScope | None = None
+
+    def close_if_idle(self) -> None:
+        """End the connection if no byte of a request is in."""
+        if self._idle is not None and not self._transport.is_readable():
+            self._idle.cancel()
+
+    async def serve(self) -> None:
+        """Serve requests until the connection ends."""
+        while True:
+            try:
+                request = await self._read_head()
+                if request is None:
+                    return
+                body = await self._read_body(request)
+            except h11.RemoteProtocolError as error:
+                await self._refuse(error.error_status_hint)
+                return
+            if body is None:
+                await self._refuse(STATUS_TOO_LARGE)
+                return
+            response = await self._run(request, body)
+            if response is None:
+                return
+            keep = await self._write(response)
+            if not keep:
+                return
+            self._http.start_next_cycle()
+
+    async def _read_head(self) -> h11.Request | None:
+        """Return the next request, or None where the connection ends."""
+        event = self._http.next_event()
+        begun = bool(self._http.trailing_data[0])
+        if (
+            event is h11.NEED_DATA
+            and not begun
+            and not await self._wait_idle()
+        ):
+            return None
+        with trio.move_on_after(self._limits.head_timeout_s):
+            while event is h11.NEED_DATA:
+                await self._receive()
+                event = self._http.next_event()
+            return event if isinstance(event, h11.Request) else None
+        return None
+
+    async def _wait_idle(self) -> bool:
+        """Wait for the first byte of a request; False where none comes."""
+        if self._front.is_draining() and not self._transport.is_readable():
+            # The answer before announced the end of the connection.
+            return False
+        with trio.move_on_after(self._limits.idle_timeout_s) as scope:
+            self._idle = scope
+            try:
+                await self._transport.wait_readable()
+            finally:
+                self._idle = None
+        return not scope.cancelled_caught
+
+    async def _read_body(self, request: h11.Request) -> bytes | None:
+        """Return the body, or None where it is too large."""
+        if self._http.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await self._send(self._http.send(go_on))
+        chunks = []
+        size_bytes = 0
+        while True:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                with trio.fail_after(self._limits.idle_timeout_s):
+                    await self._receive()
+            elif isinstance(event, h11.Data):
+                size_bytes += len(event.data)
+                if size_bytes > self._limits.body_bytes:
+                    return None
+                chunks.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return b"".join(chunks)
+            else:
+                raise h11.RemoteProtocolError("the body has no end")
+
+    async def _run(
+        self, request: h11.Request, body: bytes
+    ) -> forwardtypes.Response | None:
+        """Run a request; None where the caller left before the answer."""
+        responses: list[forwardtypes.Response] = []
+        async with trio.open_nursery() as nursery:
+
+            async def run() -> None:
+                responses.append(
+                    await self._handler(
+                        request.method,
+                        request.target,
+                        list(request.headers),
+                        body,
+                    )
+                )
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(run)
+            if await self._caller_left():
+                nursery.cancel_scope.cancel()
+        return responses[0] if responses else None
+
+    async def _caller_left(self) -> bool:
+        """Wait until the caller leaves; False where it sends more."""
+        try:
+            data = await self._transport.receive_some(RECEIVE_BYTES)
+        except (OSError, trio.BrokenResourceError):
+            return True
+        self._http.receive_data(data)
+        return not data
+
+    async def _write(self, response: forwardtypes.Response) -> bool:
+        """Write an answer; return whether the connection goes on."""
+        headers = [
+            *response.headers,
+            (b"content-length", b"%d" % len(response.body)),
+        ]
+        if self._front.is_draining():
+            headers.append((b"connection", b"close"))
+        head = h11.Response(status_code=response.status, headers=headers)
+        data = self._http.send(head) or b""
+        data += self._http.send(h11.Data(data=response.body)) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        await self._send(data)
+        if self._http.our_state is h11.DONE is self._http.their_state:
+            return True
+        await self._linger()
+        return False
+
+    async def _linger(self) -> None:
+        """Read what is still on its way, so that the close is no reset."""
+        self._transport.send_eof()
+        with trio.move_on_after(LINGER_S):
+            while await self._transport.receive_some(RECEIVE_BYTES):
+                pass
+
+    async def _refuse(self, status: int) -> None:
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            await self._write(forwardtypes.Response(status, [], b""))
+
+    async def _receive(self) -> None:
+        data = await self._transport.receive_some(RECEIVE_BYTES)
+        self._http.receive_data(data)
+
+    async def _send(self, data: bytes | None) -> None:
+        rest = data or b""
+        with trio.fail_after(WRITE_TIMEOUT_S):
+            while rest:
+                rest = rest[await self._transport.send_some(rest) :]
+
+
+def listen(address: str) -> trio.socket.SocketType:
+    """Open a listening socket at an IP address and port.
+
+    Raises OSError.
+    """
+    host, port = leaftransport.split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    opened = socket.socket(family, socket.SOCK_STREAM)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    opened.bind((host, port))
+    opened.listen(BACKLOG_COUNT)
+    opened.setblocking(False)
+    return trio.socket.from_stdlib_socket(opened)
--- a/plantainhook/leafconnect.py
+++ b/plantainhook/leafconnect.py
@@ -33,6 +33,10 @@
     backoff_max_s: float = 1.0
     settle_timeout_s: float = 0.25
     close_timeout_s: float = 1.0
+    # Whether a new connection is checked by a health request, and whether
+    # one more than the recent peak is kept open.
+    greets: bool = True
+    warms: bool = True
 
 
 async def open_client(
@@ -40,8 +44,9 @@
     leaf: str,
     address: str,
     timeout_s: float,
+    greets: bool = True,
 ) -> httpconnection.LeafResult[leafclient.LeafClient]:
-    """Open and check a connection."""
+    """Open a connection and, where asked, check it."""
     deadline_s = trio.current_time() + timeout_s
     transport: leaftransport.Transport | None = None
     with trio.CancelScope(deadline=deadline_s):
@@ -52,6 +57,8 @@
     if transport is None:
         return result.Err(connect_error(address, "the connect timed out"))
     client = leafclient.LeafClient(transport, leaf, address)
+    if not greets:
+        return result.Ok(client)
     try:
         greeting = await client.request(
             "GET", leafprotocol.HEALTH_PATH, b"", deadline_s
--- a/plantainhook/leafpool.py
+++ b/plantainhook/leafpool.py
@@ -133,6 +133,8 @@
 
         Otherwise a restart of many daemons would open all theirs at once.
         """
+        if not self._options.warms:
+            return
         jitter_s = self._options.warm_jitter_s
         await trio.sleep(self._rng.uniform(0, jitter_s))
         self._warm = True
@@ -316,6 +318,7 @@
                     self.leaf,
                     self.address,
                     self._options.connect_timeout_s,
+                    self._options.greets,
                 )
         finally:
             self.connecting_count -= 1
--- /dev/null
+++ b/plantainhook/leafpools.py
@@ -0,0 +1,142 @@
+"""Pools of connections to leafs, one per leaf of the settings view.
+
+``LeafPools`` follows changes of the settings and of the shares: it starts
+and ends pools and sets their allotments.
+"""
+
+import functools
+import random
+import typing
+from collections import abc
+
+import result
+import trio
+
+from plantainhook import (
+    blackboard,
+    errors,
+    leafconnect,
+    leafpool,
+    leaftransport,
+    metrics,
+    shardmap,
+)
+
+CONNECTS_AT_ONCE_COUNT: typing.Final = 16
+TOPICS: typing.Final = (blackboard.Topic.SETTINGS, blackboard.Topic.SHARES)
+
+AllotmentOf = abc.Callable[[shardmap.LeafInfo], int]
+
+
+class LeafPools:
+    """Hold the pools of a daemon.
+
+    ``allotment_of`` returns how many connections this daemon may open to a
+    leaf; it is asked again after each change of the settings or the shares.
+    """
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        allotment_of: AllotmentOf,
+        instruments: metrics.LeafMetrics,
+        rng: random.Random,
+        connector: leaftransport.Connector = leaftransport.connect,
+        options: leafconnect.PoolOptions | None = None,
+    ) -> None:
+        self._board = board
+        self._allotment_of = allotment_of
+        self._metrics = instruments
+        self._rng = rng
+        self._connector = connector
+        self._options = options or leafconnect.PoolOptions()
+        self._gate = trio.Semaphore(CONNECTS_AT_ONCE_COUNT)
+        self._pools: dict[str, leafpool.LeafPool] = {}
+        self._scopes: dict[str, trio.CancelScope] = {}
+        instruments.connections.set_function(self._connection_count)
+
+    def pool(self, leaf: str) -> leafpool.LeafPool | None:
+        """Return the pool of a leaf."""
+        return self._pools.get(leaf)
+
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Keep the pools in step with the blackboard until cancelled."""
+        async with trio.open_nursery() as nursery:
+            started = False
+            while True:
+                events = [self._board.changed(topic) for topic in TOPICS]
+                await self._update(nursery)
+                if not started:
+                    task_status.started()
+                    started = True
+                await wait_any(events)
+
+    async def _update(self, nursery: trio.Nursery) -> None:
+        leafs = self._board.settings.leafs
+        for name, pool in list(self._pools.items()):
+            info = leafs.get(name)
+            if info is None or info.address != pool.address:
+                self._remove(name)
+        for name, info in leafs.items():
+            if name not in self._pools:
+                await self._add(nursery, info)
+            self._pools[name].set_allotment(self._allotment_of(info))
+
+    async def _add(
+        self, nursery: trio.Nursery, info: shardmap.LeafInfo
+    ) -> None:
+        pool = leafpool.LeafPool(
+            info.name,
+            info.address,
+            self._options,
+            self._connector,
+            self._gate,
+            self._metrics,
+            self._rng,
+        )
+        scope = trio.CancelScope()
+        await nursery.start(functools.partial(run_in, scope, pool))
+        self._pools[info.name] = pool
+        self._scopes[info.name] = scope
+
+    def _remove(self, leaf: str) -> None:
+        self._pools.pop(leaf)
+        self._scopes.pop(leaf).cancel()
+
+    def _connection_count(self) -> float:
+        return sum(pool.open_count for pool in self._pools.values())
+
+
+async def wait_any(events: abc.Iterable[trio.Event]) -> None:
+    """Wait until one of the events is set."""
+
+    async def wait_one(event: trio.Event) -> None:
+        await event.wait()
+        nursery.cancel_scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        for event in events:
+            nursery.start_soon(wait_one, event)
+
+
+async def run_in(
+    scope: trio.CancelScope,
+    pool: leafpool.LeafPool,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Run a pool inside a scope that ends it."""
+    with scope:
+        await pool.run(task_status=task_status)
+
+
+def may_resend(
+    outcome: result.Result[typing.Any, errors.LeafError],
+) -> bool:
+    """Return whether a broken connection took nothing of the request."""
+    if isinstance(outcome, result.Ok):
+        return False
+    error = outcome.err_value
+    lost = error.kind is errors.LeafFailureKind.CONNECTION_LOST
+    return lost and error.ran is errors.Ran.NO
--- a/plantainhook/leaftransport.py
+++ b/plantainhook/leaftransport.py
@@ -85,6 +85,10 @@
             except BlockingIOError:
                 continue
 
+    async def wait_readable(self) -> None:
+        """Wait until bytes, an end of stream or an error wait."""
+        await trio.lowlevel.wait_readable(self._socket)
+
     def is_readable(self) -> bool:
         """Return whether bytes, an end of stream or an error wait."""
         return bool(self._poller.poll(0))
--- a/plantainhook/leafwork.py
+++ b/plantainhook/leafwork.py
@@ -7,7 +7,6 @@
 """
 
 import dataclasses
-import functools
 import random
 import typing
 from collections import abc
@@ -23,22 +22,19 @@
     leafclient,
     leafconnect,
     leafpool,
+    leafpools,
     leafprotocol,
     leaftransport,
     logs,
     metrics,
     querytypes,
-    shardmap,
 )
 
 SEND_TRIES_COUNT: typing.Final = 3
-CONNECTS_AT_ONCE_COUNT: typing.Final = 16
 LOG_LINES_PER_S: typing.Final = 50.0
 UNKNOWN_LEAF: typing.Final = "the settings have no such leaf"
-TOPICS: typing.Final = (blackboard.Topic.SETTINGS, blackboard.Topic.SHARES)
 
 ReplyResult = result.Result[querytypes.LeafReply, errors.LeafError]
-AllotmentOf = abc.Callable[[shardmap.LeafInfo], int]
 
 
 class Observer(typing.Protocol):
@@ -93,45 +89,31 @@
     def __init__(
         self,
         board: blackboard.Blackboard,
-        allotment_of: AllotmentOf,
+        allotment_of: leafpools.AllotmentOf,
         instruments: metrics.LeafMetrics,
         rng: random.Random,
         connector: leaftransport.Connector = leaftransport.connect,
         options: leafconnect.PoolOptions | None = None,
         observer: Observer | None = None,
     ) -> None:
-        self._board = board
-        self._allotment_of = allotment_of
         self._metrics = instruments
-        self._rng = rng
-        self._connector = connector
-        self._options = options or leafconnect.PoolOptions()
         self._decisions = logs.DecisionLog(
             logs.part_logger("leafwork"), clock.TrioClock(), LOG_LINES_PER_S
         )
-        self._gate = trio.Semaphore(CONNECTS_AT_ONCE_COUNT)
-        self._pools: dict[str, leafpool.LeafPool] = {}
-        self._scopes: dict[str, trio.CancelScope] = {}
+        self._pools = leafpools.LeafPools(
+            board, allotment_of, instruments, rng, connector, options
+        )
         self.observer: Observer = observer or NullObserver()
-        instruments.connections.set_function(self._connection_count)
 
     def pool(self, leaf: str) -> leafpool.LeafPool | None:
         """Return the pool of a leaf."""
-        return self._pools.get(leaf)
+        return self._pools.pool(leaf)
 
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Keep the pools in step with the blackboard until cancelled."""
-        async with trio.open_nursery() as nursery:
-            started = False
-            while True:
-                events = [self._board.changed(topic) for topic in TOPICS]
-                await self._update(nursery)
-                if not started:
-                    task_status.started()
-                    started = True
-                await wait_any(events)
+        await self._pools.run(task_status=task_status)
 
     async def call(
         self,
@@ -179,7 +161,7 @@
         deadline_s: float,
     ) -> httpconnection.LeafResult[None]:
         """Lend a connection to a reader of the state endpoints."""
-        pool = self._pools.get(leaf)
+        pool = self._pools.pool(leaf)
         if pool is None:
             return result.Err(leafconnect.no_connection(leaf, UNKNOWN_LEAF))
         pool.sweep()
@@ -192,12 +174,12 @@
             pool.abandon(acquired.ok_value)
 
     async def _call(self, leaf: str, call: leafclient.LeafCall) -> ReplyResult:
-        pool = self._pools.get(leaf)
+        pool = self._pools.pool(leaf)
         if pool is None:
             return result.Err(leafconnect.no_connection(leaf, UNKNOWN_LEAF))
         outcome = await self._try_once(pool, call)
         for _ in range(SEND_TRIES_COUNT - 1):
-            if not may_resend(outcome):
+            if not leafpools.may_resend(outcome):
                 break
             self._metrics.resends.inc()
             self._decisions.decide(f"{call.request_id} to {leaf} again.")
@@ -232,69 +214,3 @@
             errors.LeafFailureKind.CONNECT,
         ):
             self.observer.on_connection_lost(leaf)
-
-    async def _update(self, nursery: trio.Nursery) -> None:
-        leafs = self._board.settings.leafs
-        for name, pool in list(self._pools.items()):
-            info = leafs.get(name)
-            if info is None or info.address != pool.address:
-                self._remove(name)
-        for name, info in leafs.items():
-            if name not in self._pools:
-                await self._add(nursery, info)
-            self._pools[name].set_allotment(self._allotment_of(info))
-
-    async def _add(
-        self, nursery: trio.Nursery, info: shardmap.LeafInfo
-    ) -> None:
-        pool = leafpool.LeafPool(
-            info.name,
-            info.address,
-            self._options,
-            self._connector,
-            self._gate,
-            self._metrics,
-            self._rng,
-        )
-        scope = trio.CancelScope()
-        await nursery.start(functools.partial(run_in, scope, pool))
-        self._pools[info.name] = pool
-        self._scopes[info.name] = scope
-
-    def _remove(self, leaf: str) -> None:
-        self._pools.pop(leaf)
-        self._scopes.pop(leaf).cancel()
-
-    def _connection_count(self) -> float:
-        return sum(pool.open_count for pool in self._pools.values())
-
-
-async def wait_any(events: abc.Iterable[trio.Event]) -> None:
-    """Wait until one of the events is set."""
-
-    async def wait_one(event: trio.Event) -> None:
-        await event.wait()
-        nursery.cancel_scope.cancel()
-
-    async with trio.open_nursery() as nursery:
-        for event in events:
-            nursery.start_soon(wait_one, event)
-
-
-async def run_in(
-    scope: trio.CancelScope,
-    pool: leafpool.LeafPool,
-    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
-) -> None:
-    """Run a pool inside a scope that ends it."""
-    with scope:
-        await pool.run(task_status=task_status)
-
-
-def may_resend(outcome: ReplyResult) -> bool:
-    """Return whether a broken connection took nothing of the request."""
-    if isinstance(outcome, result.Ok):
-        return False
-    error = outcome.err_value
-    lost = error.kind is errors.LeafFailureKind.CONNECTION_LOST
-    return lost and error.ran is errors.Ran.NO
--- a/plantainhook/loadbudget.py
+++ b/plantainhook/loadbudget.py
@@ -46,6 +46,30 @@
         return True
 
 
+class ExtraLoad(typing.Protocol):
+    """Grant the extra attempts of queries.
+
+    ``rank`` orders the queries from 0 to 1. Where the budget is short, an
+    implementation may serve queries of low rank only, so that some get all
+    the attempts that they need instead of all getting a part of them.
+    """
+
+    def earn(
+        self, group: str, first_count: int, ratio: float, now_s: float
+    ) -> None:
+        """Take note of first attempts."""
+
+    def spend_retry(
+        self, group: str, now_s: float, floor_per_s: float, rank: float
+    ) -> bool:
+        """Grant a retry or refuse it."""
+
+    def spend_hedge(
+        self, group: str, now_s: float, floor_per_s: float, rank: float
+    ) -> bool:
+        """Grant a hedge or refuse it."""
+
+
 @dataclasses.dataclass(slots=True)
 class LoadBudgets:
     """Hold the budgets of all groups and the common one."""
@@ -57,13 +81,15 @@
         )
     )
 
-    def earn(self, group: LoadBudget, first_count: int, ratio: float) -> None:
+    def earn(
+        self, group: str, first_count: int, ratio: float, now_s: float
+    ) -> None:
         """Add the share of first attempts to a group and to the whole."""
-        group.earn(first_count, ratio)
+        self.of(group).earn(first_count, ratio)
         self.common.earn(first_count, ratio)
 
     def spend_retry(
-        self, group: str, now_s: float, floor_per_s: float
+        self, group: str, now_s: float, floor_per_s: float, rank: float
     ) -> bool:
         """Take one token of the group for a retry.
 
@@ -73,7 +99,7 @@
         return self.of(group).spend(now_s, floor_per_s)
 
     def spend_hedge(
-        self, group: str, now_s: float, floor_per_s: float
+        self, group: str, now_s: float, floor_per_s: float, rank: float
     ) -> bool:
         """Take one token of the group and of the whole, or none."""
         if not self.common.refill(now_s, floor_per_s):
--- a/plantainhook/options.py
+++ b/plantainhook/options.py
@@ -34,6 +34,24 @@
     roles: list[typing.Literal["query", "read", "apply", "drain"]]
 
 
+class ForwardOptions(schema.Model):
+    """Hold the options of a daemon that forwards HTTP requests by route.
+
+    The budget fields state how many calls beyond the first of each request a
+    service may get in a window, over all daemons.
+    """
+
+    front_address: schema.Address
+    ready_address: schema.Address
+    store_address: schema.Address
+    budget_window_s: float = pydantic.Field(default=10.0, gt=0)
+    budget_extra_ratio: float = pydantic.Field(default=0.2, ge=0)
+    budget_extra_count: float = pydantic.Field(default=50.0, ge=0)
+    stop_timeout_s: float = pydantic.Field(default=6.0, gt=0)
+    # Daemons that are assumed to exist before the members are known.
+    fleet_least_count: int = pydantic.Field(default=9, ge=1)
+
+
 class Options(schema.Model):
     """Hold every option of a daemon's run."""
 
@@ -70,6 +88,7 @@
     concurrent_query_limit_count: int = pydantic.Field(default=256, ge=1)
     queued_query_limit_count: int = pydantic.Field(default=1000, ge=1)
     archive_queue_limit_count: int = pydantic.Field(default=1000, ge=1)
+    forward: ForwardOptions | None = None
     tls: TlsOptions | None = None
     tokens: list[TokenOptions] = []
 
--- /dev/null
+++ b/plantainhook/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform; nothing here decides."""
--- /dev/null
+++ b/plantainhook/platform/documents.py
@@ -0,0 +1,154 @@
+"""Objects of the platform's store, decoded into the product's types."""
+
+import typing
+
+import msgspec
+
+from plantainhook import forwardtypes, routetable, shardmap
+from plantainhook.platform import names
+
+MS_PER_S: typing.Final = 1000.0
+
+
+class Backend(msgspec.Struct):
+    """Hold a service and its weight on a route."""
+
+    service: str
+    weight: float
+
+
+class RouteDocument(msgspec.Struct, rename="kebab"):
+    """Hold a route as the operator wrote it.
+
+    ``kind`` states what may be repeated, and ``max_attempts`` counts leafs.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    latency_goal_ms: float | None = None
+    max_attempts: int = 1
+    priority: int = 0
+    service: str | None = None
+    backends: list[Backend] | None = None
+    gather: list[str] | None = None
+    top_k: int = 0
+    min_coverage: float = 1.0
+
+
+class ServiceDocument(msgspec.Struct, rename="kebab"):
+    """Hold a service as the operator wrote it."""
+
+    name: str
+    max_conns: int = 1
+
+
+class LimitsDocument(msgspec.Struct, rename="kebab"):
+    """Hold the limits of clients."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 262_144
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class ConfigurationDocument(msgspec.Struct, rename="kebab"):
+    """Hold one version of the configuration."""
+
+    version: int
+    routes: list[RouteDocument]
+    services: list[ServiceDocument] = []
+    limits: LimitsDocument = msgspec.field(default_factory=LimitsDocument)
+
+
+class LeafDocument(msgspec.Struct, rename="kebab"):
+    """Hold what a leaf registered; its id is the name of the object.
+
+    ``max_concurrency`` counts its slots, ``seq`` its reports since its start
+    at ``born`` in Unix milliseconds.
+    """
+
+    service: str
+    address: str
+    zone: str
+    max_concurrency: int
+    state: typing.Literal["ready", "draining"]
+    warmup_left_ms: float = 0.0
+    seq: int = 0
+    born: int = 0
+
+
+class PlatformDocuments:
+    """Decode configurations and entries of leafs."""
+
+    def read_routes(self, spec: object) -> routetable.RouteTable:
+        """Return the route table of a configuration, or raise ValueError."""
+        document = msgspec.convert(spec, ConfigurationDocument)
+        limits = document.limits
+        return routetable.build_route_table(
+            document.version,
+            [_route(route) for route in document.routes],
+            [
+                routetable.ServiceRules(service.name, service.max_conns)
+                for service in document.services
+            ],
+            routetable.ClientLimits(
+                head_bytes=limits.max_header_bytes,
+                body_bytes=limits.max_body_bytes,
+                head_timeout_s=limits.header_timeout_ms / MS_PER_S,
+                idle_timeout_s=limits.idle_timeout_ms / MS_PER_S,
+            ),
+        )
+
+    def read_leaf(self, name: str, spec: object) -> forwardtypes.LeafEntry:
+        """Return the entry of a leaf, or raise ValueError."""
+        document = msgspec.convert(spec, LeafDocument)
+        host, _, port = document.address.rpartition(":")
+        if not host or not port.isdigit():
+            raise ValueError(f"{document.address!r} is no address")
+        info = shardmap.LeafInfo(
+            name=name,
+            address=document.address,
+            data_centre=document.zone,
+            group=document.service,
+            service=document.service,
+            slot_count=max(1, document.max_concurrency),
+            connection_limit_count=1,
+        )
+        return forwardtypes.LeafEntry(
+            info,
+            draining=document.state == names.STATE_DRAINING,
+            cold_left_s=document.warmup_left_ms / MS_PER_S,
+            born_ms=document.born,
+            sequence=document.seq,
+        )
+
+
+def _route(document: RouteDocument) -> routetable.Route:
+    services: tuple[routetable.WeightedService, ...] = ()
+    if document.service is not None:
+        services = (routetable.WeightedService(document.service, 1.0),)
+    elif document.backends:
+        services = tuple(
+            routetable.WeightedService(backend.service, backend.weight)
+            for backend in document.backends
+        )
+    gather = None
+    if document.gather is not None:
+        gather = routetable.Gather(
+            tuple(document.gather), document.top_k, document.min_coverage
+        )
+    return routetable.Route(
+        name=document.name,
+        host=document.host.lower(),
+        path_prefix=document.path_prefix,
+        idempotent=document.kind == names.KIND_IDEMPOTENT,
+        timeout_ms=document.timeout_ms,
+        goal_ms=document.latency_goal_ms or document.timeout_ms,
+        max_leafs_count=document.max_attempts,
+        urgency_rank=document.priority,
+        services=services,
+        gather=gather,
+    )
--- /dev/null
+++ b/plantainhook/platform/outside.py
@@ -0,0 +1,19 @@
+"""Builds the seams of a forwarding daemon to the platform."""
+
+from plantainhook import forwarddaemon, options
+from plantainhook.platform import dialect, documents, names, store
+
+
+def build_outside(
+    forward: options.ForwardOptions,
+) -> forwarddaemon.Outside:
+    """Build the seams to the platform that the options name."""
+    return forwarddaemon.Outside(
+        dialect=dialect.PlatformDialect(),
+        documents=documents.PlatformDocuments(),
+        leafs=store.PlatformStore(forward.store_address, names.LEAF_KIND),
+        configurations=store.PlatformStore(
+            forward.store_address, names.CONFIGURATION_KIND
+        ),
+        configuration_name=names.CONFIGURATION_NAME,
+    )
--- /dev/null
+++ b/plantainhook/platform/store.py
@@ -0,0 +1,183 @@
+"""Calls of the platform's store over HTTP/1.1."""
+
+import json
+import typing
+import urllib.parse
+
+import h11
+import msgspec
+import result
+import trio
+
+from plantainhook import (
+    errors,
+    httpconnection,
+    leaftransport,
+    objectsource,
+    steps,
+)
+from plantainhook.platform import names
+
+CALL_TIMEOUT_S: typing.Final = 2.0
+CONNECT_TIMEOUT_S: typing.Final = 1.0
+STATUS_OK: typing.Final = 200
+STATUS_HISTORY_GONE: typing.Final = 410
+
+
+class Meta(msgspec.Struct):
+    """Hold what the store says of an object."""
+
+    name: str
+    revision: int
+
+
+class StoredDocument(msgspec.Struct):
+    """Hold an object; ``spec`` is checked by its reader."""
+
+    meta: Meta
+    spec: typing.Any = None
+
+
+class ListReply(msgspec.Struct, rename="kebab"):
+    """Hold a page of a listing."""
+
+    items: list[StoredDocument]
+    store_revision: int
+    more: bool = False
+
+
+class Event(msgspec.Struct):
+    """Hold a change; ``object`` is the last state of a deleted one."""
+
+    object: StoredDocument
+    deleted: bool = False
+
+
+class WatchReply(msgspec.Struct, rename="kebab"):
+    """Hold the changes since a revision."""
+
+    events: list[Event]
+    store_revision: int
+
+
+T = typing.TypeVar("T")
+
+
+class PlatformStore:
+    """Read one kind of objects, over a connection of its own."""
+
+    def __init__(
+        self,
+        address: str,
+        kind: str,
+        connector: leaftransport.Connector = leaftransport.connect,
+    ) -> None:
+        self.kind = kind
+        self._address = address
+        self._connector = connector
+        self._connection: httpconnection.HttpConnection | None = None
+
+    async def list(self) -> objectsource.ListResult:
+        """Return all objects and the revision at which they were read."""
+        found: list[objectsource.SourceObject] = []
+        query: dict[str, str] = {}
+        revision: int | None = None
+        while True:
+            read = await self._get(query, CALL_TIMEOUT_S, ListReply)
+            if isinstance(read, result.Err):
+                return read
+            page = read.ok_value
+            found += [_source_object(item) for item in page.items]
+            # A change between two pages is seen again by the watch.
+            revision = page.store_revision if revision is None else revision
+            if not page.more or not page.items:
+                return result.Ok(objectsource.Listing(found, revision))
+            query = {"after": page.items[-1].meta.name}
+
+    async def watch(
+        self, revision: int, wait_s: float
+    ) -> objectsource.WatchResult:
+        """Return the changes after a revision, waiting for the first."""
+        query = {"watch": str(revision), "wait-ms": str(int(wait_s * 1000))}
+        read = await self._get(query, wait_s + CALL_TIMEOUT_S, WatchReply)
+        if isinstance(read, result.Err):
+            return read
+        reply = read.ok_value
+        changes = [
+            objectsource.Change(_source_object(event.object), event.deleted)
+            for event in reply.events
+        ]
+        return result.Ok(objectsource.Changes(changes, reply.store_revision))
+
+    async def _get(
+        self, query: dict[str, str], timeout_s: float, reply_type: type[T]
+    ) -> result.Result[T, errors.ObjectApiError]:
+        path = f"{names.OBJECTS_PATH}/{self.kind}"
+        if query:
+            path += "?" + urllib.parse.urlencode(query)
+        connected = await self._connected()
+        if isinstance(connected, result.Err):
+            return connected
+        connection = connected.ok_value
+        head = h11.Request(
+            method="GET", target=path, headers=[("host", self._address)]
+        )
+        deadline_s = trio.current_time() + timeout_s
+        try:
+            read = await connection.exchange(head, b"", deadline_s)
+        finally:
+            if not connection.reusable():
+                self._close()
+        if isinstance(read, result.Err):
+            return result.Err(self._unavailable(str(read.err_value)))
+        raw = read.ok_value
+        if raw.status == STATUS_HISTORY_GONE:
+            return result.Err(self._gone())
+        if raw.status != STATUS_OK:
+            return result.Err(self._unavailable(f"answered {raw.status}"))
+        try:
+            decoded = json.loads(raw.body.decode("utf-8", "replace"))
+            return result.Ok(msgspec.convert(decoded, reply_type))
+        except (ValueError, msgspec.ValidationError) as error:
+            return result.Err(self._unavailable(f"cannot be read: {error}"))
+
+    async def _connected(
+        self,
+    ) -> result.Result[httpconnection.HttpConnection, errors.ObjectApiError]:
+        if self._connection is not None:
+            if not self._connection.is_stale():
+                return result.Ok(self._connection)
+            self._close()
+        with trio.move_on_after(CONNECT_TIMEOUT_S):
+            try:
+                transport = await self._connector(self._address)
+            except OSError as error:
+                return result.Err(self._unavailable(str(error)))
+            self._connection = httpconnection.HttpConnection(
+                transport, self.kind, self._address
+            )
+            return result.Ok(self._connection)
+        return result.Err(self._unavailable("the connect timed out"))
+
+    def _close(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    def _unavailable(self, detail: str) -> errors.ObjectApiError:
+        return errors.ObjectApiUnavailableError(
+            steps.Step.SETTINGS_SPREAD, self._address, f"{self.kind}: {detail}"
+        )
+
+    def _gone(self) -> errors.ObjectApiError:
+        return errors.ObjectNotFoundError(
+            steps.Step.SETTINGS_SPREAD,
+            self._address,
+            f"{self.kind}: the history after the revision is gone",
+        )
+
+
+def _source_object(stored: StoredDocument) -> objectsource.SourceObject:
+    return objectsource.SourceObject(
+        stored.meta.name, stored.meta.revision, stored.spec
+    )
--- a/plantainhook/query.py
+++ b/plantainhook/query.py
@@ -59,6 +59,10 @@
         self._waiting: list[routing.Assignment] = []
         self._early_s = math.inf
         self._armed_s = math.inf
+        self._goal_s = math.inf
+        self._goal_passed = False
+        if plan.rules.goal_ms is not None:
+            self._goal_s = plan.request.arrived_s + plan.rules.goal_ms / 1e3
 
     def start(self, now_s: float) -> Actions:
         """Pin a version and send the first attempts."""
@@ -113,8 +117,11 @@
         if self.finished:
             return []
         self._armed_s = math.inf
+        self._goal_passed = now_s >= self._goal_s
         if now_s >= self._deadline_s:
             return self._finish_with_merge([], now_s)
+        if self._goal_is_met(now_s):
+            return self._finish_with_merge([], now_s)
         actions: Actions = []
         self._work.hedge_late(actions, now_s)
         if self._early_finish_is_due(now_s):
@@ -302,7 +309,7 @@
 
     def _advance(self, actions: Actions, now_s: float) -> Actions:
         """Finish where nothing is left to wait for, else set the timer."""
-        if self.merge.complete():
+        if self.merge.complete() or self._goal_is_met(now_s):
             return self._finish_with_merge(actions, now_s)
         if self._work.one_at_a_time and self._ledger.lost_leafs:
             self._waiting = []
@@ -318,6 +325,16 @@
             self._arm(actions)
         return actions
 
+    def _goal_is_met(self, now_s: float) -> bool:
+        """Return whether the time to wait for more shards has passed.
+
+        An answer that is not acceptable yet is worth waiting for until the
+        deadline.
+        """
+        return now_s >= self._goal_s and coverage.acceptable(
+            self.merge, self.plan.rules, self.plan.request.area
+        )
+
     def _plan_early_finish(self) -> None:
         """Find when no shard could arrive from a new attempt."""
         if not self._policy.finishes_early or not self.plan.rules.idempotent:
@@ -346,6 +363,8 @@
 
     def _arm(self, actions: Actions) -> None:
         at_s = min(self._deadline_s, self._early_s)
+        if self._goal_s < at_s and not self._goal_passed:
+            at_s = self._goal_s
         hedge_s = self._work.next_hedge_s()
         if hedge_s is not None:
             at_s = min(at_s, hedge_s)
--- a/plantainhook/queryplan.py
+++ b/plantainhook/queryplan.py
@@ -26,6 +26,8 @@
     request: querytypes.QueryRequest
     rules: querytypes.EffectiveRules
     latest_view: abc.Callable[[], snapshot.TargetView]
+    # Order of the queries in the use of a short budget, from 0 to 1.
+    rank: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -34,7 +36,7 @@
 
     replicas: replicas.Replicas
     latencies: hedging.LatencyBook
-    budgets: loadbudget.LoadBudgets
+    budgets: loadbudget.ExtraLoad
     quarantine: quarantine.Quarantine
     counters: querytypes.QueryCounters
 
--- a/plantainhook/querytypes.py
+++ b/plantainhook/querytypes.py
@@ -49,6 +49,11 @@
     extra_load_floor_per_s: float
     cross_zone_max_ratio: float
     queue_limit_count: int
+    # From this time on an acceptable answer is given although shards are
+    # missing; without it the query waits for them until its deadline.
+    goal_ms: float | None = None
+    # The most leafs that may run the work of one shard set.
+    max_runs_count: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/plantainhook/windowbudget.py
@@ -0,0 +1,154 @@
+"""Extra-load budget of a service that all daemons share, over a window.
+
+In every window a service may get a share of its requests and a fixed number
+of calls beyond the first of each. No daemon sees the calls of the others, so
+each keeps to its own part: the share of the requests that it serves itself,
+and the fixed number divided by the daemons of the fleet.
+
+Pattern: many leafs refuse part of their calls. A query needs all its shards,
+so a budget that is spread over all queries leaves each of them short. Queries
+are ranked, and the more of the budget is used, the lower the rank that may
+still draw on it; the same queries are then served at every shard.
+"""
+
+import collections
+import dataclasses
+import typing
+from collections import abc
+
+# Requests are counted in the window that ends now and in the ones that ended
+# half a window and a whole window ago; the largest counts.
+REQUEST_WINDOWS_COUNT: typing.Final = 2
+SLICES_PER_WINDOW: typing.Final = 20
+# Kept back for calls that overlap: a window that slides between two slices
+# can hold one slice more.
+USED_RATIO: typing.Final = 0.9
+# Below this use of the budget the rank of a query does not matter.
+UNRANKED_RATIO: typing.Final = 0.5
+# Hedges leave this part to retries, without which a part is lost.
+HEDGE_RATIO: typing.Final = 0.85
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WindowRules:
+    """Hold the budget of a service as the platform states it."""
+
+    window_s: float
+    extra_ratio: float
+    extra_count: float
+
+
+@dataclasses.dataclass(slots=True)
+class WindowBudget:
+    """Count the requests and extra calls of one service by slices."""
+
+    slice_s: float
+    requests: collections.deque[list[float]] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    extras: collections.deque[list[float]] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+    def note_request(self, now_s: float) -> None:
+        """Count a request."""
+        self._count(self.requests, now_s, REQUEST_WINDOWS_COUNT)
+
+    def note_extra(self, now_s: float) -> None:
+        """Count an extra call."""
+        self._count(self.extras, now_s, 1)
+
+    def extra_count(self, now_s: float) -> float:
+        """Return the extra calls of the window that ends now."""
+        oldest_s = now_s - self.slice_s * (SLICES_PER_WINDOW + 1)
+        return sum(count for at_s, count in self.extras if at_s > oldest_s)
+
+    def request_count(self, now_s: float) -> float:
+        """Return the requests of the window in which there were most."""
+        window_s = self.slice_s * SLICES_PER_WINDOW
+        ends_s = (now_s, now_s - window_s / 2, now_s - window_s)
+        return max(self._requests_until(end_s, window_s) for end_s in ends_s)
+
+    def _requests_until(self, end_s: float, window_s: float) -> float:
+        return sum(
+            count
+            for at_s, count in self.requests
+            if end_s - window_s < at_s <= end_s
+        )
+
+    def _count(
+        self,
+        slices: collections.deque[list[float]],
+        now_s: float,
+        windows_count: int,
+    ) -> None:
+        at_s = now_s - now_s % self.slice_s
+        if slices and slices[-1][0] == at_s:
+            slices[-1][1] += 1.0
+        else:
+            slices.append([at_s, 1.0])
+        keep_s = self.slice_s * SLICES_PER_WINDOW * windows_count
+        while slices[0][0] < now_s - keep_s - 2 * self.slice_s:
+            slices.popleft()
+
+
+@dataclasses.dataclass(slots=True)
+class WindowBudgets:
+    """Grant the extra calls of a daemon to all services.
+
+    ``fleet_count`` returns how many daemons share the budgets. A restarted
+    daemon does not know the extra calls of its predecessor, so the fixed
+    part becomes available over the first window.
+    """
+
+    rules: WindowRules
+    fleet_count: abc.Callable[[], int]
+    started_s: float
+    budgets: dict[str, WindowBudget] = dataclasses.field(default_factory=dict)
+
+    def earn(
+        self, group: str, first_count: int, ratio: float, now_s: float
+    ) -> None:
+        """Count first attempts."""
+        for _ in range(first_count):
+            self.of(group).note_request(now_s)
+
+    def spend_retry(
+        self, group: str, now_s: float, floor_per_s: float, rank: float
+    ) -> bool:
+        """Grant a retry where the budget of the service has room."""
+        return self._spend(group, now_s, rank, 1.0)
+
+    def spend_hedge(
+        self, group: str, now_s: float, floor_per_s: float, rank: float
+    ) -> bool:
+        """Grant a hedge where the budget has room besides retries."""
+        return self._spend(group, now_s, rank, HEDGE_RATIO)
+
+    def of(self, group: str) -> WindowBudget:
+        """Return the budget of a service."""
+        budget = self.budgets.get(group)
+        if budget is None:
+            slice_s = self.rules.window_s / SLICES_PER_WINDOW
+            budget = self.budgets[group] = WindowBudget(slice_s)
+        return budget
+
+    def limit_count(self, group: str, now_s: float) -> float:
+        """Return the extra calls that this daemon may make in a window."""
+        rules = self.rules
+        ramp = min(1.0, (now_s - self.started_s) / rules.window_s)
+        fixed = rules.extra_count / max(1, self.fleet_count()) * ramp
+        requests = self.of(group).request_count(now_s)
+        return USED_RATIO * (rules.extra_ratio * requests + fixed)
+
+    def _spend(
+        self, group: str, now_s: float, rank: float, part: float
+    ) -> bool:
+        budget = self.of(group)
+        limit = self.limit_count(group, now_s) * part
+        used = budget.extra_count(now_s) + 1.0
+        ranked = UNRANKED_RATIO + (1.0 - UNRANKED_RATIO) * (1.0 - rank)
+        if used > limit * ranked:
+            return False
+        budget.note_extra(now_s)
+        return True
