--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -35,6 +35,8 @@
     routecontroller,
     routetable,
     shardmap,
+    storerelay,
+    storereplica,
     windowbudget,
     wire,
 )
@@ -150,6 +152,27 @@
             outside.documents.read_routes,
             self._on_routes,
         )
+        replicas = {
+            source.kind: storereplica.StoreReplica(source.kind, consumer)
+            for source, consumer in (
+                (outside.leafs, self.directory),
+                (outside.configurations, self.routes),
+            )
+        }
+        self.relay = storerelay.StoreRelay(
+            self.board,
+            replicas,
+            {
+                source.kind: source
+                for source in (outside.leafs, outside.configurations)
+            },
+            self.links,
+            self.handlers,
+            storerelay.RelayOptions(),
+            objectsource.FollowOptions(),
+            self.clock,
+            self.rng,
+        )
         self.front = httpfront.Front(self._answer, self._limits)
         self.ready = httpfront.Front(self._answer_ready, routetable_limits)
 
@@ -166,18 +189,7 @@
             await nursery.start(self.pools.run)
             nursery.start_soon(self.members.run)
             nursery.start_soon(self.directory.run)
-            nursery.start_soon(
-                objectsource.follow,
-                self.outside.leafs,
-                self.directory,
-                self.rng,
-            )
-            nursery.start_soon(
-                objectsource.follow,
-                self.outside.configurations,
-                self.routes,
-                self.rng,
-            )
+            nursery.start_soon(self.relay.run)
             nursery.start_soon(
                 self.ready.serve, self.forward.ready_address, nursery
             )
--- a/plantainhook/forwardplanner.py
+++ b/plantainhook/forwardplanner.py
@@ -130,7 +130,7 @@
     """Return the query of a forwarded request."""
     left_ms = route.timeout_ms
     if forwarded.left_ms is not None:
-        left_ms = min(left_ms, forwarded.left_ms)
+        left_ms = min(left_ms, forwarded.left_ms - RETURN_MIN_MS)
     return querytypes.QueryRequest(
         request_id=forwarded.request_id,
         target=route.name,
--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -29,6 +29,9 @@
 # A starting daemon knows its configuration within a moment, and another
 # daemon may know it already.
 STARTING_RETRY_S: typing.Final = 0.1
+# A caller that is held longer than this would have been answered elsewhere.
+STARTING_WAIT_S: typing.Final = 0.3
+STARTING_RATIO: typing.Final = 0.2
 # Refused callers come back spread over this time, and not all at once.
 RETRY_MIN_S: typing.Final = 0.05
 RETRY_MAX_S: typing.Final = 0.25
@@ -68,6 +71,9 @@
         self, forwarded: forwardtypes.ForwardRequest
     ) -> forwardtypes.Response:
         parts = self.parts
+        arrived_s = trio.current_time()
+        if not self._is_started():
+            await self._wait_started(forwarded)
         table = parts.board.routes
         if table.version == routetable.NO_ROUTES.version:
             return self._unavailable(STARTING_RETRY_S)
@@ -77,7 +83,7 @@
                 forwardtypes.STATUS_NOT_FOUND, [], b""
             )
         started_s = trio.current_time()
-        request = forwardplanner.request_of(forwarded, route, started_s)
+        request = forwardplanner.request_of(forwarded, route, arrived_s)
         if route.gather is not None:
             services = route.gather.shard_services
         else:
@@ -89,12 +95,38 @@
         outcome = await executor.run_query(
             machine, request, gateway, parts.planner.clock
         )
-        took_s = trio.current_time() - started_s
+        took_s = trio.current_time() - arrived_s
         parts.decisions.decide(describe(request, route, outcome, took_s))
         if isinstance(outcome, errors.RefusalError):
             return self._refused(outcome)
         return self._response(route, outcome)
 
+    def _is_started(self) -> bool:
+        board = self.parts.board
+        return board.routes.version > 0 and bool(board.leafs)
+
+    async def _wait_started(
+        self, forwarded: forwardtypes.ForwardRequest
+    ) -> None:
+        """Hold a request of a starting daemon for a part of its time.
+
+        Pattern: all daemons start at once and callers are there already. The
+        configuration is there within a moment, sooner than a caller that is
+        refused would come back.
+        """
+        wait_s = STARTING_WAIT_S
+        if forwarded.left_ms is not None:
+            wait_s = min(wait_s, forwarded.left_ms / 1e3 * STARTING_RATIO)
+        board = self.parts.board
+        with trio.move_on_after(wait_s):
+            while not self._is_started():
+                await leafpools.wait_any(
+                    [
+                        board.changed(blackboard.Topic.ROUTES),
+                        board.changed(blackboard.Topic.LEAFS),
+                    ]
+                )
+
     def _response(
         self, route: routetable.Route, outcome: querytypes.Answer
     ) -> forwardtypes.Response:
--- a/plantainhook/leafdirectory.py
+++ b/plantainhook/leafdirectory.py
@@ -75,7 +75,6 @@
 
     def on_listing(self, listing: objectsource.Listing) -> None:
         """Take all entries; those that are absent are removed."""
-        self._note_answer()
         for item in listing.objects:
             self._take(item)
         present = {item.name for item in listing.objects}
@@ -85,7 +84,6 @@
 
     def on_changes(self, changes: list[objectsource.Change]) -> None:
         """Take changed and removed entries."""
-        self._note_answer()
         for change in changes:
             if change.deleted:
                 self._remove(change.object.name)
@@ -97,7 +95,8 @@
         """Note that the store does not answer; what is known stays."""
         self._lost = True
 
-    def _note_answer(self) -> None:
+    def on_answered(self) -> None:
+        """Note that the store answers again."""
         if self._lost:
             self._returned_s = trio.current_time()
             self._lost = False
--- a/plantainhook/objectsource.py
+++ b/plantainhook/objectsource.py
@@ -1,11 +1,12 @@
 """Follows one kind of objects of a store: list once, then watch.
 
-``follow`` calls the consumer with the whole listing after each loss of the
-history and with single changes otherwise. Calls that fail are repeated with
-growing pauses; the consumer keeps what it knows meanwhile and hears when the
-store failed and when it answers again.
+``follow`` calls the consumer with the whole listing where it has no revision
+or the history is lost, and with changes otherwise. Calls that fail are
+repeated with growing pauses; the consumer keeps what it knows meanwhile and
+hears when the store failed and when it answers again.
 """
 
+import dataclasses
 import random
 import typing
 
@@ -15,8 +16,6 @@
 from plantainhook import errors, logs
 
 LOGGER: typing.Final = logs.part_logger("store")
-# The longest wait that the platform grants; each watch is a priced call.
-WATCH_WAIT_S: typing.Final = 30.0
 RETRY_FIRST_S: typing.Final = 0.1
 RETRY_MAX_S: typing.Final = 0.8
 
@@ -70,7 +69,7 @@
 
 
 class Consumer(typing.Protocol):
-    """Take what a source tells."""
+    """Take what a copy of the objects tells."""
 
     def on_listing(self, listing: Listing) -> None:
         """Take all objects; those that are absent do not exist."""
@@ -81,35 +80,91 @@
     def on_lost(self, error: errors.ObjectApiError) -> None:
         """Note that the store does not answer."""
 
+    def on_answered(self) -> None:
+        """Note that the store answers."""
+
+
+class Replica(typing.Protocol):
+    """Hold a copy of the objects at a revision; 0 where there is none."""
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the copy."""
+
+    def on_listing(self, listing: Listing) -> None:
+        """Take all objects as of a revision."""
+
+    def on_changes(
+        self, changes: list[Change], revision: int, after_revision: int
+    ) -> None:
+        """Take the changes after a revision up to another."""
+
+    def on_lost(self, error: errors.ObjectApiError) -> None:
+        """Note that the store does not answer."""
+
+    def on_answered(self) -> None:
+        """Note that the store answers."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FollowOptions:
+    """Hold the longest wait of a watch and the pause after changes.
+
+    Changes come in bursts, and each call has a price, so a short pause
+    gathers several changes in one call.
+    """
+
+    watch_wait_s: float = 30.0
+    gather_s: float = 0.25
+
 
 async def follow(
-    source: ObjectSource, consumer: Consumer, rng: random.Random
+    source: ObjectSource,
+    replica: Replica,
+    options: FollowOptions,
+    rng: random.Random,
 ) -> None:
-    """Keep a consumer up to date until cancelled."""
-    revision: int | None = None
+    """Keep a copy up to date until cancelled."""
     pause_s = RETRY_FIRST_S
+    listed = replica.revision > 0
     while True:
-        if revision is None:
-            listed = await source.list()
-            if isinstance(listed, result.Ok):
-                revision = listed.ok_value.revision
-                pause_s = RETRY_FIRST_S
-                consumer.on_listing(listed.ok_value)
-                continue
-            error = listed.err_value
-        else:
-            watched = await source.watch(revision, WATCH_WAIT_S)
-            if isinstance(watched, result.Ok):
-                revision = watched.ok_value.revision
-                pause_s = RETRY_FIRST_S
-                consumer.on_changes(watched.ok_value.changes)
-                continue
-            error = watched.err_value
-            if isinstance(error, errors.ObjectNotFoundError):
-                LOGGER.info("History of {} is gone; listing.", source.kind)
-                revision = None
-                continue
+        error = await _step(source, replica, options, listed)
+        if error is None:
+            listed = True
+            pause_s = RETRY_FIRST_S
+            replica.on_answered()
+            continue
+        if isinstance(error, errors.ObjectNotFoundError):
+            LOGGER.info("History of {} is gone; listing.", source.kind)
+            listed = False
+            continue
         LOGGER.info("Read of {} failed: {}", source.kind, error)
-        consumer.on_lost(error)
+        replica.on_lost(error)
         await trio.sleep(pause_s * rng.uniform(0.7, 1.3))
         pause_s = min(RETRY_MAX_S, pause_s * 2)
+
+
+async def _step(
+    source: ObjectSource,
+    replica: Replica,
+    options: FollowOptions,
+    listed: bool,
+) -> errors.ObjectApiError | None:
+    """List or watch once; return what failed."""
+    if not listed:
+        listing = await source.list()
+        if isinstance(listing, result.Err):
+            return listing.err_value
+        replica.on_answered()
+        replica.on_listing(listing.ok_value)
+        return None
+    after_revision = replica.revision
+    watched = await source.watch(after_revision, options.watch_wait_s)
+    if isinstance(watched, result.Err):
+        return watched.err_value
+    changes, revision = watched.ok_value
+    replica.on_answered()
+    replica.on_changes(changes, revision, after_revision)
+    if changes:
+        await trio.sleep(options.gather_s)
+    return None
--- a/plantainhook/routecontroller.py
+++ b/plantainhook/routecontroller.py
@@ -49,6 +49,9 @@
     def on_lost(self, error: errors.ObjectApiError) -> None:
         """Keep the configuration in force."""
 
+    def on_answered(self) -> None:
+        """Keep the configuration in force."""
+
     def _take(self, item: objectsource.SourceObject) -> None:
         if item.name != self._name:
             return
--- /dev/null
+++ b/plantainhook/storerelay.py
@@ -0,0 +1,253 @@
+"""Spreads what a few daemons read of the store to all others.
+
+Pattern: every daemon that watches the store pays for each change, so in a
+large fleet only some watch. The others pull from all of those at once: the
+reply comes as soon as there is news, and says whether the store answers the
+watcher. Where no watcher is fresh for a moment, a daemon reads the store
+itself. A small fleet needs no relay and every daemon watches.
+"""
+
+import dataclasses
+import functools
+import random
+import typing
+
+import result
+import trio
+
+from plantainhook import (
+    blackboard,
+    clock,
+    hashing,
+    logs,
+    objectsource,
+    peers,
+    storereplica,
+    wire,
+)
+
+LOGGER: typing.Final = logs.part_logger("relay")
+PULL_WAIT_S: typing.Final = 1.0
+PULL_TIMEOUT_S: typing.Final = 1.6
+RETRY_S: typing.Final = 0.25
+CHECK_S: typing.Final = 0.2
+# A watcher whose last reply is older says nothing about the store.
+FRESH_S: typing.Final = 1.8
+# A daemon reads the store itself this long after the last fresh reply.
+OWN_AFTER_S: typing.Final = 0.4
+# A daemon stops reading the store when watchers were fresh for this long.
+HAND_BACK_S: typing.Final = 4.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RelayOptions:
+    """Hold how many daemons watch, and up to which size all do."""
+
+    watcher_count: int = 3
+    all_watch_count: int = 12
+
+
+class StoreRelay:
+    """Choose the source of the copies and serve them to peers."""
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        replicas: dict[str, storereplica.StoreReplica],
+        sources: dict[str, objectsource.ObjectSource],
+        transport: peers.PeerTransport,
+        handlers: peers.Handlers,
+        options: RelayOptions,
+        follow_options: objectsource.FollowOptions,
+        time_source: clock.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._board = board
+        self._replicas = replicas
+        self._sources = sources
+        self._transport = transport
+        self._options = options
+        self._follow_options = follow_options
+        self._clock = time_source
+        self._rng = rng
+        self._own: trio.CancelScope | None = None
+        self._pulls: dict[str, trio.CancelScope] = {}
+        self._fresh_s: dict[str, float] = {}
+        self._stale_s = time_source.now_s()
+        self._lost_kinds: set[str] = set()
+        handlers.handles(wire.StorePull)(self._on_pull)
+
+    async def run(self) -> None:
+        """Keep the copies fed until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                self._step(nursery)
+                await trio.sleep(CHECK_S)
+
+    def watchers(self) -> list[str]:
+        """Return the addresses of the daemons that watch the store."""
+        alive = {
+            member.peer_address: member
+            for member in self._board.members.values()
+            if member.alive and not member.draining
+        }
+        if len(alive) <= self._options.all_watch_count:
+            return list(alive)
+        return hashing.choose(
+            "store", sorted(alive), self._options.watcher_count
+        )
+
+    def reads_store(self) -> bool:
+        """Return whether this daemon reads the store itself."""
+        return self._own is not None
+
+    def _own_address(self) -> str:
+        own = self._board.members.get(self._board.incarnation)
+        return own.peer_address if own is not None else ""
+
+    def _step(self, nursery: trio.Nursery) -> None:
+        now_s = self._clock.now_s()
+        watchers = self.watchers()
+        own_address = self._own_address()
+        is_watcher = own_address in watchers or not watchers
+        self._set_pulls(nursery, [] if is_watcher else watchers, own_address)
+        relayed = any(
+            now_s - at_s < FRESH_S
+            for address, at_s in self._fresh_s.items()
+            if address in self._pulls
+        )
+        if is_watcher or not relayed:
+            self._stale_s = now_s
+        if is_watcher or not relayed:
+            self._start_own(nursery)
+        elif self._own is not None and now_s - self._stale_s > HAND_BACK_S:
+            LOGGER.info("Watchers read the store for this daemon.")
+            self._own.cancel()
+            self._own = None
+
+    def _start_own(self, nursery: trio.Nursery) -> None:
+        if self._own is None:
+            LOGGER.info("Reading the store.")
+            self._own = trio.CancelScope()
+            self._lost_kinds = set(self._replicas)
+            nursery.start_soon(self._follow_all, self._own)
+
+    async def _follow_all(self, scope: trio.CancelScope) -> None:
+        with scope:
+            async with trio.open_nursery() as nursery:
+                for kind, replica in self._replicas.items():
+                    nursery.start_soon(
+                        objectsource.follow,
+                        self._sources[kind],
+                        WatchedReplica(replica, self._lost_kinds),
+                        self._follow_options,
+                        self._rng,
+                    )
+
+    def _set_pulls(
+        self, nursery: trio.Nursery, watchers: list[str], own_address: str
+    ) -> None:
+        for address in list(self._pulls):
+            if address not in watchers:
+                self._pulls.pop(address).cancel()
+        for address in watchers:
+            if address not in self._pulls and address != own_address:
+                scope = self._pulls[address] = trio.CancelScope()
+                nursery.start_soon(self._pull_loop, address, scope)
+
+    async def _pull_loop(self, address: str, scope: trio.CancelScope) -> None:
+        with scope:
+            while True:
+                if not await self._pull(address):
+                    await trio.sleep(RETRY_S)
+
+    async def _pull(self, address: str) -> bool:
+        """Pull once; return whether the peer answered."""
+        have = {
+            kind: replica.revision for kind, replica in self._replicas.items()
+        }
+        body = wire.StorePull(have, int(PULL_WAIT_S * 1000))
+        reply = await self._transport.request(address, body, PULL_TIMEOUT_S)
+        if isinstance(reply, result.Err):
+            return False
+        answer = reply.ok_value
+        if not isinstance(answer, wire.StoreReply):
+            return False
+        for news in answer.news:
+            replica = self._replicas.get(news.kind)
+            if replica is not None:
+                replica.take_news(news, have[news.kind])
+        if answer.fresh:
+            self._fresh_s[address] = self._clock.now_s()
+        return answer.fresh
+
+    async def _on_pull(
+        self, sender: wire.HelloFrame, body: wire.StorePull
+    ) -> wire.AnyBody:
+        with trio.move_on_after(body.wait_ms / 1000):
+            while not self._news(body):
+                await self._wait_changed()
+        return wire.StoreReply(self._is_fresh(), self._news(body))
+
+    def _news(self, body: wire.StorePull) -> list[wire.StoreNews]:
+        found = [
+            self._replicas[kind].news_after(revision)
+            for kind, revision in body.have.items()
+            if kind in self._replicas
+        ]
+        return [news for news in found if news is not None]
+
+    def _is_fresh(self) -> bool:
+        """Return whether the store answers this daemon."""
+        return self._own is not None and not self._lost_kinds
+
+    async def _wait_changed(self) -> None:
+        changed = [replica.changed for replica in self._replicas.values()]
+        async with trio.open_nursery() as nursery:
+            for event in changed:
+                nursery.start_soon(
+                    functools.partial(_wait_one, event, nursery.cancel_scope)
+                )
+
+
+async def _wait_one(event: trio.Event, scope: trio.CancelScope) -> None:
+    await event.wait()
+    scope.cancel()
+
+
+class WatchedReplica:
+    """Pass reads on to a copy and note whether the store answers."""
+
+    def __init__(
+        self, replica: storereplica.StoreReplica, lost_kinds: set[str]
+    ) -> None:
+        self._replica = replica
+        self._lost_kinds = lost_kinds
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the copy."""
+        return self._replica.revision
+
+    def on_listing(self, listing: objectsource.Listing) -> None:
+        """Take all objects as of a revision."""
+        self._replica.on_listing(listing)
+
+    def on_changes(
+        self,
+        changes: list[objectsource.Change],
+        revision: int,
+        after_revision: int,
+    ) -> None:
+        """Take the changes after a revision up to another."""
+        self._replica.on_changes(changes, revision, after_revision)
+
+    def on_lost(self, error: typing.Any) -> None:
+        """Note that the store does not answer."""
+        self._lost_kinds.add(self._replica.kind)
+        self._replica.on_lost(error)
+
+    def on_answered(self) -> None:
+        """Note that the store answers."""
+        self._lost_kinds.discard(self._replica.kind)
+        self._replica.on_answered()
--- a/plantainhook/wire.py
+++ b/plantainhook/wire.py
@@ -78,6 +78,45 @@
     share: int = NO_SHARE
 
 
+class StorePull(Body, frozen=True, tag=True, array_like=True):
+    """Ask for the changes of objects of the platform's store.
+
+    ``have`` maps kinds to the revision that the sender knows. The receiver
+    replies at once where it knows more, and after ``wait_ms`` otherwise.
+    """
+
+    have: dict[str, int]
+    wait_ms: int
+
+
+class StoreItem(msgspec.Struct, frozen=True, array_like=True):
+    """Hold an object of the store; ``spec`` is JSON text."""
+
+    name: str
+    revision: int
+    spec: bytes
+    deleted: bool
+
+
+class StoreNews(msgspec.Struct, frozen=True, array_like=True):
+    """Hold the changes of a kind up to a revision.
+
+    ``whole`` states that the items are all objects and not changes.
+    """
+
+    kind: str
+    revision: int
+    whole: bool
+    items: list[StoreItem]
+
+
+class StoreReply(Body, frozen=True, tag=True, array_like=True):
+    """Answer a pull; ``fresh`` states that the store answers the sender."""
+
+    fresh: bool
+    news: list[StoreNews]
+
+
 class Probe(Body, frozen=True, tag=True, array_like=True):
     """Ask whether the receiver is alive."""
 
@@ -296,6 +335,8 @@
     | CancelWork
     | TicketQuery
     | TicketAnswer
+    | StorePull
+    | StoreReply
     | Ack
 )
 
