--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -19,6 +19,7 @@
     forwardplanner,
     forwardservice,
     forwardtypes,
+    gatherers,
     goalhedging,
     httpfront,
     leafconnect,
@@ -128,8 +129,16 @@
         self.planner = forwardplanner.ForwardPlanner(
             self.board, run_options.data_centre, self._policies()
         )
+        self.gatherers = gatherers.Gatherers(
+            self.board,
+            self.links,
+            self.handlers,
+            gatherers.GathererOptions(),
+            self.clock,
+        )
         self.service = forwardservice.ForwardService(
             forwardservice.Parts(
+                self.gatherers,
                 self.board,
                 self.planner,
                 self.pools,
@@ -143,6 +152,7 @@
                 self.rng,
             )
         )
+        self.gatherers.run_here = self.service.answer_for_peer
         self.directory = leafdirectory.LeafDirectory(
             self.board, outside.documents.read_leaf
         )
@@ -186,6 +196,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             await nursery.start(self.links.run)
+            await nursery.start(self.gatherers.run)
             await nursery.start(self.pools.run)
             nursery.start_soon(self.members.run)
             nursery.start_soon(self.directory.run)
--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -17,6 +17,7 @@
     forwardgateway,
     forwardplanner,
     forwardtypes,
+    gatherers,
     leafpools,
     logs,
     metrics,
@@ -41,6 +42,7 @@
 class Parts:
     """Hold what a forward service works with."""
 
+    gatherers: gatherers.Gatherers
     board: blackboard.Blackboard
     planner: forwardplanner.ForwardPlanner
     pools: leafpools.LeafPools
@@ -63,15 +65,24 @@
         """Answer one request; cancelled when its caller leaves."""
         self.in_flight_count += 1
         try:
-            return await self._answer(forwarded)
+            return await self._answer(forwarded, trio.current_time(), True)
         finally:
             self.in_flight_count -= 1
 
+    async def answer_for_peer(
+        self, forwarded: forwardtypes.ForwardRequest, elapsed_s: float
+    ) -> forwardtypes.Response:
+        """Answer a request that another daemon received before."""
+        arrived_s = trio.current_time() - elapsed_s
+        return await self._answer(forwarded, arrived_s, False)
+
     async def _answer(
-        self, forwarded: forwardtypes.ForwardRequest
+        self,
+        forwarded: forwardtypes.ForwardRequest,
+        arrived_s: float,
+        may_forward: bool,
     ) -> forwardtypes.Response:
         parts = self.parts
-        arrived_s = trio.current_time()
         if not self._is_started():
             await self._wait_started(forwarded)
         table = parts.board.routes
@@ -82,6 +93,22 @@
             return forwardtypes.Response(
                 forwardtypes.STATUS_NOT_FOUND, [], b""
             )
+        if may_forward and route.gather is not None:
+            answered = await parts.gatherers.answer(
+                forwarded, route, arrived_s
+            )
+            if answered is not None:
+                return answered
+        return await self._run(forwarded, route, arrived_s)
+
+    async def _run(
+        self,
+        forwarded: forwardtypes.ForwardRequest,
+        route: routetable.Route,
+        arrived_s: float,
+    ) -> forwardtypes.Response:
+        """Run a request on leafs from here."""
+        parts = self.parts
         started_s = trio.current_time()
         request = forwardplanner.request_of(forwarded, route, arrived_s)
         if route.gather is not None:
--- a/plantainhook/wire.py
+++ b/plantainhook/wire.py
@@ -290,6 +290,31 @@
     request_id: str
 
 
+class HttpWork(Body, frozen=True, tag=True, array_like=True):
+    """Ask a daemon to answer an HTTP request that the sender received.
+
+    ``left_ms`` is what the caller stated at its arrival, ``elapsed_ms`` the
+    time since then.
+    """
+
+    request_id: str
+    method: bytes
+    target: bytes
+    host: str
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    left_ms: float | None
+    elapsed_ms: float
+
+
+class HttpAnswer(Body, frozen=True, tag=True, array_like=True):
+    """Hold the answer to an HTTP request."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
 class TicketQuery(Body, frozen=True, tag=True, array_like=True):
     """Forward a ticketed query to the daemon that issued the ticket."""
 
@@ -335,6 +360,8 @@
     | CancelWork
     | TicketQuery
     | TicketAnswer
+    | HttpWork
+    | HttpAnswer
     | StorePull
     | StoreReply
     | Ack
