--- a/plantainhook/blackboard.py
+++ b/plantainhook/blackboard.py
@@ -89,6 +89,8 @@
     alive: bool
     draining: bool
     share: int | None = None
+    # Processor in hundredths of a core; 0 where it is unknown.
+    capacity: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/plantainhook/executor.py
+++ b/plantainhook/executor.py
@@ -6,6 +6,7 @@
 works for a caller that has its answer or has left.
 """
 
+import collections
 import dataclasses
 import math
 import typing
@@ -16,8 +17,6 @@
 
 from plantainhook import clock, errors, querytypes, steps
 
-EVENT_BUFFER_COUNT: typing.Final = 1024
-
 AttemptResult = result.Result[querytypes.LeafReply, errors.LeafError]
 Outcome = querytypes.Answer | errors.RefusalError
 
@@ -59,7 +58,10 @@
     caller: LeafCaller
     clock: clock.Clock
     nursery: trio.Nursery
-    send_event: trio.MemorySendChannel[tuple[int, AttemptResult]]
+    results: collections.deque[tuple[int, AttemptResult]] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    arrived: trio.Event = dataclasses.field(default_factory=trio.Event)
     scopes: dict[int, trio.CancelScope] = dataclasses.field(
         default_factory=dict
     )
@@ -89,7 +91,8 @@
         """Run one attempt and report its result unless it is cancelled."""
         with scope:
             attempt_result = await self.caller.call(self.request, send)
-            await self.send_event.send((send.attempt_id, attempt_result))
+            self.results.append((send.attempt_id, attempt_result))
+            self.arrived.set()
         self.scopes.pop(send.attempt_id, None)
 
 
@@ -100,14 +103,11 @@
     run_clock: clock.Clock,
 ) -> Outcome:
     """Run a query to its end and return its answer or refusal."""
-    send_event, receive_event = trio.open_memory_channel[
-        tuple[int, AttemptResult]
-    ](EVENT_BUFFER_COUNT)
     async with trio.open_nursery() as nursery:
-        run = _Run(request, caller, run_clock, nursery, send_event)
+        run = _Run(request, caller, run_clock, nursery)
         run.carry_out(machine.start(run_clock.now_s()))
         while run.outcome is None:
-            await _next_event(machine, run, receive_event)
+            await _next_event(machine, run)
         nursery.cancel_scope.cancel()
     if run.outcome is None:
         raise errors.PlantainhookError(
@@ -116,18 +116,18 @@
     return run.outcome
 
 
-async def _next_event(
-    machine: Machine,
-    run: _Run,
-    receive_event: trio.MemoryReceiveChannel[tuple[int, AttemptResult]],
-) -> None:
-    with trio.move_on_at(run.timer_s) as scope:
-        attempt_id, attempt_result = await receive_event.receive()
+async def _next_event(machine: Machine, run: _Run) -> None:
+    if not run.results:
+        run.arrived = trio.Event()
+        with trio.move_on_at(run.timer_s):
+            await run.arrived.wait()
     now_s = run.clock.now_s()
-    if scope.cancelled_caught:
+    if not run.results:
         run.timer_s = math.inf
         run.carry_out(machine.on_timer(now_s))
-    elif attempt_result.is_ok():
+        return
+    attempt_id, attempt_result = run.results.popleft()
+    if attempt_result.is_ok():
         reply = attempt_result.unwrap()
         run.carry_out(machine.on_reply(attempt_id, reply, now_s))
     else:
--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -103,7 +103,7 @@
         )
         self.members = membership.Membership(
             self.board,
-            membership.own_entry(self.hello),
+            membership.own_entry(self.hello, capacity_of(forward)),
             self.links,
             self.handlers,
             membership.MembershipOptions(
@@ -307,6 +307,11 @@
         return policies
 
 
+def capacity_of(forward: options.ForwardOptions) -> int:
+    """Return the processor of the VM in hundredths of a core."""
+    return round(100 * forward.cpu_share_ratio * forward.cpu_speed_factor)
+
+
 def routetable_limits() -> routetable.ClientLimits:
     """Return the limits of the balancer's checks."""
     return routetable.ClientLimits()
--- a/plantainhook/forwardgateway.py
+++ b/plantainhook/forwardgateway.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 import typing
 
 import h11
@@ -82,8 +83,9 @@
                     self.forwarded, send.leaf, left_ms
                 ),
             )
+            # The machine cancels the attempt at the deadline.
             exchanged = await connection.exchange(
-                head, self.forwarded.body, send.deadline_s
+                head, self.forwarded.body, math.inf
             )
         finally:
             pool.abandon(connection)
--- a/plantainhook/forwardtypes.py
+++ b/plantainhook/forwardtypes.py
@@ -54,11 +54,11 @@
 
     ``signature`` proves which leaf ran which request. ``refused`` is set
     where the leaf states that it has not run the request, and ``misdirected``
-    where another leaf has the address.
+    where another leaf has the address. ``headers`` are all that came.
     """
 
     status: int
-    headers: Headers
+    headers: httpconnection.Headers
     body: bytes
     request_id: str | None
     signature: bytes | None
--- a/plantainhook/gatherers.py
+++ b/plantainhook/gatherers.py
@@ -32,6 +32,12 @@
 LOGGER: typing.Final = logs.part_logger("gatherers")
 # A gatherer that let a request run out of time is passed over for so long.
 AVOID_S: typing.Final = 3.0
+# A gatherer that misses a probe is passed over until one is answered.
+PROBE_INTERVAL_S: typing.Final = 0.5
+PROBE_TIMEOUT_S: typing.Final = 0.45
+MISSED_S: typing.Final = 1.1
+# Members with at least this part of the strongest processor are alike.
+ALIKE_RATIO: typing.Final = 0.75
 CANCEL_TIMEOUT_S: typing.Final = 0.5
 CANCEL_QUEUE_COUNT: typing.Final = 256
 # The gatherer answers by the deadline; its answer needs a moment to arrive.
@@ -82,8 +88,26 @@
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        """Tell gatherers about callers that left, until cancelled."""
+        """Probe gatherers and tell them who left, until cancelled."""
         task_status.started()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._cancel_loop)
+            while True:
+                for address in self._current():
+                    nursery.start_soon(self._probe, address)
+                await trio.sleep(PROBE_INTERVAL_S)
+
+    async def _probe(self, address: str) -> None:
+        """Pass a gatherer over while it does not answer."""
+        if address == self._own_address():
+            return
+        reply = await self._transport.request(
+            address, wire.Probe([]), PROBE_TIMEOUT_S
+        )
+        if isinstance(reply, result.Err):
+            self._avoid_until_s[address] = self._clock.now_s() + MISSED_S
+
+    async def _cancel_loop(self) -> None:
         async for address, request_id in self._to_cancel:
             await self._transport.request(
                 address, wire.CancelWork(request_id), CANCEL_TIMEOUT_S
@@ -150,23 +174,27 @@
 
     def _gatherer_of(self, request_id: str) -> str | None:
         """Return the gatherer of a request; None where it is run here."""
-        board = self._board
-        if board.members is not self._chosen_from:
-            self._chosen_from = board.members
-            self._chosen = self._choose()
         now_s = self._clock.now_s()
         usable = [
             address
-            for address in self._chosen
+            for address in self._current()
             if self._avoid_until_s.get(address, 0.0) <= now_s
         ]
         if not usable:
             return None
         (address,) = hashing.choose(request_id, usable, 1)
-        own = board.members.get(board.incarnation)
-        if own is not None and own.peer_address == address:
-            return None
-        return address
+        return None if address == self._own_address() else address
+
+    def _own_address(self) -> str:
+        own = self._board.members.get(self._board.incarnation)
+        return own.peer_address if own is not None else ""
+
+    def _current(self) -> list[str]:
+        """Return the gatherers; they are chosen again as members change."""
+        if self._board.members is not self._chosen_from:
+            self._chosen_from = self._board.members
+            self._chosen = self._choose()
+        return self._chosen
 
     def _choose(self) -> list[str]:
         """Return the gatherers of the own data centre."""
@@ -180,14 +208,9 @@
         if own is None or len(alive) <= self._options.all_gather_count:
             return []
         near = [
-            member.peer_address
-            for member in alive
-            if member.data_centre == own.data_centre
+            member for member in alive if member.data_centre == own.data_centre
         ]
-        options = self._options
-        wanted = -(-len(near) // options.members_per_gatherer_count)
-        count = max(options.least_per_data_centre_count, wanted)
-        return hashing.choose("gather", near, count)
+        return choose_gatherers(near, self._options)
 
     def _cancel_at(self, address: str, request_id: str) -> None:
         try:
@@ -228,3 +251,33 @@
         if scope is not None:
             scope.cancel()
         return wire.Ack()
+
+
+def choose_gatherers(
+    members: abc.Sequence[blackboard.MemberInfo], options: GathererOptions
+) -> list[str]:
+    """Return the addresses of those that gather for a data centre.
+
+    Pattern: VMs are not alike, and a query over hundreds of shards takes more
+    time on a weak processor than its callers have. Strong members gather
+    where there are enough of them.
+    """
+    if not members:
+        return []
+    wanted = -(-len(members) // options.members_per_gatherer_count)
+    least = options.least_per_data_centre_count
+    strongest = max(member.capacity for member in members)
+    strong = [
+        member.peer_address
+        for member in members
+        if member.capacity >= ALIKE_RATIO * strongest
+    ]
+    if len(strong) >= least:
+        return hashing.choose("gather", strong, max(least, wanted))
+    rest = [
+        member.peer_address
+        for member in members
+        if member.peer_address not in strong
+    ]
+    count = max(least, wanted) - len(strong)
+    return strong + hashing.choose("gather", rest, count)
--- a/plantainhook/httpconnection.py
+++ b/plantainhook/httpconnection.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import enum
+import math
 import typing
 
 import h11
@@ -116,17 +117,27 @@
     async def exchange(
         self, head: h11.Request, body: bytes, deadline_s: float
     ) -> LeafResult[RawReply]:
-        """Send a request and return the reply, whatever its status."""
+        """Send a request and return the reply, whatever its status.
+
+        A caller that cancels the exchange by itself gives no deadline.
+        """
+        if deadline_s == math.inf:
+            return await self._exchange(head, body)
         with trio.CancelScope(deadline=deadline_s):
-            try:
-                await self._send(head, body)
-                return result.Ok(await self.finish_reply())
-            except errors.LeafError as error:
-                self.phase = Phase.BROKEN
-                return result.Err(error)
+            return await self._exchange(head, body)
         detail = "the deadline passed before the reply"
         return result.Err(self._error(Failure.TIMEOUT, detail))
 
+    async def _exchange(
+        self, head: h11.Request, body: bytes
+    ) -> LeafResult[RawReply]:
+        try:
+            await self._send(head, body)
+            return result.Ok(await self.finish_reply())
+        except errors.LeafError as error:
+            self.phase = Phase.BROKEN
+            return result.Err(error)
+
     async def finish_reply(self) -> RawReply:
         """Read the reply of the request in flight.
 
--- a/plantainhook/memberentry.py
+++ b/plantainhook/memberentry.py
@@ -64,6 +64,7 @@
         entry.state,
         entry.counter,
         entry.share,
+        entry.capacity,
     )
 
 
--- a/plantainhook/membership.py
+++ b/plantainhook/membership.py
@@ -350,10 +350,11 @@
             alive=memberentry.is_up(entry),
             draining=draining or (listed is not None and listed.leaving),
             share=None if entry.share == wire.NO_SHARE else entry.share,
+            capacity=entry.capacity,
         )
 
 
-def own_entry(hello: wire.HelloFrame) -> wire.MemberEntry:
+def own_entry(hello: wire.HelloFrame, capacity: int = 0) -> wire.MemberEntry:
     """Return the first entry of a daemon about itself."""
     return wire.MemberEntry(
         hello.incarnation,
@@ -364,4 +365,5 @@
         hello.http_address,
         memberentry.Liveness.ALIVE,
         0,
+        capacity=capacity,
     )
--- a/plantainhook/options.py
+++ b/plantainhook/options.py
@@ -48,6 +48,9 @@
     budget_extra_ratio: float = pydantic.Field(default=0.2, ge=0)
     budget_extra_count: float = pydantic.Field(default=50.0, ge=0)
     stop_timeout_s: float = pydantic.Field(default=6.0, gt=0)
+    # The processor that the VM gives: a share of a core of some speed.
+    cpu_share_ratio: float = pydantic.Field(default=1.0, gt=0)
+    cpu_speed_factor: float = pydantic.Field(default=1.0, gt=0)
     # Daemons that are assumed to exist before the members are known.
     fleet_least_count: int = pydantic.Field(default=9, ge=1)
 
--- a/plantainhook/platform/dialect.py
+++ b/plantainhook/platform/dialect.py
@@ -63,10 +63,9 @@
         if names.REQUEST_ID in found:
             request_id = found[names.REQUEST_ID].decode("latin-1")
         misdirected = raw.status == names.STATUS_MISDIRECTED
-        dropped = _named_by_connection(found) | _REPLY_HEADERS
         return forwardtypes.LeafAnswer(
             status=raw.status,
-            headers=[pair for pair in raw.headers if pair[0] not in dropped],
+            headers=raw.headers,
             body=raw.body,
             request_id=request_id,
             signature=found.get(names.SIGNATURE),
@@ -79,7 +78,9 @@
         self, answer: forwardtypes.LeafAnswer
     ) -> forwardtypes.Headers:
         """Return the headers with which a leaf's answer is passed on."""
-        return list(answer.headers)
+        named = _named_by_connection(dict(answer.headers))
+        dropped = named | _REPLY_HEADERS
+        return [pair for pair in answer.headers if pair[0] not in dropped]
 
     def gathered_headers(
         self, signatures: list[bytes], missing_count: int
--- a/plantainhook/wire.py
+++ b/plantainhook/wire.py
@@ -64,7 +64,8 @@
 class MemberEntry(msgspec.Struct, frozen=True, array_like=True):
     """Describe a member in a message.
 
-    ``share`` is the connection share that the member says it holds.
+    ``share`` is the connection share that the member says it holds;
+    ``capacity`` is its processor in hundredths of a core, 0 where unknown.
     """
 
     incarnation: int
@@ -76,6 +77,7 @@
     state: int
     counter: int
     share: int = NO_SHARE
+    capacity: int = 0
 
 
 class StorePull(Body, frozen=True, tag=True, array_like=True):
