--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -62,6 +62,16 @@
 )
 
 
+class Sharing(typing.NamedTuple):
+    """Hold how many daemons share limits, and how many of them gather.
+
+    The second is 0 where all daemons gather.
+    """
+
+    fleet_count: int
+    gatherers_count: int
+
+
 class ForwardDaemon:
     """Hold the parts of one forwarding daemon."""
 
@@ -84,6 +94,7 @@
         self.fleet = fleetsize.FleetSize(
             self.board, self.clock, forward.fleet_least_count
         )
+        self.sharing = Sharing(self.fleet.count(), 0)
         self.handlers = peers.Handlers()
         self.hello = wire.HelloFrame(
             version=wire.PROTOCOL_VERSION,
@@ -126,9 +137,6 @@
             self.rng,
             options=POOL_OPTIONS,
         )
-        self.planner = forwardplanner.ForwardPlanner(
-            self.board, run_options.data_centre, self._policies()
-        )
         self.gatherers = gatherers.Gatherers(
             self.board,
             self.links,
@@ -136,6 +144,13 @@
             gatherers.GathererOptions(),
             self.clock,
         )
+        self.budgets = self._build_budgets()
+        self.planner = forwardplanner.ForwardPlanner(
+            self.board,
+            run_options.data_centre,
+            self._policies(),
+            self.budgets,
+        )
         self.service = forwardservice.ForwardService(
             forwardservice.Parts(
                 self.gatherers,
@@ -189,7 +204,7 @@
     def allotment_of(self, info: shardmap.LeafInfo) -> int:
         """Return how many connections this daemon may open to a leaf."""
         shared = info.connection_limit_count * CONNECTIONS_RATIO
-        return max(1, int(shared / self.fleet.count()))
+        return max(1, int(shared / self._sharers_count(info.service)))
 
     async def run(self) -> None:
         """Run until the planned stop has ended."""
@@ -240,14 +255,17 @@
 
     async def _share_connections(self) -> None:
         """Follow the members: their number sets the allotments."""
-        shared_count = self.fleet.count()
         while True:
             with trio.move_on_after(1.0):
                 await self.board.changed(blackboard.Topic.MEMBERS).wait()
-            count = self.fleet.count()
-            if count != shared_count:
-                LOGGER.info("The fleet has {} daemons.", count)
-                shared_count = count
+            sharing = Sharing(self.fleet.count(), self.gatherers.fleet_count())
+            if sharing != self.sharing:
+                LOGGER.info(
+                    "The fleet has {} daemons; {} gather (0: all).",
+                    sharing.fleet_count,
+                    sharing.gatherers_count,
+                )
+                self.sharing = sharing
                 self.board.notify(blackboard.Topic.SHARES)
             await trio.sleep(0.2)
 
@@ -289,21 +307,30 @@
         self.planner.forget_views()
         self.directory.on_routes()
 
-    def _policies(self) -> queryplan.QueryPolicies:
+    def _build_budgets(self) -> windowbudget.WindowBudgets:
         forward = self.forward
-        policies = queryplan.build_policies(
-            self.options.data_centre, self.rng.getrandbits(32)
-        )
-        policies.latencies = goalhedging.PooledLatencies()
-        policies.budgets = windowbudget.WindowBudgets(
+        return windowbudget.WindowBudgets(
             windowbudget.WindowRules(
                 forward.budget_window_s,
                 forward.budget_extra_ratio,
                 forward.budget_extra_count,
             ),
-            self.fleet.count,
+            self._sharers_count,
             self.clock.now_s(),
         )
+
+    def _sharers_count(self, service: str) -> int:
+        """Return how many daemons call a service."""
+        if service in self.board.routes.gathered_services:
+            return self.sharing.gatherers_count or self.sharing.fleet_count
+        return self.sharing.fleet_count
+
+    def _policies(self) -> queryplan.QueryPolicies:
+        policies = queryplan.build_policies(
+            self.options.data_centre, self.rng.getrandbits(32)
+        )
+        policies.latencies = goalhedging.PooledLatencies()
+        policies.budgets = self.budgets
         return policies
 
 
--- a/plantainhook/forwardplanner.py
+++ b/plantainhook/forwardplanner.py
@@ -23,13 +23,18 @@
     schema,
     shardmap,
     snapshot,
+    windowbudget,
 )
 
 # Time that the answer needs to reach its caller: half a round trip between
 # caller and daemon, a connection set up before, and work queued in between.
 RETURN_RATIO: typing.Final = 0.06
 RETURN_MIN_MS: typing.Final = 10.0
-HEDGE_QUANTILE: typing.Final = 0.9
+# Hedges aim to use this part of the extra calls that the budget allows.
+HEDGE_SHARE: typing.Final = 0.5
+HEDGE_QUANTILE_MIN: typing.Final = 0.6
+# An answer to a peer passes a link between daemons and a busy processor.
+PEER_RETURN_MS: typing.Final = 10.0
 # Tries that a leaf certainly did not run are limited by the budget.
 RETRIES_MAX_COUNT: typing.Final = 6
 # Replicas of other data centres may take this part of the optional calls.
@@ -55,8 +60,10 @@
         board: blackboard.Blackboard,
         data_centre: str,
         policies: queryplan.QueryPolicies,
+        budgets: windowbudget.WindowBudgets,
     ) -> None:
         self.board = board
+        self.budgets = budgets
         self.data_centre = data_centre
         self.policies = policies
         self.clock = clock.TrioClock()
@@ -72,12 +79,19 @@
         """Return a machine that has not started."""
         plan = queryplan.QueryPlan(
             request,
-            rules_of(route),
+            rules_of(route, self._hedge_quantile(services, now_s)),
             lambda: self.target_view(services),
             rank_of(request.request_id),
         )
         return query.QueryMachine(plan, self.policies, now_s)
 
+    def _hedge_quantile(
+        self, services: tuple[str, ...], now_s: float
+    ) -> float:
+        """Return the quantile at which hedges use their part of the budget."""
+        ratio = self.budgets.affordable_ratio(services[0], now_s)
+        return max(HEDGE_QUANTILE_MIN, 1.0 - HEDGE_SHARE * ratio)
+
     def target_view(self, services: tuple[str, ...]) -> snapshot.TargetView:
         """Return the leafs of some services as they are known now."""
         cached = self._views.get(services)
@@ -155,7 +169,9 @@
     return xxhash.xxh32_intdigest(request_id.encode()) / 2**32
 
 
-def rules_of(route: routetable.Route) -> querytypes.EffectiveRules:
+def rules_of(
+    route: routetable.Route, hedge_quantile: float
+) -> querytypes.EffectiveRules:
     """Return the rules of a route for the query machine."""
     gather = route.gather
     margin_ms = max(RETURN_MIN_MS, RETURN_RATIO * route.goal_ms)
@@ -166,7 +182,7 @@
         min_coverage_ratio=gather.min_coverage_ratio if gather else 1.0,
         below_min=schema.BelowMin.REFUSE,
         hedge_policy=HEDGE_POLICY,
-        hedge_quantile=HEDGE_QUANTILE,
+        hedge_quantile=hedge_quantile,
         hedge_delay_ms=0,
         max_hedges_count=route.max_leafs_count - 1,
         max_retries_count=RETRIES_MAX_COUNT,
--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -73,7 +73,8 @@
         self, forwarded: forwardtypes.ForwardRequest, elapsed_s: float
     ) -> forwardtypes.Response:
         """Answer a request that another daemon received before."""
-        arrived_s = trio.current_time() - elapsed_s
+        return_s = forwardplanner.PEER_RETURN_MS / 1e3
+        arrived_s = trio.current_time() - elapsed_s - return_s
         return await self._answer(forwarded, arrived_s, False)
 
     async def _answer(
--- a/plantainhook/gatherers.py
+++ b/plantainhook/gatherers.py
@@ -172,6 +172,23 @@
             return None
         return forwardtypes.Response(forwardtypes.STATUS_TIMEOUT, [], b"")
 
+    def fleet_count(self) -> int:
+        """Return how many daemons gather in all; 0 where all do."""
+        members = [
+            member
+            for member in self._board.members.values()
+            if member.alive and not member.draining
+        ]
+        if len(members) <= self._options.all_gather_count:
+            return 0
+        by_data_centre: dict[str, list[blackboard.MemberInfo]] = {}
+        for member in members:
+            by_data_centre.setdefault(member.data_centre, []).append(member)
+        return sum(
+            len(choose_gatherers(near, self._options))
+            for near in by_data_centre.values()
+        )
+
     def _gatherer_of(self, request_id: str) -> str | None:
         """Return the gatherer of a request; None where it is run here."""
         now_s = self._clock.now_s()
--- a/plantainhook/objectsource.py
+++ b/plantainhook/objectsource.py
@@ -115,7 +115,7 @@
     """
 
     watch_wait_s: float = 30.0
-    gather_s: float = 0.25
+    gather_s: float = 0.35
 
 
 async def follow(
@@ -157,6 +157,7 @@
             return listing.err_value
         replica.on_answered()
         replica.on_listing(listing.ok_value)
+        await trio.sleep(options.gather_s)
         return None
     after_revision = replica.revision
     watched = await source.watch(after_revision, options.watch_wait_s)
--- a/plantainhook/routetable.py
+++ b/plantainhook/routetable.py
@@ -84,6 +84,7 @@
     services: dict[str, ServiceRules]
     limits: ClientLimits
     routes_by_host: dict[str, tuple[Route, ...]]
+    gathered_services: frozenset[str] = frozenset()
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path."""
@@ -114,4 +115,11 @@
             host: tuple(sorted(found, key=lambda r: -len(r.path_prefix)))
             for host, found in by_host.items()
         },
+        frozenset(
+            service
+            for found in by_host.values()
+            for route in found
+            if route.gather is not None
+            for service in route.gather.shard_services
+        ),
     )
--- a/plantainhook/storerelay.py
+++ b/plantainhook/storerelay.py
@@ -36,7 +36,7 @@
 # A daemon reads the store itself this long after the last fresh reply.
 OWN_AFTER_S: typing.Final = 0.4
 # A daemon stops reading the store when watchers were fresh for this long.
-HAND_BACK_S: typing.Final = 1.0
+HAND_BACK_S: typing.Final = 0.4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/plantainhook/windowbudget.py
+++ b/plantainhook/windowbudget.py
@@ -96,13 +96,13 @@
 class WindowBudgets:
     """Grant the extra calls of a daemon to all services.
 
-    ``fleet_count`` returns how many daemons share the budgets. A restarted
+    ``sharers_count`` returns how many daemons call a service. A restarted
     daemon does not know the extra calls of its predecessor, so the fixed
     part becomes available over the first window.
     """
 
     rules: WindowRules
-    fleet_count: abc.Callable[[], int]
+    sharers_count: abc.Callable[[str], int]
     started_s: float
     budgets: dict[str, WindowBudget] = dataclasses.field(default_factory=dict)
 
@@ -137,10 +137,17 @@
         """Return the extra calls that this daemon may make in a window."""
         rules = self.rules
         ramp = min(1.0, (now_s - self.started_s) / rules.window_s)
-        fixed = rules.extra_count / max(1, self.fleet_count()) * ramp
+        fixed = rules.extra_count / max(1, self.sharers_count(group)) * ramp
         requests = self.of(group).request_count(now_s)
         return USED_RATIO * (rules.extra_ratio * requests + fixed)
 
+    def affordable_ratio(self, group: str, now_s: float) -> float:
+        """Return the extra calls that are allowed for each request."""
+        requests = self.of(group).request_count(now_s)
+        if requests < 1.0:
+            return self.rules.extra_ratio
+        return self.limit_count(group, now_s) / requests
+
     def _spend(
         self, group: str, now_s: float, rank: float, part: float
     ) -> bool:
