--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -16,6 +16,7 @@
     blackboard,
     clock,
     fleetsize,
+    forwardmetrics,
     forwardplanner,
     forwardservice,
     forwardtypes,
@@ -91,6 +92,7 @@
         )
         self.registry = prometheus_client.CollectorRegistry()
         self.instruments = metrics.LeafMetrics(self.registry)
+        self.forward_metrics = forwardmetrics.ForwardMetrics(self.registry)
         self.fleet = fleetsize.FleetSize(
             self.board, self.clock, forward.fleet_least_count
         )
@@ -159,11 +161,9 @@
                 self.pools,
                 outside.dialect,
                 self.instruments,
-                logs.DecisionLog(
-                    logs.part_logger("forward"),
-                    self.clock,
-                    run_options.decision_log_per_s,
-                ),
+                self.forward_metrics,
+                self._decision_log("forward"),
+                self._decision_log("attempt"),
                 self.rng,
             )
         )
@@ -199,6 +199,9 @@
             self.rng,
         )
         self.front = httpfront.Front(self._answer, self._limits)
+        self.metrics_front = httpfront.Front(
+            self._answer_metrics, routetable_limits
+        )
         self.ready = httpfront.Front(self._answer_ready, routetable_limits)
 
     def allotment_of(self, info: shardmap.LeafInfo) -> int:
@@ -222,6 +225,12 @@
             nursery.start_soon(
                 self.front.serve, self.forward.front_address, nursery
             )
+            if self.forward.metrics_address is not None:
+                nursery.start_soon(
+                    self.metrics_front.serve,
+                    self.forward.metrics_address,
+                    nursery,
+                )
             nursery.start_soon(self._share_connections)
             LOGGER.info("Serving at {}.", self.forward.front_address)
 
@@ -292,6 +301,17 @@
             status = forwardtypes.STATUS_OK
         return forwardtypes.Response(status, [], b"")
 
+    async def _answer_metrics(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: forwardtypes.Headers,
+        body: bytes,
+    ) -> forwardtypes.Response:
+        content = (b"content-type", b"text/plain; version=0.0.4")
+        text = prometheus_client.generate_latest(self.registry)
+        return forwardtypes.Response(forwardtypes.STATUS_OK, [content], text)
+
     def is_ready(self) -> bool:
         """Return whether the balancer is to send callers here."""
         return (
@@ -307,6 +327,14 @@
         self.planner.forget_views()
         self.directory.on_routes()
 
+    def _decision_log(self, part: str) -> logs.DecisionLog:
+        """Return a log of its own budget, so that no part silences another."""
+        return logs.DecisionLog(
+            logs.part_logger(part),
+            self.clock,
+            self.options.decision_log_per_s,
+        )
+
     def _build_budgets(self) -> windowbudget.WindowBudgets:
         forward = self.forward
         return windowbudget.WindowBudgets(
--- a/plantainhook/forwardgateway.py
+++ b/plantainhook/forwardgateway.py
@@ -18,6 +18,7 @@
     forwardtypes,
     leafconnect,
     leafpools,
+    logs,
     metrics,
     querytypes,
     steps,
@@ -38,6 +39,7 @@
     dialect: forwardtypes.Dialect
     pools: leafpools.LeafPools
     instruments: metrics.LeafMetrics
+    failures: logs.DecisionLog
 
     async def call(
         self, request: querytypes.QueryRequest, send: querytypes.Send
@@ -51,7 +53,14 @@
             self.instruments.resends.inc()
             outcome = await self._try_once(request, send)
         if isinstance(outcome, result.Err):
-            self.instruments.count_failure(outcome.err_value)
+            error = outcome.err_value
+            self.instruments.count_failure(error)
+            self.failures.decide(
+                f"Attempt {send.attempt_id} ({send.reason}) of request "
+                f"{request.request_id} at leaf {send.leaf} of "
+                f"{send.shards[0]} failed: {error.kind}, ran {error.ran}, "
+                f"{error.detail}."
+            )
             return outcome
         self.instruments.count_ok(trio.current_time() - started_s)
         part = querytypes.ShardResult(send.shards[0], [outcome.ok_value])
@@ -62,7 +71,7 @@
     async def _try_once(
         self, request: querytypes.QueryRequest, send: querytypes.Send
     ) -> result.Result[forwardtypes.LeafAnswer, errors.LeafError]:
-        pool = self.pools.pool(send.leaf)
+        pool = await self.pools.wait_pool(send.leaf)
         if pool is None:
             detail = "the leaf is not registered any more"
             return result.Err(leafconnect.no_connection(send.leaf, detail))
--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -15,6 +15,7 @@
     errors,
     executor,
     forwardgateway,
+    forwardmetrics,
     forwardplanner,
     forwardtypes,
     gatherers,
@@ -48,7 +49,9 @@
     pools: leafpools.LeafPools
     dialect: forwardtypes.Dialect
     instruments: metrics.LeafMetrics
+    outcomes: forwardmetrics.ForwardMetrics
     decisions: logs.DecisionLog
+    failures: logs.DecisionLog
     rng: random.Random
 
 
@@ -118,12 +121,17 @@
             services = (route.choose_service(parts.rng),)
         machine = parts.planner.machine(request, route, services, started_s)
         gateway = forwardgateway.ForwardGateway(
-            forwarded, parts.dialect, parts.pools, parts.instruments
+            forwarded,
+            parts.dialect,
+            parts.pools,
+            parts.instruments,
+            parts.failures,
         )
         outcome = await executor.run_query(
             machine, request, gateway, parts.planner.clock
         )
         took_s = trio.current_time() - arrived_s
+        parts.outcomes.count(route, outcome, took_s, self.in_flight_count)
         parts.decisions.decide(describe(request, route, outcome, took_s))
         if isinstance(outcome, errors.RefusalError):
             return self._refused(outcome)
--- a/plantainhook/leafpools.py
+++ b/plantainhook/leafpools.py
@@ -53,12 +53,24 @@
         self._gate = trio.Semaphore(CONNECTS_AT_ONCE_COUNT)
         self._pools: dict[str, leafpool.LeafPool] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
+        self._added = trio.Event()
         instruments.connections.set_function(self._connection_count)
 
     def pool(self, leaf: str) -> leafpool.LeafPool | None:
         """Return the pool of a leaf."""
         return self._pools.get(leaf)
 
+    async def wait_pool(self, leaf: str) -> leafpool.LeafPool | None:
+        """Return the pool of a leaf, which may only be about to start.
+
+        A daemon that starts learns of all leafs at once, and callers wait.
+        """
+        while True:
+            pool = self._pools.get(leaf)
+            if pool is not None or leaf not in self._board.settings.leafs:
+                return pool
+            await self._added.wait()
+
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -98,8 +110,11 @@
         )
         scope = trio.CancelScope()
         await nursery.start(functools.partial(run_in, scope, pool))
+        pool.set_allotment(self._allotment_of(info))
         self._pools[info.name] = pool
         self._scopes[info.name] = scope
+        self._added.set()
+        self._added = trio.Event()
 
     def _remove(self, leaf: str) -> None:
         self._pools.pop(leaf)
--- a/plantainhook/options.py
+++ b/plantainhook/options.py
@@ -44,6 +44,7 @@
     front_address: schema.Address
     ready_address: schema.Address
     store_address: schema.Address
+    metrics_address: schema.Address | None = None
     budget_window_s: float = pydantic.Field(default=10.0, gt=0)
     budget_extra_ratio: float = pydantic.Field(default=0.2, ge=0)
     budget_extra_count: float = pydantic.Field(default=50.0, ge=0)
