--- a/plantainhook/cli.py
+++ b/plantainhook/cli.py
@@ -16,6 +16,7 @@
 COMMAND_MODULES: typing.Final = {
     "bench": "commands_bench",
     "bench-control": "commands_controlbench",
+    "explain": "commands_explain",
     "forward": "commands_forward",
     "serve": "commands_serve",
     "settings": "commands_settings",
--- /dev/null
+++ b/tests/storefeed.py
@@ -0,0 +1,43 @@
+"""Builders of objects, changes and entries for tests of the store's copies."""
+
+import typing
+from collections import abc
+
+from plantainhook import forwardtypes, objectsource, shardmap
+
+Spec = dict[str, typing.Any]
+
+
+def item(
+    name: str, revision: int, **spec: typing.Any
+) -> objectsource.SourceObject:
+    """Return an object of the store."""
+    return objectsource.SourceObject(name, revision, spec)
+
+
+def changed(
+    name: str, revision: int, **spec: typing.Any
+) -> objectsource.Change:
+    """Return a change of an object."""
+    return objectsource.Change(item(name, revision, **spec), False)
+
+
+def deleted(name: str, revision: int) -> objectsource.Change:
+    """Return the removal of an object."""
+    return objectsource.Change(item(name, revision), True)
+
+
+def read_leaf(name: str, spec: object) -> forwardtypes.LeafEntry:
+    """Read an entry in the form that these tests write."""
+    if not isinstance(spec, abc.Mapping) or "service" not in spec:
+        raise ValueError("no entry")
+    info = shardmap.LeafInfo(
+        name, "10.0.0.1:80", "dc-1", spec["service"], spec["service"], 2, 1
+    )
+    return forwardtypes.LeafEntry(
+        info,
+        spec.get("draining", False),
+        spec.get("cold_s", 0.0),
+        spec.get("born", 1),
+        spec.get("seq", 1),
+    )
--- /dev/null
+++ b/tests/test_leafdirectory.py
@@ -0,0 +1,189 @@
+"""Tests of the leaf view that registered entries give."""
+
+import typing
+
+import testtools
+import trio
+
+from plantainhook import (
+    blackboard,
+    errors,
+    leafdirectory,
+    objectsource,
+    routecontroller,
+    routetable,
+    steps,
+)
+from tests import storefeed, virtualtime
+
+LOST: typing.Final = errors.ObjectApiUnavailableError(
+    steps.Step.SETTINGS_SPREAD, "store", "is down"
+)
+
+
+class DirectoryTest(testtools.TestCase):
+    """Check states and removals."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.board = blackboard.Blackboard(1)
+
+    def play(
+        self,
+        *steps_: typing.Callable[[leafdirectory.LeafDirectory], float],
+    ) -> None:
+        """Run steps on a directory; each returns a pause after it."""
+
+        async def main() -> None:
+            directory = leafdirectory.LeafDirectory(
+                self.board, storefeed.read_leaf
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(directory.run)
+                for step in steps_:
+                    await trio.sleep(step(directory))
+                nursery.cancel_scope.cancel()
+
+        virtualtime.run(main)
+
+    def state(self, name: str = "a") -> blackboard.LeafState | None:
+        """Return the state of a leaf, or None where it is unknown."""
+        view = self.board.leafs.get(name)
+        return None if view is None else view.state
+
+    def change(
+        self, *changes: objectsource.Change, pause_s: float = 0.01
+    ) -> typing.Callable[[leafdirectory.LeafDirectory], float]:
+        """Return a step that hands over changes."""
+
+        def step(directory: leafdirectory.LeafDirectory) -> float:
+            directory.on_changes(list(changes))
+            return pause_s
+
+        return step
+
+    def test_draining_leaf_gets_no_work(self) -> None:
+        """Guards against new work for a leaf that leaves."""
+        self.play(
+            self.change(storefeed.changed("a", 1, service="s")),
+            self.change(
+                storefeed.changed("a", 2, service="s", draining=True, seq=2)
+            ),
+        )
+        self.assertIs(blackboard.LeafState.DRAINING, self.state())
+
+    def test_late_report_does_not_undo_a_drain(self) -> None:
+        """Guards against an old report that arrives after a newer one."""
+        self.play(
+            self.change(
+                storefeed.changed("a", 1, service="s", draining=True, seq=9)
+            ),
+            self.change(storefeed.changed("a", 2, service="s", seq=8)),
+        )
+        self.assertIs(blackboard.LeafState.DRAINING, self.state())
+
+    def test_restarted_leaf_counts_anew(self) -> None:
+        """Guards against a leaf back under its id that is never used."""
+        self.play(
+            self.change(
+                storefeed.changed("a", 1, service="s", draining=True, seq=9)
+            ),
+            self.change(storefeed.changed("a", 2, service="s", seq=1, born=2)),
+        )
+        self.assertIs(blackboard.LeafState.LIVE, self.state())
+
+    def test_unreadable_entry_changes_nothing(self) -> None:
+        """Guards against a foreign writer that takes a leaf away."""
+        self.play(
+            self.change(storefeed.changed("a", 1, service="s")),
+            self.change(storefeed.changed("a", 2, nonsense=1)),
+            self.change(storefeed.changed("b", 3, nonsense=1)),
+        )
+        self.assertEqual(["a"], list(self.board.leafs))
+
+    def test_cold_leaf_turns_live(self) -> None:
+        """Guards against a leaf that is taken for cold for ever."""
+        self.play(
+            self.change(
+                storefeed.changed("a", 1, service="s", cold_s=2.0),
+                pause_s=1.0,
+            ),
+            lambda directory: self.expect(blackboard.LeafState.COLD, 1.5),
+        )
+        self.assertIs(blackboard.LeafState.LIVE, self.state())
+
+    def expect(self, state: blackboard.LeafState, pause_s: float) -> float:
+        """Check the state now and go on after a pause."""
+        self.assertIs(state, self.state())
+        return pause_s
+
+    def test_removed_leaf_goes_at_once(self) -> None:
+        """Guards against work for a leaf whose entry was taken out."""
+        self.play(
+            self.change(storefeed.changed("a", 1, service="s")),
+            self.change(storefeed.deleted("a", 2)),
+        )
+        self.assertIs(None, self.state())
+
+    def lose_and_return(self, directory: leafdirectory.LeafDirectory) -> float:
+        """Let the store fail, come back and have lost the entry."""
+        directory.on_lost(LOST)
+        directory.on_answered()
+        directory.on_listing(objectsource.Listing([], 5))
+        return 1.0
+
+    def test_entry_that_lapsed_in_an_outage_may_come_back(self) -> None:
+        """Guards against all leafs forgotten after an outage."""
+        self.play(
+            self.change(storefeed.changed("a", 1, service="s")),
+            self.lose_and_return,
+            lambda directory: self.expect(blackboard.LeafState.LIVE, 0.1),
+            self.change(
+                storefeed.changed("a", 6, service="s", seq=3), pause_s=5.0
+            ),
+        )
+        self.assertIs(blackboard.LeafState.LIVE, self.state())
+
+    def test_entry_that_stays_away_is_gone(self) -> None:
+        """Guards against a leaf that is used long after it left."""
+        self.play(
+            self.change(storefeed.changed("a", 1, service="s")),
+            self.lose_and_return,
+            lambda directory: 1.5,
+        )
+        self.assertIs(None, self.state())
+
+    def test_outage_keeps_what_is_known(self) -> None:
+        """Guards against a daemon without leafs while the store is down."""
+
+        def lose(directory: leafdirectory.LeafDirectory) -> float:
+            directory.on_lost(LOST)
+            return 60.0
+
+        self.play(self.change(storefeed.changed("a", 1, service="s")), lose)
+        self.assertIs(blackboard.LeafState.LIVE, self.state())
+
+
+class RouteControllerTest(testtools.TestCase):
+    """Check which configuration is in force."""
+
+    def test_lower_version_is_ignored(self) -> None:
+        """Guards against a configuration that reverts."""
+        board = blackboard.Blackboard(1)
+        adopted: list[int] = []
+        controller = routecontroller.RouteController(
+            board,
+            "main",
+            lambda spec: routetable.build_route_table(
+                typing.cast(dict[str, int], spec)["v"],
+                [],
+                [],
+                routetable.ClientLimits(),
+            ),
+            lambda: adopted.append(board.routes.version),
+        )
+        for version in (3, 2, 3, 7, 1):
+            controller.on_changes([storefeed.changed("main", 1, v=version)])
+        controller.on_changes([storefeed.changed("other", 1, v=9)])
+        controller.on_changes([storefeed.deleted("main", 1)])
+        self.assertEqual([3, 7], adopted)
--- /dev/null
+++ b/tests/test_platform_messages.py
@@ -0,0 +1,203 @@
+"""Tests of the platform's names: headers, configurations, leaf entries."""
+
+import pathlib
+import re
+import typing
+
+import msgspec
+import testtools
+
+from plantainhook import forwardtypes, httpconnection
+from plantainhook.platform import dialect, documents, names
+from tests import casefiles
+
+ROOT: typing.Final = pathlib.Path(__file__).parent.parent
+ENTRY: typing.Final[dict[str, typing.Any]] = {
+    "service": "shard-1",
+    "address": "10.0.0.1:80",
+    "zone": "dc-1",
+    "version": "v1",
+    "max-concurrency": 2,
+    "state": "ready",
+    "warmup-left-ms": 1500,
+    "seq": 4,
+    "born": 1700000000000,
+}
+
+
+def wrong_entry(case: casefiles.Case) -> object:
+    """Return what is wrong with the reading of a changed entry."""
+    spec = {**ENTRY, **case.get("changed", {})}
+    for name in case.get("without", []):
+        del spec[name]
+    if "whole" in case:
+        spec = case["whole"]
+    try:
+        documents.PlatformDocuments().read_leaf("leaf-1", spec)
+    except ValueError:
+        return None if case["expected"] == "rejected" else "rejected"
+    return None if case["expected"] == "accepted" else "accepted"
+
+
+class DocumentsTest(testtools.TestCase):
+    """Check what is read from the store."""
+
+    def test_entries(self) -> None:
+        """Guards against leafs named by entries of another writer."""
+        self.assertEqual([], casefiles.failures("leaf_entries", wrong_entry))
+
+    def test_entry_fields(self) -> None:
+        """Guards against fields that say something else than their name."""
+        entry = documents.PlatformDocuments().read_leaf("leaf-1", ENTRY)
+        self.assertEqual(1.5, entry.cold_left_s)
+        self.assertEqual((1700000000000, 4), (entry.born_ms, entry.sequence))
+        self.assertEqual("dc-1", entry.info.data_centre)
+        self.assertFalse(entry.draining)
+
+    def test_configuration(self) -> None:
+        """Guards against routes that lose a rule on the way in."""
+        table = documents.PlatformDocuments().read_routes(
+            {
+                "version": 7,
+                "routes": [
+                    {
+                        "name": "r",
+                        "host": "H.example",
+                        "path-prefix": "/a/",
+                        "kind": "non_idempotent",
+                        "timeout-ms": 300,
+                        "latency-goal-ms": 108,
+                        "priority": 2,
+                        "max-attempts": 2,
+                        "backends": [
+                            {"service": "s", "weight": 1},
+                            {"service": "t", "weight": 3},
+                        ],
+                    }
+                ],
+                "services": [{"name": "s", "max-conns": 25}],
+                "limits": {"idle-timeout-ms": 9000},
+            }
+        )
+        route = table.match("h.example", "/a/b")
+        assert route is not None
+        self.assertFalse(route.idempotent)
+        self.assertEqual((300.0, 108.0), (route.timeout_ms, route.goal_ms))
+        self.assertEqual(25, table.services["s"].connection_limit_count)
+        self.assertEqual(9.0, table.limits.idle_timeout_s)
+        self.assertIs(None, table.match("h.example", "/ab/"))
+
+    def test_configuration_without_version(self) -> None:
+        """Guards against a configuration that orders before all others."""
+        reader = documents.PlatformDocuments()
+        self.assertRaises(ValueError, reader.read_routes, {"routes": []})
+
+
+class DialectTest(testtools.TestCase):
+    """Check the headers."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.dialect = dialect.PlatformDialect()
+
+    def request(self) -> forwardtypes.ForwardRequest:
+        """Return a request of a caller."""
+        headers = [
+            (b"host", b"H.example:80"),
+            (b"request-id", b"abc"),
+            (b"deadline-ms", b"800"),
+            (b"connection", b"x-hop"),
+            (b"x-hop", b"1"),
+            (b"x-end", b"2"),
+        ]
+        return self.dialect.read_request(b"GET", b"/a/b?c", headers, b"")
+
+    def test_request(self) -> None:
+        """Guards against hop headers that reach a leaf."""
+        request = self.request()
+        self.assertEqual("h.example", request.host)
+        self.assertEqual(800.0, request.left_ms)
+        sent = dict(self.dialect.leaf_headers(request, "leaf-1", 500))
+        self.assertEqual(b"500", sent[b"deadline-ms"])
+        self.assertEqual(b"leaf-1", sent[b"expect-instance"])
+        self.assertEqual(b"abc", sent[b"request-id"])
+        self.assertIn(b"x-end", sent)
+        self.assertNotIn(b"x-hop", sent)
+        self.assertNotIn(b"connection", sent)
+
+    def test_answers(self) -> None:
+        """Guards against a refusal that is taken for a run."""
+        for status, headers, refused, misdirected in (
+            (200, [(b"server-stamp", b"s")], False, False),
+            (503, [(b"not-executed", b"1")], True, False),
+            (503, [], False, False),
+            (421, [], True, True),
+            (500, [(b"server-stamp", b"s")], False, False),
+        ):
+            raw = httpconnection.RawReply(status, headers, b"")
+            answer = self.dialect.read_answer(raw)
+            self.assertEqual(
+                (status, refused, misdirected),
+                (status, answer.refused, answer.misdirected),
+            )
+
+
+class BoundaryTest(testtools.TestCase):
+    """Check that the folder alone knows the platform's names."""
+
+    def test_names_stay_in_the_folder(self) -> None:
+        """Guards against wire names in the product's own modules."""
+        wire = [
+            value.decode() if isinstance(value, bytes) else value
+            for name, value in vars(names).items()
+            if name.isupper() and isinstance(value, bytes | str)
+        ]
+        # The object API of the product has the same path.
+        special = {"retry-after", names.OBJECTS_PATH}
+        pattern = re.compile(
+            "|".join(
+                re.escape(f'"{word}"')
+                for word in sorted(set(wire) - special)
+                if "-" in word or "/" in word or "_" in word
+            )
+        )
+        found = [
+            f"{path.name}: {match}"
+            for path in ROOT.glob("plantainhook/*.py")
+            for match in pattern.findall(path.read_text(encoding="utf-8"))
+        ]
+        self.assertEqual([], found)
+
+    def test_one_importer(self) -> None:
+        """Guards against modules that depend on the platform's folder."""
+        found = [
+            path.name
+            for path in ROOT.glob("plantainhook/*.py")
+            if "plantainhook.platform" in path.read_text(encoding="utf-8")
+        ]
+        self.assertEqual(["commands_forward.py"], found)
+
+    def test_folder_has_no_decision(self) -> None:
+        """Guards against policy in the folder: no time, chance or state."""
+        banned = ("random", "trio.sleep", "blackboard", "queryplan")
+        found = [
+            f"{path.name}: {word}"
+            for path in ROOT.glob("plantainhook/platform/*.py")
+            for word in banned
+            if word in path.read_text(encoding="utf-8")
+        ]
+        self.assertEqual([], found)
+
+
+class SpecTest(testtools.TestCase):
+    """Check that any JSON value may stand in an entry."""
+
+    def test_any_spec(self) -> None:
+        """Guards against an entry that stops the directory."""
+        for text in (b"null", b'"x"', b"[1]", b"{}", b"7"):
+            self.assertRaises(
+                ValueError,
+                documents.PlatformDocuments().read_leaf,
+                "leaf-1",
+                msgspec.json.decode(text),
+            )
--- /dev/null
+++ b/tests/test_querygoal.py
@@ -0,0 +1,198 @@
+"""Tests of queries with a goal: when they stop waiting and whom they ask."""
+
+import typing
+
+import testtools
+
+from plantainhook import (
+    errors,
+    forwardplanner,
+    goalhedging,
+    query,
+    queryplan,
+    querytypes,
+    routetable,
+    shardmap,
+    snapshot,
+    steps,
+    windowbudget,
+)
+
+SHARDS: typing.Final = ("s0", "s1", "s2", "s3")
+
+
+class GoalCase:
+    """Drive one query over four shards with two leafs each."""
+
+    def __init__(
+        self,
+        least: float = 0.75,
+        max_leafs: int = 2,
+        idempotent: bool = True,
+        extra: float = 1000.0,
+    ) -> None:
+        gather = routetable.Gather(SHARDS, 5, least)
+        route = routetable.Route(
+            "r",
+            "h",
+            "/a/",
+            idempotent,
+            800.0,
+            175.0,
+            max_leafs,
+            1,
+            gather=gather,
+        )
+        infos = [
+            shardmap.LeafInfo(f"{shard}{z}", "a:1", z, shard, shard, 2, 9)
+            for shard in SHARDS
+            for z in "xy"
+        ]
+        statuses = {
+            info.name: querytypes.LeafStatus(
+                info, True, False, {1: frozenset((info.service,))}
+            )
+            for info in infos
+        }
+        shard_map = shardmap.ShardMap(
+            "",
+            1,
+            {
+                name: shardmap.ShardInfo(
+                    name, name, (f"{name}x", f"{name}y"), 1.0, ()
+                )
+                for name in SHARDS
+            },
+        )
+        view = snapshot.build_target_view("", {1: shard_map}, statuses, "x")
+        policies = queryplan.build_policies("x", 1)
+        policies.latencies = goalhedging.PooledLatencies()
+        policies.budgets = windowbudget.WindowBudgets(
+            windowbudget.WindowRules(10.0, 0.2, extra), lambda s: 1, -100.0
+        )
+        request = querytypes.QueryRequest("q", "r", "k", {}, "f", 0.0, 0.8)
+        rules = forwardplanner.rules_of(route, 0.9)
+        plan = queryplan.QueryPlan(request, rules, lambda: view)
+        self.machine = query.QueryMachine(plan, policies, 0.0)
+        self.sends: dict[int, querytypes.Send] = {}
+        self.outcome: typing.Any = None
+        self.take(self.machine.start(0.0))
+
+    def take(self, actions: typing.Iterable[querytypes.Action]) -> None:
+        """Note what the machine wants."""
+        for action in actions:
+            if isinstance(action, querytypes.Send):
+                self.sends[action.attempt_id] = action
+            if isinstance(action, querytypes.Finish):
+                self.outcome = action.outcome
+
+    def reply(self, attempt_id: int, now_s: float) -> None:
+        """Let the leaf of an attempt answer."""
+        send = self.sends[attempt_id]
+        results = (querytypes.ShardResult(send.shards[0], ["part"]),)
+        reply = querytypes.LeafReply("q", 1, results)
+        self.take(self.machine.on_reply(attempt_id, reply, now_s))
+
+    def fail(
+        self,
+        attempt_id: int,
+        now_s: float,
+        ran: errors.Ran,
+        kind: errors.LeafFailureKind = errors.LeafFailureKind.REFUSED,
+    ) -> None:
+        """Let an attempt fail."""
+        failure = errors.LeafError(
+            steps.Step.QUERY_WAIT, "leaf", "failed", kind, ran
+        )
+        self.take(self.machine.on_failure(attempt_id, failure, now_s))
+
+    def leafs_of(self, shard: str) -> list[str]:
+        """Return the leafs that a shard was sent to."""
+        return [
+            send.leaf
+            for send in self.sends.values()
+            if send.shards[0] == shard
+        ]
+
+
+class GoalTest(testtools.TestCase):
+    """Check the moment of the answer."""
+
+    def test_acceptable_answer_leaves_at_the_goal(self) -> None:
+        """Guards against answers that wait for a straggler past the goal."""
+        case = GoalCase(least=0.75)
+        for attempt_id in (1, 2, 3):
+            case.reply(attempt_id, 0.02)
+        self.assertIs(None, case.outcome)
+        case.take(case.machine.on_timer(0.17))
+        self.assertEqual(1, len(case.outcome.missing_shards))
+
+    def test_answer_below_the_least_coverage_waits(self) -> None:
+        """Guards against a refusal while a late answer is possible."""
+        case = GoalCase(least=0.75)
+        case.reply(1, 0.02)
+        case.reply(2, 0.02)
+        case.take(case.machine.on_timer(0.17))
+        self.assertIs(None, case.outcome)
+        case.reply(3, 0.4)
+        self.assertEqual(1, len(case.outcome.missing_shards))
+
+    def test_dead_shard_is_left_out_at_once(self) -> None:
+        """Guards against waiting for a shard none of whose leafs answers.
+
+        The load: all leafs of one shard are down and refuse connections.
+        """
+        case = GoalCase(least=0.75)
+        dead = case.sends[1].shards[0]
+        for _ in range(20):
+            open_ids = [
+                attempt_id
+                for attempt_id in case.sends
+                if case.sends[attempt_id].shards[0] == dead
+                and attempt_id in case.machine._ledger.live
+            ]
+            for attempt_id in open_ids:
+                kind = errors.LeafFailureKind.CONNECT
+                case.fail(attempt_id, 0.001, errors.Ran.NO, kind)
+        for attempt_id in list(case.sends):
+            if case.sends[attempt_id].shards[0] != dead:
+                case.reply(attempt_id, 0.03)
+        self.assertEqual((dead,), case.outcome.missing_shards)
+
+
+class MaxRunsTest(testtools.TestCase):
+    """Check how many leafs may run one shard's work."""
+
+    def test_runs_are_bounded(self) -> None:
+        """Guards against more leafs than the route allows."""
+        case = GoalCase(max_leafs=1)
+        shard = case.sends[1].shards[0]
+        case.fail(1, 0.01, errors.Ran.MAYBE)
+        case.take(case.machine.on_timer(0.1))
+        self.assertEqual(1, len(set(case.leafs_of(shard))))
+
+    def test_refused_work_may_move_on(self) -> None:
+        """Guards against a refusal that counts as a run."""
+        case = GoalCase(max_leafs=1)
+        shard = case.sends[1].shards[0]
+        case.fail(1, 0.01, errors.Ran.NO)
+        self.assertEqual(2, len(set(case.leafs_of(shard))))
+
+    def test_request_that_may_run_once_is_not_repeated(self) -> None:
+        """Guards against a second run of a request that is not idempotent."""
+        case = GoalCase(idempotent=False, least=1.0)
+        shard = case.sends[1].shards[0]
+        case.fail(
+            1,
+            0.01,
+            errors.Ran.MAYBE,
+            errors.LeafFailureKind.CONNECTION_LOST,
+        )
+        case.take(case.machine.on_timer(0.17))
+        self.assertEqual(1, len(case.leafs_of(shard)))
+
+    def test_spent_budget_stops_retries(self) -> None:
+        """Guards against repeats beyond the shared budget."""
+        case = GoalCase(extra=0.0)
+        case.fail(1, 0.01, errors.Ran.NO)
+        self.assertEqual(4, len(case.sends))
--- /dev/null
+++ b/tests/test_storerelay.py
@@ -0,0 +1,323 @@
+"""Tests of the copies of the store and of their spread between daemons."""
+
+import random
+import typing
+
+import hypothesis
+import result
+import testtools
+import trio
+from hypothesis import strategies as st
+
+from plantainhook import (
+    blackboard,
+    clock,
+    errors,
+    memorynet,
+    objectsource,
+    peers,
+    steps,
+    storerelay,
+    storereplica,
+    wire,
+)
+from tests import storefeed, virtualtime
+
+KIND: typing.Final = "things"
+
+
+class Seen:
+    """Take what a copy tells and hold the objects."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, object] = {}
+
+    def on_listing(self, listing: objectsource.Listing) -> None:
+        """Take all objects."""
+        self.objects = {item.name: item.spec for item in listing.objects}
+
+    def on_changes(self, changes: list[objectsource.Change]) -> None:
+        """Take changes."""
+        for change in changes:
+            if change.deleted:
+                self.objects.pop(change.object.name, None)
+            else:
+                self.objects[change.object.name] = change.object.spec
+
+    def on_lost(self, error: errors.ObjectApiError) -> None:
+        """Ignore the loss of the store."""
+
+    def on_answered(self) -> None:
+        """Ignore the return of the store."""
+
+
+class Store:
+    """Hold objects, count calls, and answer or not."""
+
+    kind = KIND
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.history: list[tuple[int, objectsource.Change]] = []
+        self.is_down = False
+        self.calls = 0
+        self.changed = trio.Event()
+
+    def put(self, name: str, deleted: bool = False) -> None:
+        """Change an object."""
+        self.revision += 1
+        item = storefeed.item(name, self.revision, at=self.revision)
+        change = objectsource.Change(item, deleted)
+        self.history.append((self.revision, change))
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def state(self) -> dict[str, object]:
+        """Return the objects as they are."""
+        seen = Seen()
+        seen.on_changes([change for _, change in self.history])
+        return seen.objects
+
+
+class Source:
+    """Read the store as one daemon, which may be cut off from it."""
+
+    kind = KIND
+
+    def __init__(self, store: Store) -> None:
+        self.store = store
+        self.is_cut = False
+
+    def _failure(self) -> result.Err[errors.ObjectApiError]:
+        return result.Err(
+            errors.ObjectApiUnavailableError(
+                steps.Step.SETTINGS_SPREAD, "store", "is cut off"
+            )
+        )
+
+    async def list(self) -> objectsource.ListResult:
+        """Return all objects."""
+        self.store.calls += 1
+        await trio.sleep(0.004)
+        if self.is_cut:
+            return self._failure()
+        objects = [
+            storefeed.item(name, 1, **typing.cast(dict[str, int], spec))
+            for name, spec in self.store.state().items()
+        ]
+        return result.Ok(objectsource.Listing(objects, self.store.revision))
+
+    async def watch(
+        self, revision: int, wait_s: float
+    ) -> objectsource.WatchResult:
+        """Return the changes after a revision."""
+        self.store.calls += 1
+        await trio.sleep(0.004)
+        with trio.move_on_after(wait_s):
+            while self.store.revision <= revision and not self.is_cut:
+                with trio.move_on_after(0.5):
+                    await self.store.changed.wait()
+        if self.is_cut:
+            return self._failure()
+        changes = [c for at, c in self.store.history if at > revision]
+        return result.Ok(objectsource.Changes(changes, self.store.revision))
+
+
+class Fleet:
+    """Hold daemons that share a store and a network in memory."""
+
+    def __init__(self, count: int, nursery: trio.Nursery) -> None:
+        self.store = Store()
+        self.network = memorynet.MemoryNetwork(nursery, random.Random(1))
+        members = {
+            number: blackboard.MemberInfo(
+                number, f"d{number}", "", "dc-1", f"d{number}", "", True, False
+            )
+            for number in range(count)
+        }
+        self.sources = [Source(self.store) for _ in range(count)]
+        self.seen = [Seen() for _ in range(count)]
+        self.relays = [self._build(number, members) for number in range(count)]
+
+    def _build(
+        self, number: int, members: dict[int, blackboard.MemberInfo]
+    ) -> storerelay.StoreRelay:
+        board = blackboard.Blackboard(number, members=members)
+        handlers = peers.Handlers()
+        hello = wire.HelloFrame(
+            wire.PROTOCOL_VERSION, number, "", "", "dc-1", f"d{number}", ""
+        )
+        transport = memorynet.MemoryTransport(self.network, hello, handlers)
+        replica = storereplica.StoreReplica(KIND, self.seen[number])
+        return storerelay.StoreRelay(
+            board,
+            {KIND: replica},
+            {KIND: self.sources[number]},
+            transport,
+            handlers,
+            storerelay.RelayOptions(),
+            objectsource.FollowOptions(),
+            clock.TrioClock(),
+            random.Random(number),
+        )
+
+    def is_current(self) -> bool:
+        """Return whether every daemon has the store's objects."""
+        state = self.store.state()
+        return all(seen.objects == state for seen in self.seen)
+
+
+def play(
+    count: int, scenario: typing.Callable[[Fleet], typing.Awaitable[None]]
+) -> Fleet:
+    """Run a scenario on a fleet."""
+    fleets: list[Fleet] = []
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(count, nursery)
+            fleets.append(fleet)
+            for relay in fleet.relays:
+                nursery.start_soon(relay.run)
+            await scenario(fleet)
+            nursery.cancel_scope.cancel()
+
+    virtualtime.run(main)
+    return fleets[0]
+
+
+class RelayTest(testtools.TestCase):
+    """Check that all daemons keep up, at few calls."""
+
+    def test_large_fleet_reads_little(self) -> None:
+        """Guards against a watch of the store in each of many daemons."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await trio.sleep(5)
+            before = fleet.store.calls
+            for number in range(20):
+                fleet.store.put(f"o{number}")
+                await trio.sleep(1)
+            self.assertTrue(fleet.is_current())
+            self.assertTrue(
+                fleet.store.calls - before <= 3 * 2 * 20,
+                str(fleet.store.calls - before),
+            )
+
+        play(30, scenario)
+
+    def test_small_fleet_reads_itself(self) -> None:
+        """Guards against a small fleet that depends on its peers."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await trio.sleep(5)
+            self.assertTrue(all(r.reads_store() for r in fleet.relays))
+
+        play(6, scenario)
+
+    def test_change_reaches_all_while_watchers_are_cut_off(self) -> None:
+        """Guards against daemons that wait for watchers without a store.
+
+        Every watcher loses the store in silence of its peers; a change must
+        be in force everywhere within 3 s all the same.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            await trio.sleep(5)
+            watchers = fleet.relays[0].watchers()
+            for address in watchers:
+                fleet.sources[int(address[1:])].is_cut = True
+            fleet.store.put("late")
+            await trio.sleep(3)
+            others = [
+                seen
+                for number, seen in enumerate(fleet.seen)
+                if f"d{number}" not in watchers
+            ]
+            state = fleet.store.state()
+            self.assertTrue(all(seen.objects == state for seen in others))
+
+        play(20, scenario)
+
+    def test_change_reaches_all_when_watchers_die(self) -> None:
+        """Guards against daemons that follow a watcher that is gone."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await trio.sleep(5)
+            for address in fleet.relays[0].watchers():
+                fleet.network.nodes[address].close()
+            fleet.store.put("late")
+            await trio.sleep(3)
+            state = fleet.store.state()
+            lagging = [seen for seen in fleet.seen if seen.objects != state]
+            self.assertEqual([], lagging)
+
+        play(20, scenario)
+
+
+class ReplicaTest(testtools.TestCase):
+    """Check batches from several sources in any order."""
+
+    @hypothesis.given(
+        st.lists(
+            st.tuples(st.sampled_from("abc"), st.booleans()),
+            min_size=1,
+            max_size=12,
+        ),
+        st.lists(
+            st.tuples(st.integers(0, 12), st.integers(0, 12)), max_size=20
+        ),
+    )
+    def test_batches_in_any_order(
+        self,
+        puts: list[tuple[str, bool]],
+        batches: list[tuple[int, int]],
+    ) -> None:
+        """Guards against an old batch that undoes a newer change."""
+
+        async def main() -> None:
+            store = Store()
+            for name, is_deleted in puts:
+                store.put(name, is_deleted)
+            seen = Seen()
+            replica = storereplica.StoreReplica(KIND, seen)
+            replica.on_listing(objectsource.Listing([], 1))
+            for first, last in [*batches, (replica.revision, 99)]:
+                after, end = 1 + first, min(1 + last, store.revision)
+                changes = [
+                    change for at, change in store.history if after < at <= end
+                ]
+                replica.on_changes(changes, end, after)
+                wanted = Seen()
+                wanted.on_changes(
+                    [
+                        change
+                        for at, change in store.history
+                        if at <= replica.revision
+                    ]
+                )
+                self.assertEqual(wanted.objects, seen.objects)
+
+        virtualtime.run(main)
+
+    def test_lagging_peer_gets_all_objects(self) -> None:
+        """Guards against news with a hole."""
+
+        async def main() -> None:
+            replica = storereplica.StoreReplica(KIND, Seen())
+            replica.on_listing(
+                objectsource.Listing([storefeed.item("a", 5, x=1)], 9)
+            )
+            replica.on_changes([storefeed.changed("b", 10, x=2)], 10, 9)
+            news = replica.news_after(3)
+            assert news is not None
+            self.assertTrue(news.whole)
+            other = storereplica.StoreReplica(KIND, Seen())
+            other.take_news(news, 3)
+            self.assertEqual(10, other.revision)
+            recent = replica.news_after(9)
+            assert recent is not None
+            self.assertFalse(recent.whole)
+            self.assertIs(None, replica.news_after(10))
+
+        virtualtime.run(main)
