Never reuse a connection whose end was read; tests of connections

Found by tests/test_httpconnection.py: a reply that ends with its connection left the connection marked for use until the next look at the socket.

--- a/plantainhook/httpconnection.py
+++ b/plantainhook/httpconnection.py
@@ -209,6 +209,7 @@
         if (
             self._http.our_state is h11.DONE is self._http.their_state
             and not self._http.trailing_data[0]
+            and not self._eof
         ):
             self._http.start_next_cycle()
             self.phase = Phase.IDLE
--- a/plantainhook/httpfront.py
+++ b/plantainhook/httpfront.py
@@ -72,7 +72,12 @@
     ) -> None:
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         plain = socket.socket(fileno=accepted.detach())
-        transport = leaftransport.SocketTransport(plain)
+        await self.serve_transport(leaftransport.SocketTransport(plain))
+
+    async def serve_transport(
+        self, transport: leaftransport.SocketTransport
+    ) -> None:
+        """Serve one connection until it ends."""
         connection = FrontConnection(
             transport, self._handler, self._limits_of(), self
         )
--- /dev/null
+++ b/tests/test_gatherers.py
@@ -0,0 +1,213 @@
+"""Tests of the choice of gatherers and of the way to them."""
+
+import random
+import typing
+
+import testtools
+import trio
+
+from plantainhook import (
+    blackboard,
+    clock,
+    forwardtypes,
+    gatherers,
+    memorynet,
+    peers,
+    routetable,
+    wire,
+)
+from tests import virtualtime
+
+OPTIONS: typing.Final = gatherers.GathererOptions()
+ROUTE: typing.Final = routetable.Route(
+    "r", "h", "/a/", True, 800.0, 175.0, 2, 1
+)
+
+
+def member(number: int, capacity: int = 50) -> blackboard.MemberInfo:
+    """Return a member of the one data centre."""
+    return blackboard.MemberInfo(
+        number,
+        f"d{number}",
+        "",
+        "dc-1",
+        f"d{number}",
+        "",
+        True,
+        False,
+        capacity=capacity,
+    )
+
+
+def request(number: int) -> forwardtypes.ForwardRequest:
+    """Return a request of a caller."""
+    return forwardtypes.ForwardRequest(
+        b"GET", b"/a/b", "h", [], b"", f"request-{number}", 800.0
+    )
+
+
+class ChoiceTest(testtools.TestCase):
+    """Check who gathers for a data centre."""
+
+    def test_strong_members_gather(self) -> None:
+        """Guards against queries over hundreds of shards on weak VMs.
+
+        The load: 2 of 20 VMs have four times the processor of the others.
+        """
+        members = [member(n, 215 if n in (3, 7) else 52) for n in range(20)]
+        chosen = gatherers.choose_gatherers(members, OPTIONS)
+        self.assertEqual({"d3", "d7"}, set(chosen))
+
+    def test_weak_members_fill_up(self) -> None:
+        """Guards against one gatherer whose loss stops a data centre."""
+        members = [member(n, 215 if n == 3 else 52) for n in range(20)]
+        chosen = gatherers.choose_gatherers(members, OPTIONS)
+        self.assertIn("d3", chosen)
+        self.assertEqual(3, len(set(chosen)))
+
+    def test_alike_members(self) -> None:
+        """Guards against daemons that choose different gatherers."""
+        members = [member(n) for n in range(40)]
+        chosen = gatherers.choose_gatherers(members, OPTIONS)
+        members.reverse()
+        self.assertEqual(
+            set(chosen), set(gatherers.choose_gatherers(members, OPTIONS))
+        )
+        self.assertEqual(5, len(chosen))
+
+
+class Fleet:
+    """Hold daemons that forward to each other."""
+
+    def __init__(self, count: int, nursery: trio.Nursery) -> None:
+        self.network = memorynet.MemoryNetwork(nursery, random.Random(1))
+        self.ran_on: list[int] = []
+        self.cancelled_on: list[int] = []
+        members = {n: member(n, 215 if n < 2 else 52) for n in range(count)}
+        self.daemons = [self._build(n, members) for n in range(count)]
+        self.hang_s = 0.01
+
+    def _build(
+        self, number: int, members: dict[int, blackboard.MemberInfo]
+    ) -> gatherers.Gatherers:
+        handlers = peers.Handlers()
+        hello = wire.HelloFrame(
+            wire.PROTOCOL_VERSION, number, "", "", "dc-1", f"d{number}", ""
+        )
+        transport = memorynet.MemoryTransport(self.network, hello, handlers)
+
+        @handlers.handles(wire.Probe)
+        async def on_probe(
+            sender: wire.HelloFrame, body: wire.Probe
+        ) -> wire.AnyBody:
+            return wire.ProbeAck(number, [])
+
+        built = gatherers.Gatherers(
+            blackboard.Blackboard(number, members=members),
+            transport,
+            handlers,
+            OPTIONS,
+            clock.TrioClock(),
+        )
+
+        async def run_here(
+            forwarded: forwardtypes.ForwardRequest, elapsed_s: float
+        ) -> forwardtypes.Response:
+            self.ran_on.append(number)
+            try:
+                await trio.sleep(self.hang_s)
+            except trio.Cancelled:
+                self.cancelled_on.append(number)
+                raise
+            return forwardtypes.Response(200, [], b"answer")
+
+        built.run_here = run_here
+        return built
+
+
+def play(
+    count: int, scenario: typing.Callable[[Fleet], typing.Awaitable[None]]
+) -> None:
+    """Run a scenario on a fleet."""
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(count, nursery)
+            for daemon in fleet.daemons:
+                await nursery.start(daemon.run)
+            await scenario(fleet)
+            nursery.cancel_scope.cancel()
+
+    virtualtime.run(main)
+
+
+class ForwardingTest(testtools.TestCase):
+    """Check requests that a gatherer answers."""
+
+    def test_gatherers_answer_for_all(self) -> None:
+        """Guards against connections spread over a whole fleet."""
+
+        async def scenario(fleet: Fleet) -> None:
+            for number in range(40):
+                daemon = fleet.daemons[5 + number % 10]
+                answer = await daemon.answer(
+                    request(number), ROUTE, trio.current_time()
+                )
+                assert answer is not None
+                self.assertEqual(b"answer", answer.body)
+            self.assertEqual({0, 1}, set(fleet.ran_on))
+
+        play(20, scenario)
+
+    def test_small_fleet_runs_here(self) -> None:
+        """Guards against a hop that a small fleet does not need."""
+
+        async def scenario(fleet: Fleet) -> None:
+            answer = await fleet.daemons[5].answer(
+                request(1), ROUTE, trio.current_time()
+            )
+            self.assertIs(None, answer)
+
+        play(8, scenario)
+
+    def test_dead_gatherer_is_passed_over(self) -> None:
+        """Guards against requests that are sent to a dead daemon."""
+
+        async def scenario(fleet: Fleet) -> None:
+            fleet.network.nodes["d0"].close()
+            await trio.sleep(1.2)
+            for number in range(20):
+                await fleet.daemons[9].answer(
+                    request(number), ROUTE, trio.current_time()
+                )
+            self.assertEqual({1}, set(fleet.ran_on))
+
+        play(20, scenario)
+
+    def test_request_runs_here_without_gatherers(self) -> None:
+        """Guards against a fleet that stops with its gatherers."""
+
+        async def scenario(fleet: Fleet) -> None:
+            for address in ("d0", "d1"):
+                fleet.network.nodes[address].close()
+            await trio.sleep(1.2)
+            answer = await fleet.daemons[9].answer(
+                request(1), ROUTE, trio.current_time()
+            )
+            self.assertIs(None, answer)
+
+        play(20, scenario)
+
+    def test_caller_that_leaves_stops_the_gatherer(self) -> None:
+        """Guards against leafs at work for a caller that is gone."""
+
+        async def scenario(fleet: Fleet) -> None:
+            fleet.hang_s = 5.0
+            with trio.move_on_after(0.05):
+                await fleet.daemons[9].answer(
+                    request(1), ROUTE, trio.current_time()
+                )
+            await trio.sleep(0.3)
+            self.assertEqual(fleet.ran_on, fleet.cancelled_on)
+
+        play(20, scenario)
