--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -186,6 +186,7 @@
         }
         self.relay = storerelay.StoreRelay(
             self.board,
+            run_options.data_centre,
             replicas,
             {
                 source.kind: source
--- a/plantainhook/storerelay.py
+++ b/plantainhook/storerelay.py
@@ -1,10 +1,11 @@
 """Spreads what a few daemons read of the store to all others.
 
 Pattern: every daemon that watches the store pays for each change, so in a
-large fleet only some watch. The others pull from all of those at once: the
-reply comes as soon as there is news, and says whether the store answers the
-watcher. Where no watcher is fresh for a moment, a daemon reads the store
-itself. A small fleet needs no relay and every daemon watches.
+large fleet one of each data centre watches. The others pull from the nearest:
+the reply comes as soon as there is news, and says whether the store answers
+the watcher. They ask the other watchers for their revisions only, and pull
+from one that stays ahead. Where no watcher is fresh for a moment, a daemon
+reads the store itself. A small fleet needs no relay and every daemon watches.
 """
 
 import dataclasses
@@ -29,6 +30,11 @@
 LOGGER: typing.Final = logs.part_logger("relay")
 PULL_WAIT_S: typing.Final = 1.0
 PULL_TIMEOUT_S: typing.Final = 1.6
+# How often the revisions of the other watchers are compared, and how long one
+# may be ahead before it is pulled from.
+COMPARE_S: typing.Final = 0.5
+COMPARE_TIMEOUT_S: typing.Final = 0.8
+AHEAD_S: typing.Final = 0.4
 RETRY_S: typing.Final = 0.25
 CHECK_S: typing.Final = 0.2
 # A watcher whose last reply is older says nothing about the store.
@@ -41,9 +47,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RelayOptions:
-    """Hold how many daemons watch, and up to which size all do."""
+    """Hold how many daemons watch at least, and up to which size all do."""
 
-    watcher_count: int = 3
+    watcher_least_count: int = 3
     all_watch_count: int = 12
 
 
@@ -53,6 +59,7 @@
     def __init__(
         self,
         board: blackboard.Blackboard,
+        data_centre: str,
         replicas: dict[str, storereplica.StoreReplica],
         sources: dict[str, objectsource.ObjectSource],
         transport: peers.PeerTransport,
@@ -63,6 +70,7 @@
         rng: random.Random,
     ) -> None:
         self._board = board
+        self._data_centre = data_centre
         self._replicas = replicas
         self._sources = sources
         self._transport = transport
@@ -93,9 +101,31 @@
         }
         if len(alive) <= self._options.all_watch_count:
             return list(alive)
-        return hashing.choose(
-            "store", sorted(alive), self._options.watcher_count
-        )
+        by_data_centre: dict[str, list[str]] = {}
+        for address, member in alive.items():
+            by_data_centre.setdefault(member.data_centre, []).append(address)
+        chosen = [
+            hashing.choose("store", addresses, 1)[0]
+            for _, addresses in sorted(by_data_centre.items())
+        ]
+        lacking = self._options.watcher_least_count - len(chosen)
+        rest = [address for address in alive if address not in chosen]
+        return chosen + hashing.choose("store", rest, max(0, lacking))
+
+    def _nearest(self) -> str | None:
+        """Return the watcher to pull from: fresh, and near if possible."""
+        now_s = self._clock.now_s()
+        near = {
+            member.peer_address
+            for member in self._board.members.values()
+            if member.data_centre == self._data_centre
+        }
+
+        def order(address: str) -> tuple[bool, bool, str]:
+            stale = now_s - self._fresh_s.get(address, -FRESH_S) >= FRESH_S
+            return (stale, address not in near, address)
+
+        return min(self._pulls, key=order, default=None)
 
     def reads_store(self) -> bool:
         """Return whether this daemon reads the store itself."""
@@ -158,36 +188,80 @@
     async def _pull_loop(self, address: str, scope: trio.CancelScope) -> None:
         with scope:
             while True:
-                if not await self._pull(address):
+                if address == self._nearest():
+                    answered = await self._pull(address, PULL_WAIT_S)
+                else:
+                    answered = await self._compare(address)
+                if not answered:
                     await trio.sleep(RETRY_S)
 
-    async def _pull(self, address: str) -> bool:
-        """Pull once; return whether the peer answered."""
+    async def _compare(self, address: str) -> bool:
+        """Pull from a watcher only where it stays ahead of this daemon."""
+        ahead = await self._revisions_ahead(address)
+        if ahead is None:
+            return False
+        if ahead:
+            await trio.sleep(AHEAD_S)
+            if any(
+                self._replicas[kind].revision < revision
+                for kind, revision in ahead.items()
+            ):
+                return await self._pull(address, 0.0)
+        await trio.sleep(COMPARE_S)
+        return True
+
+    async def _revisions_ahead(self, address: str) -> dict[str, int] | None:
+        """Return the higher revisions of a watcher, or None without any."""
+        body = wire.StorePull({}, 0)
+        answer = await self._ask(address, body, COMPARE_TIMEOUT_S)
+        if answer is None:
+            return None
+        return {
+            kind: revision
+            for kind, revision in answer.revisions.items()
+            if kind in self._replicas
+            and revision > self._replicas[kind].revision
+        }
+
+    async def _pull(self, address: str, wait_s: float) -> bool:
+        """Pull once; return whether the peer is fresh."""
         have = {
             kind: replica.revision for kind, replica in self._replicas.items()
         }
-        body = wire.StorePull(have, int(PULL_WAIT_S * 1000))
-        reply = await self._transport.request(address, body, PULL_TIMEOUT_S)
-        if isinstance(reply, result.Err):
-            return False
-        answer = reply.ok_value
-        if not isinstance(answer, wire.StoreReply):
+        body = wire.StorePull(have, int(wait_s * 1000))
+        answer = await self._ask(address, body, PULL_TIMEOUT_S)
+        if answer is None:
             return False
         for news in answer.news:
             replica = self._replicas.get(news.kind)
             if replica is not None:
                 replica.take_news(news, have[news.kind])
+        return answer.fresh
+
+    async def _ask(
+        self, address: str, body: wire.StorePull, timeout_s: float
+    ) -> wire.StoreReply | None:
+        """Return the answer of a watcher and note whether it is fresh."""
+        reply = await self._transport.request(address, body, timeout_s)
+        if isinstance(reply, result.Err):
+            return None
+        answer = reply.ok_value
+        if not isinstance(answer, wire.StoreReply):
+            return None
         if answer.fresh:
             self._fresh_s[address] = self._clock.now_s()
-        return answer.fresh
+        return answer
 
     async def _on_pull(
         self, sender: wire.HelloFrame, body: wire.StorePull
     ) -> wire.AnyBody:
         with trio.move_on_after(body.wait_ms / 1000):
-            while not self._news(body):
+            while body.wait_ms and not self._news(body):
                 await self._wait_changed()
-        return wire.StoreReply(self._is_fresh(), self._news(body))
+        revisions = {
+            kind: replica.revision for kind, replica in self._replicas.items()
+        }
+        return wire.StoreReply(self._is_fresh(), revisions, self._news(body))
 
     def _news(self, body: wire.StorePull) -> list[wire.StoreNews]:
         found = [
--- a/plantainhook/wire.py
+++ b/plantainhook/wire.py
@@ -113,9 +113,14 @@
 
 
 class StoreReply(Body, frozen=True, tag=True, array_like=True):
-    """Answer a pull; ``fresh`` states that the store answers the sender."""
+    """Answer a pull.
+
+    ``fresh`` states that the store answers the sender, and ``revisions`` what
+    it knows by kind.
+    """
 
     fresh: bool
+    revisions: dict[str, int]
     news: list[StoreNews]
 
 
--- a/tests/test_storerelay.py
+++ b/tests/test_storerelay.py
@@ -2,6 +2,7 @@
 
 import random
 import typing
+from unittest import mock
 
 import hypothesis
 import result
@@ -131,7 +132,14 @@
         self.network = memorynet.MemoryNetwork(nursery, random.Random(1))
         members = {
             number: blackboard.MemberInfo(
-                number, f"d{number}", "", "dc-1", f"d{number}", "", True, False
+                number,
+                f"d{number}",
+                "",
+                f"dc-{number % 3}",
+                f"d{number}",
+                "",
+                True,
+                False,
             )
             for number in range(count)
         }
@@ -151,6 +159,7 @@
         replica = storereplica.StoreReplica(KIND, self.seen[number])
         return storerelay.StoreRelay(
             board,
+            f"dc-{number % 3}",
             {KIND: replica},
             {KIND: self.sources[number]},
             transport,
@@ -206,6 +215,39 @@
 
         play(30, scenario)
 
+    def test_news_is_sent_once(self) -> None:
+        """Guards against the same news from every watcher.
+
+        The load: a release changes hundreds of entries in a large fleet, and
+        the bytes between data centres are dear.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            await trio.sleep(5)
+            counts = [0]
+            original = storereplica.StoreReplica.take_news
+
+            def take_news(
+                replica: storereplica.StoreReplica,
+                news: wire.StoreNews,
+                after_revision: int,
+            ) -> None:
+                counts[0] += len(news.items)
+                original(replica, news, after_revision)
+
+            with mock.patch.object(
+                storereplica.StoreReplica, "take_news", take_news
+            ):
+                for number in range(100):
+                    fleet.store.put(f"o{number}")
+                    await trio.sleep(0.1)
+                await trio.sleep(2)
+            self.assertTrue(fleet.is_current())
+            followers = len(fleet.relays) - len(fleet.relays[0].watchers())
+            self.assertTrue(counts[0] <= 1.1 * 100 * followers, str(counts))
+
+        play(30, scenario)
+
     def test_small_fleet_reads_itself(self) -> None:
         """Guards against a small fleet that depends on its peers."""
 
