--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,75 @@
+"""Tests of the logs and of the story that they tell."""
+
+import os
+import typing
+
+import loguru
+import testtools
+
+from plantainhook import explain, logs
+
+LOG: typing.Final = """\
+{"time":"2026-12-04T10:00:00.000+00:00","level":"INFO","part":"routes",\
+"message":"Configuration 7 is in force.","omitted":0}
+{"time":"2026-12-04T10:00:01.200+00:00","level":"INFO","part":"directory",\
+"message":"Leaf i-1 drains.","omitted":3}
+{"time":"2026-12-04T10:00:01.400+00:00","level":"INFO","part":"forward",\
+"message":"Request abc on r is refused after 9 ms.","omitted":0}
+{"time":"2026-12-04T10:00:01.39
+no json at all
+{"time":"2026-12-04T10:00:01.300+00:00","level":"INFO","part":"attempt",\
+"message":"Attempt 1 of request abc failed.","omitted":0}
+"""
+
+
+class ExplainTest(testtools.TestCase):
+    """Check the story of a request."""
+
+    def story(self, request_id: str, around_s: float = 0.5) -> explain.Story:
+        """Tell the story from the log above."""
+        lines, bad_count = explain.read_lines("d1", LOG.splitlines())
+        return explain.tell(request_id, lines, bad_count, around_s)
+
+    def test_story_in_order(self) -> None:
+        """Guards against a cause that is printed after its effect."""
+        parts = [item.line.part for item in self.story("abc").lines]
+        self.assertEqual(["directory", "attempt", "forward"], parts)
+
+    def test_bad_lines_are_counted(self) -> None:
+        """Guards against a cut log that stops the reader."""
+        self.assertEqual(2, self.story("abc").unreadable_count)
+        self.assertEqual(3, self.story("abc").omitted_count)
+
+    def test_unknown_request(self) -> None:
+        """Guards against a story about nothing."""
+        self.assertEqual([], self.story("nobody").lines)
+
+    def test_prefix(self) -> None:
+        """Guards against logs of tools that add a time and a name."""
+        raw = "  1.2 vm-7 " + LOG.splitlines()[0]
+        lines, bad_count = explain.read_lines("all.log", [raw])
+        self.assertEqual(("all.log vm-7", 0), (lines[0].source, bad_count))
+
+
+class SinkTest(testtools.TestCase):
+    """Check that writing never waits."""
+
+    def test_full_pipe_loses_lines_and_counts_them(self) -> None:
+        """Guards against requests that wait for the reader of a log."""
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        logger = loguru.logger
+        handler = logger.add(logs.JsonSink(writer), format="{message}")
+        self.addCleanup(logger.remove, handler)
+        bound = logs.part_logger("test")
+        for number in range(5_000):
+            bound.info("line {}", number)
+        data = os.read(reader, 1 << 20)
+        bound.info("after")
+        last = os.read(reader, 1 << 20).decode().splitlines()[-1]
+        lines, bad_count = explain.read_lines("x", data.decode().splitlines())
+        after, _ = explain.read_lines("x", [last])
+        self.assertEqual(0, bad_count)
+        self.assertTrue(0 < len(lines) < 5_000)
+        self.assertEqual(5_000 - len(lines), after[0].line.omitted)
