Expect the goal policy in the test of the registry

The test names every registered policy; the new one is added with its delay before latencies are known.

--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -8,6 +8,7 @@
 from plantainhook import (
     concurrency,
     errors,
+    goalhedging,
     hedging,
     loadbudget,
     quarantine,
@@ -180,8 +181,9 @@
 
     def test_policies(self) -> None:
         """Guards against a policy that the settings cannot name."""
+        self.assertTrue(goalhedging.GoalPolicy.budgeted)
         self.assertEqual(
-            ("adaptive", "fixed", "plain"), hedging.POLICIES.names()
+            ("adaptive", "fixed", "goal", "plain"), hedging.POLICIES.names()
         )
         rules = querycase.build_rules({})
         estimate = hedging.LatencyEstimate()
@@ -189,7 +191,12 @@
             name: hedging.POLICIES.create(name).hedge_delay_s(estimate, rules)
             for name in hedging.POLICIES.names()
         }
-        expected = {"adaptive": 0.02, "fixed": 0.02, "plain": math.inf}
+        expected = {
+            "adaptive": 0.02,
+            "fixed": 0.02,
+            "goal": 0.3 * rules.deadline_ms / 1e3,
+            "plain": math.inf,
+        }
         self.assertEqual(expected, delays)
 
 
