--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -37,6 +37,8 @@
 # Refused callers come back spread over this time, and not all at once.
 RETRY_MIN_S: typing.Final = 0.05
 RETRY_MAX_S: typing.Final = 0.25
+# Missing parts that a log line names.
+NAMED_PARTS_MAX: typing.Final = 5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -222,7 +224,9 @@
             f"{took_ms:.0f} ms: {outcome.kind}, ran {outcome.ran}, "
             f"{outcome.detail}."
         )
+    missing = outcome.missing_shards
+    named = f" ({', '.join(missing[:NAMED_PARTS_MAX])})" if missing else ""
     return (
         f"Request {request.request_id} on {route.name} is answered after "
-        f"{took_ms:.0f} ms, {len(outcome.missing_shards)} parts missing."
+        f"{took_ms:.0f} ms, {len(missing)} parts missing{named}."
     )
