--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -201,9 +201,9 @@
         )
         self.front = httpfront.Front(self._answer, self._limits)
         self.metrics_front = httpfront.Front(
-            self._answer_metrics, routetable_limits
+            self._answer_metrics, default_limits
         )
-        self.ready = httpfront.Front(self._answer_ready, routetable_limits)
+        self.ready = httpfront.Front(self._answer_ready, default_limits)
 
     def allotment_of(self, info: shardmap.LeafInfo) -> int:
         """Return how many connections this daemon may open to a leaf."""
@@ -368,8 +368,8 @@
     return round(100 * forward.cpu_share_ratio * forward.cpu_speed_factor)
 
 
-def routetable_limits() -> routetable.ClientLimits:
-    """Return the limits of the balancer's checks."""
+def default_limits() -> routetable.ClientLimits:
+    """Return the limits of the balancer's checks and of readers of metrics."""
     return routetable.ClientLimits()
 
 
--- a/plantainhook/httpfront.py
+++ b/plantainhook/httpfront.py
@@ -19,7 +19,6 @@
 RECEIVE_BYTES: typing.Final = 65_536
 BACKLOG_COUNT: typing.Final = 1024
 WRITE_TIMEOUT_S: typing.Final = 5.0
-STATUS_BAD_REQUEST: typing.Final = 400
 STATUS_TOO_LARGE: typing.Final = 413
 # A connection that is closed while bytes arrive is reset; the rest of a body
 # is read this long before that.
--- a/plantainhook/leafconnect.py
+++ b/plantainhook/leafconnect.py
@@ -1,4 +1,4 @@
-"""Set-up of connections to leafs, and the options of the pools.
+"""Set-up of connections to leafs, and what the pools work with.
 
 A new connection is checked by one health request, so that the set-up time of
 the leaf and a refusal by its connection limit are met before a search is
@@ -39,6 +39,21 @@
     warms: bool = True
 
 
+@dataclasses.dataclass(slots=True)
+class Waiter:
+    """Wait for a connection; ``outcome`` is set before the event."""
+
+    event: trio.Event = dataclasses.field(default_factory=trio.Event)
+    outcome: httpconnection.LeafResult[leafclient.LeafClient] | None = None
+
+    def resolve(
+        self, outcome: httpconnection.LeafResult[leafclient.LeafClient]
+    ) -> None:
+        """Wake the waiter."""
+        self.outcome = outcome
+        self.event.set()
+
+
 async def open_client(
     connector: leaftransport.Connector,
     leaf: str,
--- a/plantainhook/leafpool.py
+++ b/plantainhook/leafpool.py
@@ -8,7 +8,6 @@
 moves their set-up time out of the calls.
 """
 
-import dataclasses
 import heapq
 import itertools
 import random
@@ -30,21 +29,6 @@
 PEAK_WINDOW_S: typing.Final = 30.0
 
 
-@dataclasses.dataclass(slots=True)
-class Waiter:
-    """Wait for a connection; ``outcome`` is set before the event."""
-
-    event: trio.Event = dataclasses.field(default_factory=trio.Event)
-    outcome: httpconnection.LeafResult[leafclient.LeafClient] | None = None
-
-    def resolve(
-        self, outcome: httpconnection.LeafResult[leafclient.LeafClient]
-    ) -> None:
-        """Wake the waiter."""
-        self.outcome = outcome
-        self.event.set()
-
-
 class LeafPool:
     """Lend connections to one leaf within an allotment.
 
@@ -81,7 +65,7 @@
         self._metrics = instruments
         self._rng = rng
         self._idle: list[leafclient.LeafClient] = []
-        self._waiters: list[tuple[float, int, Waiter]] = []
+        self._waiters: list[tuple[float, int, leafconnect.Waiter]] = []
         self._sequence = itertools.count()
         self._nursery: trio.Nursery | None = None
         self._backoff_s = 0.0
@@ -174,7 +158,7 @@
         refusal = self._refuse_at_once()
         if refusal is not None:
             return result.Err(refusal)
-        waiter = Waiter()
+        waiter = leafconnect.Waiter()
         entry = (deadline_s, next(self._sequence), waiter)
         heapq.heappush(self._waiters, entry)
         self._open_more()
@@ -231,7 +215,7 @@
         return None
 
     async def _wait(
-        self, waiter: Waiter, deadline_s: float
+        self, waiter: leafconnect.Waiter, deadline_s: float
     ) -> httpconnection.LeafResult[leafclient.LeafClient]:
         started_s = trio.current_time()
         try:
@@ -247,7 +231,7 @@
             return result.Err(leafconnect.no_connection(self.address, detail))
         return waiter.outcome
 
-    def _forget(self, waiter: Waiter) -> None:
+    def _forget(self, waiter: leafconnect.Waiter) -> None:
         """Remove a waiter; pass on what it was given at the same time."""
         if waiter.outcome is None:
             self._waiters = [e for e in self._waiters if e[2] is not waiter]
--- a/plantainhook/platform/names.py
+++ b/plantainhook/platform/names.py
@@ -2,8 +2,6 @@
 
 import typing
 
-SETTINGS_VARIABLE: typing.Final = "PLANTAINHOOK_NODE_FILE"
-
 REQUEST_ID: typing.Final = b"request-id"
 DEADLINE_MS: typing.Final = b"deadline-ms"
 SIGNATURE: typing.Final = b"server-stamp"
@@ -15,16 +13,13 @@
 
 STATUS_MISDIRECTED: typing.Final = 421
 
-READY_PATH: typing.Final = b"/v1/ready"
 OBJECTS_PATH: typing.Final = "/v1/objects"
 LEAF_KIND: typing.Final = "servers"
 CONFIGURATION_KIND: typing.Final = "config"
 CONFIGURATION_NAME: typing.Final = "main"
 
-STATE_READY: typing.Final = "ready"
 STATE_DRAINING: typing.Final = "draining"
 KIND_IDEMPOTENT: typing.Final = "idempotent"
-KIND_AT_MOST_ONCE: typing.Final = "non_idempotent"
 
 # Headers that concern one connection only.
 CONNECTION_HEADERS: typing.Final = frozenset(
--- a/plantainhook/storerelay.py
+++ b/plantainhook/storerelay.py
@@ -39,8 +39,6 @@
 CHECK_S: typing.Final = 0.2
 # A watcher whose last reply is older says nothing about the store.
 FRESH_S: typing.Final = 1.8
-# A daemon reads the store itself this long after the last fresh reply.
-OWN_AFTER_S: typing.Final = 0.4
 # A daemon stops reading the store when watchers were fresh for this long.
 HAND_BACK_S: typing.Final = 0.4
 
@@ -148,7 +146,6 @@
         )
         if is_watcher or not relayed:
             self._stale_s = now_s
-        if is_watcher or not relayed:
             self._start_own(nursery)
         elif self._own is not None and now_s - self._stale_s > HAND_BACK_S:
             LOGGER.info("Watchers read the store for this daemon.")
