--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -93,9 +93,18 @@
             await self._wait_started(forwarded)
         table = parts.board.routes
         if table.version == routetable.NO_ROUTES.version:
+            parts.decisions.decide(
+                f"Request {forwarded.request_id} is refused: no "
+                "configuration is known yet."
+            )
             return self._unavailable(STARTING_RETRY_S)
         route = table.match(forwarded.host, forwarded.path())
         if route is None:
+            parts.decisions.decide(
+                f"Request {forwarded.request_id} has no route in "
+                f"configuration {table.version}: {forwarded.host}"
+                f"{forwarded.path()}."
+            )
             return forwardtypes.Response(
                 forwardtypes.STATUS_NOT_FOUND, [], b""
             )
--- a/plantainhook/gatherers.py
+++ b/plantainhook/gatherers.py
@@ -174,11 +174,7 @@
 
     def fleet_count(self) -> int:
         """Return how many daemons gather in all; 0 where all do."""
-        members = [
-            member
-            for member in self._board.members.values()
-            if member.alive and not member.draining
-        ]
+        members = self._alive()
         if len(members) <= self._options.all_gather_count:
             return 0
         by_data_centre: dict[str, list[blackboard.MemberInfo]] = {}
@@ -202,6 +198,14 @@
         (address,) = hashing.choose(request_id, usable, 1)
         return None if address == self._own_address() else address
 
+    def _alive(self) -> list[blackboard.MemberInfo]:
+        """Return the members that take new work."""
+        return [
+            member
+            for member in self._board.members.values()
+            if member.alive and not member.draining
+        ]
+
     def _own_address(self) -> str:
         own = self._board.members.get(self._board.incarnation)
         return own.peer_address if own is not None else ""
@@ -217,11 +221,7 @@
         """Return the gatherers of the own data centre."""
         board = self._board
         own = board.members.get(board.incarnation)
-        alive = [
-            member
-            for member in board.members.values()
-            if member.alive and not member.draining
-        ]
+        alive = self._alive()
         if own is None or len(alive) <= self._options.all_gather_count:
             return []
         near = [
