Use one list of usable members, one wait for events, one start check

Found on the last read: storerelay and gatherers each listed usable members and their own address, storerelay had a second wait for any of several events, and the daemon repeated the service's check of its start.

--- a/plantainhook/blackboard.py
+++ b/plantainhook/blackboard.py
@@ -130,6 +130,19 @@
     )
     _events: dict[Topic, trio.Event] = dataclasses.field(default_factory=dict)
 
+    def usable_members(self) -> list[MemberInfo]:
+        """Return the daemons that take new work, this one included."""
+        return [
+            member
+            for member in self.members.values()
+            if member.alive and not member.draining
+        ]
+
+    def own_address(self) -> str:
+        """Return this daemon's address for peers; empty before it joined."""
+        own = self.members.get(self.incarnation)
+        return own.peer_address if own is not None else ""
+
     def changed(self, topic: Topic) -> trio.Event:
         """Return the event that the next change of a view sets."""
         return self._events.setdefault(topic, trio.Event())
--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -317,8 +317,7 @@
         """Return whether the balancer is to send callers here."""
         return (
             self.board.life is not blackboard.LifeState.LEAVING
-            and self.board.routes.version > 0
-            and bool(self.board.leafs)
+            and self.service.is_started()
         )
 
     def _limits(self) -> routetable.ClientLimits:
--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -89,7 +89,7 @@
         may_forward: bool,
     ) -> forwardtypes.Response:
         parts = self.parts
-        if not self._is_started():
+        if not self.is_started():
             await self._wait_started(forwarded)
         table = parts.board.routes
         if table.version == routetable.NO_ROUTES.version:
@@ -148,7 +148,8 @@
             return self._refused(outcome)
         return self._response(route, outcome)
 
-    def _is_started(self) -> bool:
+    def is_started(self) -> bool:
+        """Return whether a configuration and any leaf are known."""
         board = self.parts.board
         return board.routes.version > 0 and bool(board.leafs)
 
@@ -166,7 +167,7 @@
             wait_s = min(wait_s, forwarded.left_ms / 1e3 * STARTING_RATIO)
         board = self.parts.board
         with trio.move_on_after(wait_s):
-            while not self._is_started():
+            while not self.is_started():
                 await leafpools.wait_any(
                     [
                         board.changed(blackboard.Topic.ROUTES),
--- a/plantainhook/gatherers.py
+++ b/plantainhook/gatherers.py
@@ -99,7 +99,7 @@
 
     async def _probe(self, address: str) -> None:
         """Pass a gatherer over while it does not answer."""
-        if address == self._own_address():
+        if address == self._board.own_address():
             return
         reply = await self._transport.request(
             address, wire.Probe([]), PROBE_TIMEOUT_S
@@ -174,7 +174,7 @@
 
     def fleet_count(self) -> int:
         """Return how many daemons gather in all; 0 where all do."""
-        members = self._alive()
+        members = self._board.usable_members()
         if len(members) <= self._options.all_gather_count:
             return 0
         by_data_centre: dict[str, list[blackboard.MemberInfo]] = {}
@@ -196,19 +196,7 @@
         if not usable:
             return None
         (address,) = hashing.choose(request_id, usable, 1)
-        return None if address == self._own_address() else address
-
-    def _alive(self) -> list[blackboard.MemberInfo]:
-        """Return the members that take new work."""
-        return [
-            member
-            for member in self._board.members.values()
-            if member.alive and not member.draining
-        ]
-
-    def _own_address(self) -> str:
-        own = self._board.members.get(self._board.incarnation)
-        return own.peer_address if own is not None else ""
+        return None if address == self._board.own_address() else address
 
     def _current(self) -> list[str]:
         """Return the gatherers; they are chosen again as members change."""
@@ -221,7 +209,7 @@
         """Return the gatherers of the own data centre."""
         board = self._board
         own = board.members.get(board.incarnation)
-        alive = self._alive()
+        alive = self._board.usable_members()
         if own is None or len(alive) <= self._options.all_gather_count:
             return []
         near = [
--- a/plantainhook/storerelay.py
+++ b/plantainhook/storerelay.py
@@ -9,7 +9,6 @@
 """
 
 import dataclasses
-import functools
 import random
 import typing
 
@@ -20,6 +19,7 @@
     blackboard,
     clock,
     hashing,
+    leafpools,
     logs,
     objectsource,
     peers,
@@ -94,8 +94,7 @@
         """Return the addresses of the daemons that watch the store."""
         alive = {
             member.peer_address: member
-            for member in self._board.members.values()
-            if member.alive and not member.draining
+            for member in self._board.usable_members()
         }
         if len(alive) <= self._options.all_watch_count:
             return list(alive)
@@ -129,14 +128,10 @@
         """Return whether this daemon reads the store itself."""
         return self._own is not None
 
-    def _own_address(self) -> str:
-        own = self._board.members.get(self._board.incarnation)
-        return own.peer_address if own is not None else ""
-
     def _step(self, nursery: trio.Nursery) -> None:
         now_s = self._clock.now_s()
         watchers = self.watchers()
-        own_address = self._own_address()
+        own_address = self._board.own_address()
         is_watcher = own_address in watchers or not watchers
         self._set_pulls(nursery, [] if is_watcher else watchers, own_address)
         relayed = any(
@@ -254,7 +249,9 @@
     ) -> wire.AnyBody:
         with trio.move_on_after(body.wait_ms / 1000):
             while body.wait_ms and not self._news(body):
-                await self._wait_changed()
+                await leafpools.wait_any(
+                    [replica.changed for replica in self._replicas.values()]
+                )
         revisions = {
             kind: replica.revision for kind, replica in self._replicas.items()
         }
@@ -272,19 +269,6 @@
         """Return whether the store answers this daemon."""
         return self._own is not None and not self._lost_kinds
 
-    async def _wait_changed(self) -> None:
-        changed = [replica.changed for replica in self._replicas.values()]
-        async with trio.open_nursery() as nursery:
-            for event in changed:
-                nursery.start_soon(
-                    functools.partial(_wait_one, event, nursery.cancel_scope)
-                )
-
-
-async def _wait_one(event: trio.Event, scope: trio.CancelScope) -> None:
-    await event.wait()
-    scope.cancel()
-
 
 class WatchedReplica:
     """Pass reads on to a copy and note whether the store answers."""
