Pack the news of the store, watch from strong VMs, pull while refused

A watcher that the store refuses had no news at all until it was served again.

Ruled out: a watcher that stays in its role while the store refuses it (peers left it within 2 s, log of the reproduction); lost changes (revisions only rise, and every copy caught up).

Change: news are compressed and kept packed for the peers that ask from the same revision; only the last of several changes of an object is sent; the strongest VM of a data centre watches; daemons turn to the store spread over 0.9 s; a watcher that the store does not answer pulls from three peers.

The new tests fail on the code before.

--- a/plantainhook/answers.py
+++ b/plantainhook/answers.py
@@ -16,6 +16,7 @@
 PEER: typing.Final = "query"
 SUSPECT_RETRY_AFTER_MS: typing.Final = 1000
 NAMED_TILES_MAX: typing.Final = 20
+NAMED_SHARDS_MAX: typing.Final = 8
 
 Outcome = querytypes.Answer | errors.RefusalError
 
@@ -57,6 +58,23 @@
     )
 
 
+def out_of_service(
+    plan: queryplan.QueryPlan, shards: abc.Sequence[str], ran: errors.Ran
+) -> errors.RefusalError:
+    """Refuse a query that too many shards cannot answer now."""
+    return errors.RefusalError(
+        steps.Step.QUERY_PLAN,
+        PEER,
+        messages.OUT_OF_SERVICE.format(
+            count=len(shards),
+            shards=", ".join(shards[:NAMED_SHARDS_MAX]),
+            minimum=plan.rules.min_coverage_ratio,
+        ),
+        errors.RefusalKind.COVERAGE,
+        ran,
+    )
+
+
 def unknown_shards(
     version: int,
     shards: abc.Iterable[str],
--- a/plantainhook/attempts.py
+++ b/plantainhook/attempts.py
@@ -24,6 +24,10 @@
     retry_count: int = 0
     settled: bool = False
     ran_on: set[str] = dataclasses.field(default_factory=set)
+    # Attempts that a leaf received or may still receive, and those of them
+    # that were paid for from the load budget: all but one.
+    arrival_count: int = 0
+    charged_count: int = 0
 
     def may_run_on(self, leaf: str, max_runs_count: int | None) -> bool:
         """Return whether one more leaf may run the work of the set."""
@@ -101,6 +105,7 @@
         leaf = policies.replicas.on_sent(
             status, self.plan.rules.cross_zone_max_ratio
         )
+        leaf.sent_s = now_s
         attempt = Attempt(
             self._opened_count, leaf, shards, shard_set, now_s, version
         )
@@ -108,6 +113,7 @@
         shard_set.live.append(attempt)
         shard_set.tried += (leaf.name,)
         shard_set.ran_on.add(leaf.name)
+        shard_set.arrival_count += 1
         policies.quarantine.started(
             leaf.name, self.plan.request.fingerprint, now_s
         )
@@ -155,6 +161,8 @@
         leaf = attempt.leaf.name
         if failure.ran is errors.Ran.NO:
             attempt.shard_set.ran_on.discard(leaf)
+        if failure.unsent():
+            self._refund_unsent(attempt.shard_set, now_s)
         fingerprint = self.plan.request.fingerprint
         self.policies.replicas.on_failure(
             attempt.leaf, failure.kind, attempt.snapshot, now_s
@@ -167,6 +175,13 @@
         if failure.kind is errors.LeafFailureKind.TIMEOUT:
             attempt.shard_set.estimate.record(now_s - attempt.sent_s)
 
+    def _refund_unsent(self, shard_set: ShardSet, now_s: float) -> None:
+        """Take back the charge of an attempt that no leaf received."""
+        shard_set.arrival_count -= 1
+        if shard_set.charged_count > max(0, shard_set.arrival_count - 1):
+            shard_set.charged_count -= 1
+            self.policies.budgets.refund(shard_set.group, now_s)
+
     def cancel(self, attempt: Attempt, now_s: float) -> querytypes.Cancel:
         """Close a live attempt and return the action that cancels it."""
         del self.live[attempt.attempt_id]
--- a/plantainhook/coverage.py
+++ b/plantainhook/coverage.py
@@ -71,6 +71,21 @@
         return tuple(sorted(gaps))
 
 
+def suffices_without(
+    merge: Merge, rules: querytypes.EffectiveRules, lost: abc.Set[str]
+) -> bool:
+    """Return whether the least coverage can be met without some shards."""
+    if not lost:
+        return True
+    if lost >= merge.asked:
+        return False
+    shards = merge.shard_map.shards
+    lost_weight = sum(shards[name].weight for name in lost)
+    asked_weight = sum(shards[name].weight for name in merge.asked)
+    ratio = 1.0 - lost_weight / asked_weight
+    return ratio >= rules.min_coverage_ratio - RATIO_TOLERANCE
+
+
 def acceptable(
     merge: Merge,
     rules: querytypes.EffectiveRules,
--- a/plantainhook/dispatch.py
+++ b/plantainhook/dispatch.py
@@ -47,6 +47,8 @@
     open_count: int
     one_at_a_time: bool
     learned: dict[str, frozenset[int]]
+    # Shards for which no attempt is left.
+    lost: set[str]
 
     def __init__(
         self,
@@ -60,6 +62,7 @@
         self.open_count = 0
         self.one_at_a_time = False
         self.learned = {}
+        self.lost = set()
         self._plan = plan
         self._policies = policies
         self._policy = policy
@@ -75,6 +78,7 @@
         """Forget all shard sets; their attempts are cancelled before."""
         self.sets = []
         self.open_count = 0
+        self.lost = set()
         self._hedges = []
         self._restarted = True
 
@@ -93,6 +97,7 @@
         if not shard_set.settled and not shard_set.live:
             shard_set.settled = True
             self.open_count -= 1
+            self.lost |= shard_set.missing
 
     def send_first(
         self,
@@ -211,23 +216,32 @@
             leaf = assignment.status.info.name
             if not shard_set.may_run_on(leaf, max_runs_count):
                 continue
-            if not self._spend(shard_set.group, reason, now_s):
+            if not self._spend(shard_set, reason, now_s):
                 break
             self._send(shard_set, assignment, reason, actions, now_s)
             sent = True
         return sent
 
     def _spend(
-        self, group: str, reason: querytypes.AttemptReason, now_s: float
+        self,
+        shard_set: attempts.ShardSet,
+        reason: querytypes.AttemptReason,
+        now_s: float,
     ) -> bool:
-        if not self._policy.budgeted:
+        """Pay for an attempt that is not the first to reach a leaf.
+
+        Pattern: leafs are down and refuse connections. What never reached a
+        leaf is no extra load, so the budget stays for calls that did.
+        """
+        if not self._policy.budgeted or shard_set.arrival_count == 0:
             return True
         floor = self._plan.rules.extra_load_floor_per_s
         budgets = self._policies.budgets
         spend = budgets.spend_retry
         if reason is querytypes.AttemptReason.HEDGE:
             spend = budgets.spend_hedge
-        if spend(group, now_s, floor, self._plan.rank):
+        if spend(shard_set.group, now_s, floor, self._plan.rank):
+            shard_set.charged_count += 1
             return True
         self._policies.counters.budget_denied_count += 1
         return False
--- a/plantainhook/errors.py
+++ b/plantainhook/errors.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import typing
 from collections import abc
 
 from plantainhook import steps
@@ -171,6 +172,17 @@
     NO_CONNECTION = "no_connection"
 
 
+# Failures before the first byte of the request was written, where the work
+# certainly did not run.
+UNSENT_KINDS: typing.Final = frozenset(
+    {
+        LeafFailureKind.CONNECT,
+        LeafFailureKind.NO_CONNECTION,
+        LeafFailureKind.CONNECTION_LOST,
+    }
+)
+
+
 class LeafError(PlantainhookError):
     """Report a failed call to a leaf.
 
@@ -192,6 +204,10 @@
         self.ran = ran
         self.served = served
 
+    def unsent(self) -> bool:
+        """Return whether no leaf received any of the request."""
+        return self.ran is Ran.NO and self.kind in UNSENT_KINDS
+
 
 class RefusalKind(enum.StrEnum):
     """Classify refusals that a caller receives."""
--- a/plantainhook/gatherers.py
+++ b/plantainhook/gatherers.py
@@ -24,6 +24,7 @@
     forwardtypes,
     hashing,
     logs,
+    memberstrength,
     peers,
     routetable,
     wire,
@@ -36,8 +37,6 @@
 PROBE_INTERVAL_S: typing.Final = 0.5
 PROBE_TIMEOUT_S: typing.Final = 0.45
 MISSED_S: typing.Final = 1.1
-# Members with at least this part of the strongest processor are alike.
-ALIKE_RATIO: typing.Final = 0.75
 CANCEL_TIMEOUT_S: typing.Final = 0.5
 CANCEL_QUEUE_COUNT: typing.Final = 256
 # The gatherer answers by the deadline; its answer needs a moment to arrive.
@@ -271,11 +270,8 @@
         return []
     wanted = -(-len(members) // options.members_per_gatherer_count)
     least = options.least_per_data_centre_count
-    strongest = max(member.capacity for member in members)
     strong = [
-        member.peer_address
-        for member in members
-        if member.capacity >= ALIKE_RATIO * strongest
+        member.peer_address for member in memberstrength.strongest(members)
     ]
     if len(strong) >= least:
         return hashing.choose("gather", strong, max(least, wanted))
--- a/plantainhook/leafpool.py
+++ b/plantainhook/leafpool.py
@@ -128,7 +128,7 @@
         """Change the number of connections that may be open."""
         if count == self.allotment_count:
             return
-        self._logger.info(
+        self._logger.debug(
             "Allotment to {} is {}, was {}.",
             self.leaf,
             count,
--- a/plantainhook/leafpools.py
+++ b/plantainhook/leafpools.py
@@ -18,10 +18,13 @@
     leafconnect,
     leafpool,
     leaftransport,
+    logs,
     metrics,
     shardmap,
 )
 
+LOGGER: typing.Final = logs.part_logger("leafpool")
+
 CONNECTS_AT_ONCE_COUNT: typing.Final = 16
 TOPICS: typing.Final = (blackboard.Topic.SETTINGS, blackboard.Topic.SHARES)
 
@@ -87,6 +90,7 @@
 
     async def _update(self, nursery: trio.Nursery) -> None:
         leafs = self._board.settings.leafs
+        changed: list[int] = []
         for name, pool in list(self._pools.items()):
             info = leafs.get(name)
             if info is None or info.address != pool.address:
@@ -94,7 +98,17 @@
         for name, info in leafs.items():
             if name not in self._pools:
                 await self._add(nursery, info)
-            self._pools[name].set_allotment(self._allotment_of(info))
+            allotment_count = self._allotment_of(info)
+            if allotment_count != self._pools[name].allotment_count:
+                changed.append(allotment_count)
+                self._pools[name].set_allotment(allotment_count)
+        if changed:
+            LOGGER.info(
+                "Allotments to {} leafs are {} to {} connections now.",
+                len(changed),
+                min(changed),
+                max(changed),
+            )
 
     async def _add(
         self, nursery: trio.Nursery, info: shardmap.LeafInfo
@@ -110,7 +124,6 @@
         )
         scope = trio.CancelScope()
         await nursery.start(functools.partial(run_in, scope, pool))
-        pool.set_allotment(self._allotment_of(info))
         self._pools[info.name] = pool
         self._scopes[info.name] = scope
         self._added.set()
--- a/plantainhook/loadbudget.py
+++ b/plantainhook/loadbudget.py
@@ -69,6 +69,9 @@
     ) -> bool:
         """Grant a hedge or refuse it."""
 
+    def refund(self, group: str, now_s: float) -> None:
+        """Take back a granted attempt that no leaf received."""
+
 
 @dataclasses.dataclass(slots=True)
 class LoadBudgets:
@@ -108,6 +111,14 @@
             return False
         return self.common.spend(now_s, floor_per_s)
 
+    def refund(self, group: str, now_s: float) -> None:
+        """Give the group the token of an attempt back.
+
+        A token of the common budget is not: it also bounds the work of
+        setting up connections.
+        """
+        self.of(group).earn(1, 1.0)
+
     def of(self, group: str) -> LoadBudget:
         """Return the budget of a group."""
         budget = self.budgets.get(group)
--- a/plantainhook/messages.py
+++ b/plantainhook/messages.py
@@ -24,6 +24,10 @@
 COVERAGE_TOO_LOW: typing.Final = (
     "coverage is {coverage:.4f}; the request kind needs {minimum:.4f}"
 )
+OUT_OF_SERVICE: typing.Final = (
+    "{count} shards are out of service ({shards}); "
+    "the request kind needs {minimum:.4f}"
+)
 AREA_HAS_GAPS: typing.Final = "the area lacks the tiles {tiles}"
 QUARANTINED: typing.Final = (
     "this request crashed backend servers and is in quarantine "
--- a/plantainhook/quarantine.py
+++ b/plantainhook/quarantine.py
@@ -12,12 +12,14 @@
 ends with a reply after the first crash clears the suspicion.
 
 Until a crash is confirmed, a fingerprint that lost its connections to two
-leafs without a reply since then is a suspect too. A suspect that loses
+leafs is a suspect too, unless a leaf has answered it of late: a query over a
+hundred shards loses several connections whenever leafs lose answers. A suspect that loses
 another connection is held until polls have had time to confirm the crash.
 """
 
 import dataclasses
 import enum
+import math
 import typing
 
 QUARANTINE_S: typing.Final = 600.0
@@ -81,6 +83,8 @@
     )
     losses: dict[str, Loss] = dataclasses.field(default_factory=dict)
     lost_on: dict[str, LostLeafs] = dataclasses.field(default_factory=dict)
+    # When the run began that last ended with a reply.
+    answered_s: dict[str, float] = dataclasses.field(default_factory=dict)
     held_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
     suspicions: dict[str, Crash] = dataclasses.field(default_factory=dict)
     until_s: dict[str, float] = dataclasses.field(default_factory=dict)
@@ -135,6 +139,9 @@
     def replied(self, leaf: str, fingerprint: str, sent_s: float) -> None:
         """Note a run that ended with a reply, which clears a suspicion."""
         self.ended(leaf, fingerprint)
+        if len(self.answered_s) >= LOST_ON_MAX_COUNT:
+            self.answered_s.clear()
+        self.answered_s[fingerprint] = sent_s
         if self.lost_on:
             self.lost_on.pop(fingerprint, None)
         if self.held_until_s:
@@ -154,6 +161,9 @@
             loss.runs.setdefault(other, run.started_s)
         if self.standing(fingerprint, now_s) is Standing.SUSPECT:
             self.held_until_s[fingerprint] = now_s + HOLD_S
+        self.ended(leaf, fingerprint)
+        if now_s - self.answered_s.get(fingerprint, -math.inf) < CONFIRM_S:
+            return
         if len(self.lost_on) >= LOST_ON_MAX_COUNT:
             self.lost_on.clear()
             self.held_until_s.clear()
@@ -161,7 +171,6 @@
         if lost_on is None or now_s - lost_on.at_s > CONFIRM_S:
             lost_on = self.lost_on[fingerprint] = LostLeafs(now_s)
         lost_on.leafs.add(leaf)
-        self.ended(leaf, fingerprint)
 
     def leaf_down(self, leaf: str, now_s: float) -> None:
         """Note that a leaf is seen down or restarted."""
--- a/plantainhook/query.py
+++ b/plantainhook/query.py
@@ -21,6 +21,7 @@
     queryplan,
     querytypes,
     routing,
+    schema,
     snapshot,
     steps,
 )
@@ -179,6 +180,9 @@
         assignments = routing.assign_first(
             view, limited, self.policies.replicas, now_s
         )
+        too_few = self._leave_out(view, assignments, now_s)
+        if too_few is not None:
+            return self._finish(too_few, actions, now_s)
         if self._work.one_at_a_time:
             self._waiting = assignments
             return self._advance(actions, now_s)
@@ -187,6 +191,39 @@
         self._plan_early_finish()
         return self._advance(actions, now_s)
 
+    def _leave_out(
+        self,
+        view: snapshot.VersionView,
+        assignments: list[routing.Assignment],
+        now_s: float,
+    ) -> errors.RefusalError | None:
+        """Leave shards that are out of service out of the assignments.
+
+        A query that cannot reach its least coverage without them is refused
+        before any leaf works for it. A query of one shard tries it anyhow.
+        """
+        asked = {name for item in assignments for name in item.shards}
+        self._work.lost = set(self.merge.asked - asked)
+        if len(self.merge.asked) == 1:
+            return None
+        for item in tuple(assignments):
+            if routing.is_out(view, item, self.policies.replicas, now_s):
+                assignments.remove(item)
+                self._work.lost |= set(item.shards)
+        if self._can_suffice():
+            return None
+        return answers.out_of_service(
+            self.plan, sorted(self._work.lost), self._ledger.ran
+        )
+
+    def _can_suffice(self) -> bool:
+        """Return whether the shards that are not lost may be enough."""
+        if self.plan.rules.below_min is not schema.BelowMin.REFUSE:
+            return True
+        return coverage.suffices_without(
+            self.merge, self.plan.rules, self._work.lost
+        )
+
     def _merge_results(
         self, attempt: attempts.Attempt, reply: querytypes.LeafReply
     ) -> None:
@@ -316,7 +353,7 @@
         if self._waiting and not self._ledger.live:
             reason = querytypes.AttemptReason.FIRST
             self._work.send_first(self._waiting.pop(), reason, actions, now_s)
-        if self._work.open_count == 0:
+        if self._work.open_count == 0 or not self._can_suffice():
             restart = self._restart_if_better(actions, now_s)
             if restart is not None:
                 return restart
--- a/plantainhook/replicas.py
+++ b/plantainhook/replicas.py
@@ -27,9 +27,28 @@
 UNANSWERED_MAX: typing.Final = 5
 PENALTY_FIRST_S: typing.Final = 0.25
 PENALTY_MAX_S: typing.Final = 4.0
+# A leaf is down after this many hard failures without a reply between; one
+# query in each interval probes it.
+DOWN_FAILURES_COUNT: typing.Final = 2
+PROBE_INTERVAL_S: typing.Final = 0.3
+FAILURE_WEIGHT: typing.Final = 0.2
+# Added to the cost factor of a leaf that fails every call.
+FAILURE_COST: typing.Final = 8.0
+# A leaf that fails more of its calls is avoided while another does better.
+GREY_RATIO: typing.Final = 0.3
 # Polling refreshes the versions that leafs serve every second.
 NOT_SERVED_S: typing.Final = 1.0
 
+HARD_KINDS: typing.Final = frozenset({errors.LeafFailureKind.CONNECT})
+# A leaf of good health may answer some calls like this and others well.
+GREY_KINDS: typing.Final = frozenset(
+    {
+        errors.LeafFailureKind.CONNECTION_LOST,
+        errors.LeafFailureKind.MALFORMED,
+        errors.LeafFailureKind.REFUSED,
+    }
+)
+
 Statuses = abc.Sequence[querytypes.LeafStatus]
 
 PENALISED_KINDS: typing.Final = frozenset(
@@ -54,7 +73,8 @@
     """Hold what the calls of this daemon saw of one leaf.
 
     ``speed`` is the leaf's recent latency over the median of its group and
-    kind, so 1 is average and 2 is half as fast.
+    kind, so 1 is average and 2 is half as fast. ``failure_ratio`` is the
+    share of the recent calls that it refused, lost or answered wrongly.
     """
 
     name: str
@@ -67,6 +87,10 @@
     penalty_s: float = 0.0
     penalised_until_s: float = 0.0
     unanswered_count: int = 0
+    failure_ratio: float = 0.0
+    failure_s: float = 0.0
+    hard_failure_count: int = 0
+    sent_s: float = 0.0
 
     def cost(self, cold: bool) -> float:
         """Return the expected cost of one more call; lower is better."""
@@ -75,6 +99,7 @@
             cost *= COLD_FACTOR
         if not self.limit.has_room(self.in_flight_count):
             cost *= FULL_FACTOR
+        cost *= 1.0 + FAILURE_COST * self.failure_ratio
         if self.link is not None:
             cost *= self.link.cost_factor()
         return cost
@@ -88,6 +113,32 @@
             return False
         return now_s < self.penalised_until_s or self.in_flight_count > 0
 
+    def is_down(self, now_s: float) -> bool:
+        """Return whether the leaf does not answer and is probed already."""
+        if self.hard_failure_count < DOWN_FAILURES_COUNT:
+            return False
+        probed = now_s - self.sent_s < PROBE_INTERVAL_S
+        return probed or self.in_flight_count > 0
+
+    def is_grey(self) -> bool:
+        """Return whether the leaf fails much of what it gets."""
+        return self.failure_ratio > GREY_RATIO
+
+    def record_failure(self, failed: bool, now_s: float) -> None:
+        """Average whether calls fail; an idle average fades.
+
+        Pattern: a leaf refuses a part of its calls or loses their answers
+        while its health is good. A reply between two failures says little,
+        so the average decides.
+        """
+        idle_s = now_s - self.failure_s
+        if idle_s > 1.0:
+            kept = max(0.0, 1.0 - idle_s / SPEED_MEMORY_S)
+            self.failure_ratio *= kept
+        self.failure_s = now_s
+        sample = 1.0 if failed else 0.0
+        self.failure_ratio += FAILURE_WEIGHT * (sample - self.failure_ratio)
+
     def record_speed(self, speed: float, now_s: float) -> None:
         """Average a latency relative to the group median."""
         idle_s = now_s - self.speed_s
@@ -166,6 +217,18 @@
         )
         return other.status if crosses else best.status
 
+    def is_out(self, statuses: Statuses, now_s: float) -> bool:
+        """Return whether every leaf of a shard is down.
+
+        Pattern: all leafs of a shard are down. Queries go on without it,
+        and one in each interval probes whether a leaf is back.
+        """
+        for status in statuses:
+            state = self.states.get(status.info.name)
+            if state is None or not state.is_down(now_s):
+                return False
+        return True
+
     def on_sent(
         self, status: querytypes.LeafStatus, max_ratio: float
     ) -> ReplicaState:
@@ -186,6 +249,9 @@
         state.limit.on_success(state.in_flight_count)
         state.in_flight_count -= 1
         state.unanswered_count = 0
+        state.hard_failure_count = 0
+        if state.failure_ratio > 0.0:
+            state.record_failure(False, now_s)
         if state.penalty_s > 0.0:
             state.penalty_s = 0.0
             state.penalised_until_s = 0.0
@@ -223,6 +289,10 @@
         state.in_flight_count -= 1
         if kind in PENALISED_KINDS:
             self._penalise(state, now_s)
+        if kind in HARD_KINDS:
+            state.hard_failure_count += 1
+        if kind in GREY_KINDS:
+            state.record_failure(True, now_s)
         if kind in OVERLOAD_KINDS:
             state.limit.on_overload(now_s)
         if kind in UNANSWERED_KINDS:
@@ -237,6 +307,7 @@
         state.unanswered_count += 1
         if state.unanswered_count >= UNANSWERED_MAX:
             state.unanswered_count = 0
+            state.hard_failure_count = DOWN_FAILURES_COUNT
             self._penalise(state, now_s)
 
     def _penalise(self, state: ReplicaState, now_s: float) -> None:
@@ -281,6 +352,7 @@
         if not statuses:
             return None
         status, cost = self._cheaper_of_two(statuses)
+        failing = failing or self.state(status).is_grey()
         return Choice(status, cost, failing)
 
     def _cheaper_of_two(
--- a/plantainhook/routing.py
+++ b/plantainhook/routing.py
@@ -39,6 +39,19 @@
     return list(by_leaf.values())
 
 
+def is_out(
+    view: snapshot.VersionView,
+    assignment: Assignment,
+    chooser: replicas.Replicas,
+    now_s: float,
+) -> bool:
+    """Return whether no leaf of any shard of an assignment is up."""
+    routes = {view.route_of[name] for name in assignment.shards}
+    return all(
+        chooser.is_out((*route.near, *route.far), now_s) for route in routes
+    )
+
+
 def assign_again(
     view: snapshot.VersionView,
     shard_set: attempts.ShardSet,
--- a/plantainhook/storerelay.py
+++ b/plantainhook/storerelay.py
@@ -6,6 +6,9 @@
 the watcher. They ask the other watchers for their revisions only, and pull
 from one that stays ahead. Where no watcher is fresh for a moment, a daemon
 reads the store itself. A small fleet needs no relay and every daemon watches.
+
+Pattern: the store turns some daemons away and serves the others. A watcher
+that it does not answer pulls from its peers until it does.
 """
 
 import dataclasses
@@ -21,8 +24,10 @@
     hashing,
     leafpools,
     logs,
+    memberstrength,
     objectsource,
     peers,
+    storenews,
     storereplica,
     wire,
 )
@@ -39,6 +44,13 @@
 CHECK_S: typing.Final = 0.2
 # A watcher whose last reply is older says nothing about the store.
 FRESH_S: typing.Final = 1.8
+# Daemons lose their watchers together; they turn to the store one after the
+# other within this time, and most find a watcher before their turn.
+PATIENCE_MAX_S: typing.Final = 0.9
+# A watcher without the store pulls from peers after this time, and from so
+# many of them.
+LOST_S: typing.Final = 0.4
+LOST_SOURCES_COUNT: typing.Final = 3
 # A daemon stops reading the store when watchers were fresh for this long.
 HAND_BACK_S: typing.Final = 0.4
 
@@ -80,6 +92,9 @@
         self._pulls: dict[str, trio.CancelScope] = {}
         self._fresh_s: dict[str, float] = {}
         self._stale_s = time_source.now_s()
+        self._relayed_s = float("-inf")
+        self._patience_s = 0.0
+        self._lost_since_s = time_source.now_s()
         self._lost_kinds: set[str] = set()
         handlers.handles(wire.StorePull)(self._on_pull)
 
@@ -98,13 +113,14 @@
         }
         if len(alive) <= self._options.all_watch_count:
             return list(alive)
-        by_data_centre: dict[str, list[str]] = {}
-        for address, member in alive.items():
-            by_data_centre.setdefault(member.data_centre, []).append(address)
-        chosen = [
-            hashing.choose("store", addresses, 1)[0]
-            for _, addresses in sorted(by_data_centre.items())
-        ]
+        by_data_centre: dict[str, list[blackboard.MemberInfo]] = {}
+        for member in alive.values():
+            by_data_centre.setdefault(member.data_centre, []).append(member)
+        chosen = []
+        for _, near in sorted(by_data_centre.items()):
+            strong = memberstrength.strongest(near)
+            addresses = [member.peer_address for member in strong]
+            chosen += hashing.choose("store", addresses, 1)
         lacking = self._options.watcher_least_count - len(chosen)
         rest = [address for address in alive if address not in chosen]
         return chosen + hashing.choose("store", rest, max(0, lacking))
@@ -133,7 +149,7 @@
         watchers = self.watchers()
         own_address = self._board.own_address()
         is_watcher = own_address in watchers or not watchers
-        self._set_pulls(nursery, [] if is_watcher else watchers, own_address)
+        self._set_pulls(nursery, self._pulled(watchers, is_watcher, now_s))
         relayed = any(
             now_s - at_s < FRESH_S
             for address, at_s in self._fresh_s.items()
@@ -141,12 +157,30 @@
         )
         if is_watcher or not relayed:
             self._stale_s = now_s
-            self._start_own(nursery)
-        elif self._own is not None and now_s - self._stale_s > HAND_BACK_S:
+            if is_watcher or now_s - self._relayed_s >= self._patience_s:
+                self._start_own(nursery)
+            return
+        self._relayed_s = now_s
+        self._patience_s = self._rng.uniform(0.0, PATIENCE_MAX_S)
+        if self._own is not None and now_s - self._stale_s > HAND_BACK_S:
             LOGGER.info("Watchers read the store for this daemon.")
             self._own.cancel()
             self._own = None
 
+    def _pulled(
+        self, watchers: list[str], is_watcher: bool, now_s: float
+    ) -> list[str]:
+        """Return the watchers from which this daemon pulls."""
+        own_address = self._board.own_address()
+        others = [address for address in watchers if address != own_address]
+        if not is_watcher:
+            return others
+        if not self._lost_kinds:
+            self._lost_since_s = now_s
+        if now_s - self._lost_since_s < LOST_S:
+            return []
+        return hashing.choose(own_address, others, LOST_SOURCES_COUNT)
+
     def _start_own(self, nursery: trio.Nursery) -> None:
         if self._own is None:
             LOGGER.info("Reading the store.")
@@ -166,14 +200,12 @@
                         self._rng,
                     )
 
-    def _set_pulls(
-        self, nursery: trio.Nursery, watchers: list[str], own_address: str
-    ) -> None:
+    def _set_pulls(self, nursery: trio.Nursery, watchers: list[str]) -> None:
         for address in list(self._pulls):
             if address not in watchers:
                 self._pulls.pop(address).cancel()
         for address in watchers:
-            if address not in self._pulls and address != own_address:
+            if address not in self._pulls:
                 scope = self._pulls[address] = trio.CancelScope()
                 nursery.start_soon(self._pull_loop, address, scope)
 
@@ -224,7 +256,12 @@
         answer = await self._ask(address, body, PULL_TIMEOUT_S)
         if answer is None:
             return False
-        for news in answer.news:
+        for packed in answer.packed:
+            unpacked = storenews.unpack_news(packed, address)
+            if isinstance(unpacked, result.Err):
+                LOGGER.warning("News not read: {}", unpacked.err_value)
+                return False
+            news = unpacked.ok_value
             replica = self._replicas.get(news.kind)
             if replica is not None:
                 replica.take_news(news, have[news.kind])
@@ -248,22 +285,27 @@
         self, sender: wire.HelloFrame, body: wire.StorePull
     ) -> wire.AnyBody:
         with trio.move_on_after(body.wait_ms / 1000):
-            while body.wait_ms and not self._news(body):
+            while body.wait_ms and not self._has_news(body):
                 await leafpools.wait_any(
                     [replica.changed for replica in self._replicas.values()]
                 )
         revisions = {
             kind: replica.revision for kind, replica in self._replicas.items()
         }
-        return wire.StoreReply(self._is_fresh(), revisions, self._news(body))
-
-    def _news(self, body: wire.StorePull) -> list[wire.StoreNews]:
         found = [
-            self._replicas[kind].news_after(revision)
+            self._replicas[kind].packed_after(revision)
             for kind, revision in body.have.items()
             if kind in self._replicas
         ]
-        return [news for news in found if news is not None]
+        packed = [news for news in found if news is not None]
+        return wire.StoreReply(self._is_fresh(), revisions, packed)
+
+    def _has_news(self, body: wire.StorePull) -> bool:
+        return any(
+            self._replicas[kind].revision > revision
+            for kind, revision in body.have.items()
+            if kind in self._replicas
+        )
 
     def _is_fresh(self) -> bool:
         """Return whether the store answers this daemon."""
--- a/plantainhook/storereplica.py
+++ b/plantainhook/storereplica.py
@@ -13,7 +13,7 @@
 import msgspec
 import trio
 
-from plantainhook import errors, objectsource, wire
+from plantainhook import errors, objectsource, storenews
 
 # Batches kept for peers that lag; one that lags more gets all objects.
 LOG_MAX_COUNT: typing.Final = 500
@@ -42,6 +42,8 @@
         self._log: collections.deque[Batch] = collections.deque()
         # The revision after which the log is complete.
         self._log_revision = NO_REVISION
+        # Packed news of the present revision by the revision of the peer.
+        self._packed: dict[int, bytes] = {}
 
     def on_listing(self, listing: objectsource.Listing) -> None:
         """Take all objects as of a revision."""
@@ -82,26 +84,46 @@
         """Tell the consumer that the store answers."""
         self._consumer.on_answered()
 
-    def news_after(self, revision: int) -> wire.StoreNews | None:
+    def news_after(self, revision: int) -> storenews.StoreNews | None:
         """Return what a peer at a revision lacks, or None."""
         if revision >= self.revision:
             return None
         whole = revision < self._log_revision
         if whole:
             items = [
-                _to_item(item, deleted=False)
+                storenews.build_item(item, deleted=False)
                 for item in self._objects.values()
             ]
         else:
-            items = [
-                _to_item(change.object, change.deleted)
+            last = {
+                change.object.name: change
                 for batch in self._log
                 if batch.end_revision > revision
                 for change in batch.changes
+            }
+            items = [
+                storenews.build_item(change.object, change.deleted)
+                for change in last.values()
             ]
-        return wire.StoreNews(self.kind, self.revision, whole, items)
-
-    def take_news(self, news: wire.StoreNews, after_revision: int) -> None:
+        return storenews.StoreNews(self.kind, self.revision, whole, items)
+
+    def packed_after(self, revision: int) -> bytes | None:
+        """Return the packed news for a peer at a revision, or None.
+
+        Peers ask from the same few revisions, so packed news are kept until
+        the copy changes.
+        """
+        packed = self._packed.get(revision)
+        if packed is None:
+            news = self.news_after(revision)
+            if news is None:
+                return None
+            packed = self._packed[revision] = storenews.pack_news(news)
+        return packed
+
+    def take_news(
+        self, news: storenews.StoreNews, after_revision: int
+    ) -> None:
         """Take what a peer sent in reply to the own revision."""
         objects = [
             objectsource.SourceObject(
@@ -120,10 +142,6 @@
 
     def _advance(self, revision: int) -> None:
         self.revision = revision
+        self._packed.clear()
         self.changed.set()
         self.changed = trio.Event()
-
-
-def _to_item(item: objectsource.SourceObject, deleted: bool) -> wire.StoreItem:
-    spec = msgspec.json.encode(item.spec)
-    return wire.StoreItem(item.name, item.revision, spec, deleted)
--- a/plantainhook/windowbudget.py
+++ b/plantainhook/windowbudget.py
@@ -58,6 +58,13 @@
         """Count an extra call."""
         self._count(self.extras, now_s, 1)
 
+    def forget_extra(self) -> None:
+        """Take back the last extra call that was counted."""
+        for counted in reversed(self.extras):
+            if counted[1] >= 1.0:
+                counted[1] -= 1.0
+                return
+
     def extra_count(self, now_s: float) -> float:
         """Return the extra calls of the window that ends now."""
         oldest_s = now_s - self.slice_s * (SLICES_PER_WINDOW + 1)
@@ -125,6 +132,10 @@
         """Grant a hedge where the budget has room besides retries."""
         return self._spend(group, now_s, rank, HEDGE_RATIO)
 
+    def refund(self, group: str, now_s: float) -> None:
+        """Take back a granted call that no leaf received."""
+        self.of(group).forget_extra()
+
     def of(self, group: str) -> WindowBudget:
         """Return the budget of a service."""
         budget = self.budgets.get(group)
--- a/plantainhook/wire.py
+++ b/plantainhook/wire.py
@@ -14,7 +14,7 @@
 
 from plantainhook import errors, steps
 
-PROTOCOL_VERSION: typing.Final = 1
+PROTOCOL_VERSION: typing.Final = 2
 NO_SHARE: typing.Final = -1
 FRAME_HEADER: typing.Final = struct.Struct(">I")
 
@@ -91,37 +91,17 @@
     wait_ms: int
 
 
-class StoreItem(msgspec.Struct, frozen=True, array_like=True):
-    """Hold an object of the store; ``spec`` is JSON text."""
-
-    name: str
-    revision: int
-    spec: bytes
-    deleted: bool
-
-
-class StoreNews(msgspec.Struct, frozen=True, array_like=True):
-    """Hold the changes of a kind up to a revision.
-
-    ``whole`` states that the items are all objects and not changes.
-    """
-
-    kind: str
-    revision: int
-    whole: bool
-    items: list[StoreItem]
-
-
 class StoreReply(Body, frozen=True, tag=True, array_like=True):
     """Answer a pull.
 
     ``fresh`` states that the store answers the sender, and ``revisions`` what
-    it knows by kind.
+    it knows by kind. ``packed`` holds the news of each kind in the form of
+    ``storenews``.
     """
 
     fresh: bool
     revisions: dict[str, int]
-    news: list[StoreNews]
+    packed: list[bytes]
 
 
 class Probe(Body, frozen=True, tag=True, array_like=True):
--- a/tests/test_storerelay.py
+++ b/tests/test_storerelay.py
@@ -18,6 +18,7 @@
     objectsource,
     peers,
     steps,
+    storenews,
     storerelay,
     storereplica,
     wire,
@@ -229,7 +230,7 @@
 
             def take_news(
                 replica: storereplica.StoreReplica,
-                news: wire.StoreNews,
+                news: storenews.StoreNews,
                 after_revision: int,
             ) -> None:
                 counts[0] += len(news.items)
@@ -281,6 +282,70 @@
 
         play(20, scenario)
 
+    def test_refused_watcher_learns_from_its_peers(self) -> None:
+        """Guards against a daemon that is blind while the store refuses it.
+
+        The load: the store turns a third of the VMs away for seconds while
+        it serves the others, in a small fleet and in a large one.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            await trio.sleep(5)
+            refused = fleet.relays[0].watchers()[::3]
+            for address in refused:
+                fleet.sources[int(address[1:])].is_cut = True
+            await trio.sleep(1)
+            fleet.store.put("late")
+            await trio.sleep(2.5)
+            state = fleet.store.state()
+            lagging = [
+                number
+                for number, seen in enumerate(fleet.seen)
+                if seen.objects != state
+            ]
+            self.assertEqual([], lagging)
+
+        for count in (6, 20):
+            play(count, scenario)
+
+    def test_alike_entries_are_packed_small(self) -> None:
+        """Guards against a release that fills the links of the watchers."""
+
+        async def main() -> None:
+            replica = storereplica.StoreReplica(KIND, Seen())
+            replica.on_listing(objectsource.Listing([], 1))
+            rng = random.Random(1)
+            changes = [
+                storefeed.changed(
+                    f"i-{rng.getrandbits(40):010x}",
+                    revision,
+                    service="counter-app",
+                    address=f"10.1.64.{revision % 250}:8500",
+                    zone="suwon",
+                    born=1_770_000_000_000 + revision,
+                    state="ready",
+                )
+                for revision in range(2, 402)
+            ]
+            replica.on_changes(changes, 401, 1)
+            packed = replica.packed_after(1)
+            news = replica.news_after(1)
+            assert packed is not None and news is not None
+            plain = sum(len(item.spec) for item in news.items)
+            self.assertLess(len(packed), 0.4 * plain)
+            self.assertIs(packed, replica.packed_after(1))
+            read = storenews.unpack_news(packed, "peer")
+            self.assertEqual(news, read.unwrap())
+
+        virtualtime.run(main)
+
+    def test_cut_news_are_an_error(self) -> None:
+        """Guards against a daemon that ends because of a peer's bytes."""
+        packed = storenews.pack_news(storenews.StoreNews(KIND, 1, True, []))
+        for broken in (packed[:-2], b"", b"no news"):
+            read = storenews.unpack_news(broken, "peer")
+            self.assertTrue(read.is_err())
+
     def test_change_reaches_all_when_watchers_die(self) -> None:
         """Guards against daemons that follow a watcher that is gone."""
 
