--- a/plantainhook/quarantine.py
+++ b/plantainhook/quarantine.py
@@ -13,8 +13,9 @@
 
 Until a crash is confirmed, a fingerprint that lost its connections to two
 leafs is a suspect too, unless a leaf has answered it of late: a query over a
-hundred shards loses several connections whenever leafs lose answers. A suspect that loses
-another connection is held until polls have had time to confirm the crash.
+hundred shards loses several connections whenever leafs lose answers. A
+suspect that loses another connection is held until polls have had time to
+confirm the crash.
 """
 
 import dataclasses
