Leave shards out that are down, charge only calls that reached a leaf

(2) Queries that had lost too many shards ran on. (3) Queries waited for shards all of whose leafs were known to be down. (4) A leaf that refuses 60 in 100 calls got its share of first calls again after each reply. (5) A leaf that had been slow kept its bad estimate as long as only hedges reached it.

Change: an attempt that reached no leaf is free or refunded; a query that cannot reach its least coverage ends at once, or is refused before it runs; shards that are down are left out and probed by one query each 0.3 s; the share of failed calls is part of the cost of a leaf; estimates fade while idle and follow faster replies sooner.

--- a/plantainhook/replicas.py
+++ b/plantainhook/replicas.py
@@ -13,11 +13,16 @@
 from plantainhook import concurrency, errors, querytypes, zones
 
 SPEED_WEIGHT: typing.Final = 0.1
+# A leaf that was slow gets few calls, so the few that are fast again count
+# for more than the same change upwards.
+FASTER_WEIGHT: typing.Final = 0.3
+FASTER_RATIO: typing.Final = 0.5
 # A single slow call must not mark a good leaf as slow.
 SPEED_SAMPLE_MAX: typing.Final = 10.0
-# An unused estimate moves back to average, so that a leaf that was slow is
-# tried again.
-SPEED_MEMORY_S: typing.Final = 10.0
+# An unused estimate moves back to average, so that a leaf that was slow or
+# failed is tried again.
+ESTIMATE_MEMORY_S: typing.Final = 10.0
+IDLE_FREE_S: typing.Final = 1.0
 COLD_FACTOR: typing.Final = 4.0
 FULL_FACTOR: typing.Final = 10.0
 # Above this cost a near replica is compared with those of other zones.
@@ -92,14 +97,15 @@
     hard_failure_count: int = 0
     sent_s: float = 0.0
 
-    def cost(self, cold: bool) -> float:
+    def cost(self, cold: bool, now_s: float) -> float:
         """Return the expected cost of one more call; lower is better."""
-        cost = self.speed * (1.0 + self.in_flight_count / self.slot_count)
+        speed = 1.0 + (self.speed - 1.0) * kept_ratio(now_s - self.speed_s)
+        cost = speed * (1.0 + self.in_flight_count / self.slot_count)
         if cold:
             cost *= COLD_FACTOR
         if not self.limit.has_room(self.in_flight_count):
             cost *= FULL_FACTOR
-        cost *= 1.0 + FAILURE_COST * self.failure_ratio
+        cost *= 1.0 + FAILURE_COST * self.current_failure_ratio(now_s)
         if self.link is not None:
             cost *= self.link.cost_factor()
         return cost
@@ -120,9 +126,13 @@
         probed = now_s - self.sent_s < PROBE_INTERVAL_S
         return probed or self.in_flight_count > 0
 
-    def is_grey(self) -> bool:
+    def current_failure_ratio(self, now_s: float) -> float:
+        """Return the share of failed calls, which fades while idle."""
+        return self.failure_ratio * kept_ratio(now_s - self.failure_s)
+
+    def is_grey(self, now_s: float) -> bool:
         """Return whether the leaf fails much of what it gets."""
-        return self.failure_ratio > GREY_RATIO
+        return self.current_failure_ratio(now_s) > GREY_RATIO
 
     def record_failure(self, failed: bool, now_s: float) -> None:
         """Average whether calls fail; an idle average fades.
@@ -131,23 +141,20 @@
         while its health is good. A reply between two failures says little,
         so the average decides.
         """
-        idle_s = now_s - self.failure_s
-        if idle_s > 1.0:
-            kept = max(0.0, 1.0 - idle_s / SPEED_MEMORY_S)
-            self.failure_ratio *= kept
+        self.failure_ratio *= kept_ratio(now_s - self.failure_s)
         self.failure_s = now_s
         sample = 1.0 if failed else 0.0
         self.failure_ratio += FAILURE_WEIGHT * (sample - self.failure_ratio)
 
     def record_speed(self, speed: float, now_s: float) -> None:
         """Average a latency relative to the group median."""
-        idle_s = now_s - self.speed_s
-        if idle_s > 1.0:
-            kept = max(0.0, 1.0 - idle_s / SPEED_MEMORY_S)
-            self.speed = 1.0 + (self.speed - 1.0) * kept
+        kept = kept_ratio(now_s - self.speed_s)
+        self.speed = 1.0 + (self.speed - 1.0) * kept
         self.speed_s = now_s
         sample = min(speed, SPEED_SAMPLE_MAX)
-        self.speed += SPEED_WEIGHT * (sample - self.speed)
+        faster = sample < FASTER_RATIO * self.speed
+        weight = FASTER_WEIGHT if faster else SPEED_WEIGHT
+        self.speed += weight * (sample - self.speed)
 
     def penalise(self, now_s: float) -> None:
         """Avoid the leaf for a time that doubles with each failure."""
@@ -351,24 +358,24 @@
             statuses = healthy or statuses
         if not statuses:
             return None
-        status, cost = self._cheaper_of_two(statuses)
-        failing = failing or self.state(status).is_grey()
+        status, cost = self._cheaper_of_two(statuses, now_s)
+        failing = failing or self.state(status).is_grey(now_s)
         return Choice(status, cost, failing)
 
     def _cheaper_of_two(
-        self, statuses: Statuses
+        self, statuses: Statuses, now_s: float
     ) -> tuple[querytypes.LeafStatus, float]:
         count = len(statuses)
         random_01 = self.rng.random
         first = statuses[int(random_01() * count)]
-        cost = self.state(first).cost(first.cold)
+        cost = self.state(first).cost(first.cold, now_s)
         if count == 1:
             return first, cost
         index = int(random_01() * (count - 1))
         second = statuses[index]
         if second is first:
             second = statuses[-1]
-        second_cost = self.state(second).cost(second.cold)
+        second_cost = self.state(second).cost(second.cold, now_s)
         if second_cost < cost:
             return second, second_cost
         return first, cost
@@ -396,3 +403,10 @@
             if status.info.name not in troubled
             or not self.states[status.info.name].failing(now_s)
         ]
+
+
+def kept_ratio(idle_s: float) -> float:
+    """Return how much of an estimate is left after a time without calls."""
+    if idle_s <= IDLE_FREE_S:
+        return 1.0
+    return max(0.0, 1.0 - idle_s / ESTIMATE_MEMORY_S)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -245,6 +245,19 @@
             self.replicas.on_reply(state, 0.05, 0.005, number * 0.01)
         self.assertEqual(0.0, self.share("a", 1.0))
 
+    def test_leaf_that_was_slow_is_used_again(self) -> None:
+        """Guards against load on one leaf long after the other recovered.
+
+        The load: a leaf is slow for seconds; then only hedges reach it.
+        """
+        for number in range(50):
+            state = self.replicas.on_sent(self.near, 0.2)
+            self.replicas.on_reply(state, 0.05, 0.005, number * 0.01)
+        for number in range(6):
+            state = self.replicas.on_sent(self.near, 0.2)
+            self.replicas.on_reply(state, 0.005, 0.005, 1.0 + number * 0.5)
+        self.assertTrue(state.speed < 2.5, state.speed)
+
     def test_failing_near_leafs(self) -> None:
         """Guards against lost coverage because of the cross-zone cap."""
         self.fail_near("connect", 0.0)
@@ -266,6 +279,25 @@
             self.fail_near("malformed", 0.1)
         self.assertEqual(1.0, self.share("c", 0.2))
 
+    def test_grey_leafs(self) -> None:
+        """Guards against first calls to leafs that refuse half of them.
+
+        The load: the near leafs refuse calls while their health is good,
+        and answer others between.
+        """
+        now_s = 0.0
+        for number in range(20):
+            now_s += 0.3
+            for status in (self.near, self.other):
+                state = self.replicas.on_sent(status, 0.2)
+                if number % 2:
+                    kind = errors.LeafFailureKind.REFUSED
+                    self.replicas.on_failure(state, kind, 1, now_s)
+                else:
+                    self.replicas.on_reply(state, 0.005, 0.005, now_s)
+        self.assertEqual(1.0, self.share("c", now_s + 0.6))
+        self.assertEqual(0.0, self.share("c", now_s + 30.0))
+
     def test_not_served(self) -> None:
         """Guards against a leaf asked again for a version it lacks."""
         self.fail_near("not_served", 0.0)
--- /dev/null
+++ b/tests/test_outofservice.py
@@ -0,0 +1,97 @@
+"""Tests of queries whose leafs are down: who is asked, who is refused."""
+
+import testtools
+
+from plantainhook import errors, querytypes
+from tests import test_querygoal
+
+GoalCase = test_querygoal.GoalCase
+CONNECT = errors.LeafFailureKind.CONNECT
+
+
+def leafs_of(*shards: str) -> list[str]:
+    """Return the names of all leafs of some shards."""
+    return [f"{shard}{zone}" for shard in shards for zone in "xy"]
+
+
+class OutOfServiceTest(testtools.TestCase):
+    """The load: all leafs of one or more shards crash or go dark."""
+
+    def test_down_shard_is_not_asked(self) -> None:
+        """Guards against answers that wait for a shard known to be down."""
+        case = GoalCase(least=0.75, down=leafs_of("s2"))
+        asked = {send.shards[0] for send in case.sends.values()}
+        self.assertEqual({"s0", "s1", "s3"}, asked)
+        for attempt_id in list(case.sends):
+            case.reply(attempt_id, 0.02)
+        self.assertEqual(("s2",), case.outcome.missing_shards)
+
+    def test_hopeless_query_is_refused_before_it_runs(self) -> None:
+        """Guards against work for a query that cannot be answered."""
+        case = GoalCase(least=0.75, down=leafs_of("s1", "s2"))
+        self.assertEqual({}, case.sends)
+        self.assertIsInstance(case.outcome, errors.RefusalError)
+        self.assertIs(errors.Ran.NO, case.outcome.ran)
+
+    def test_one_leaf_that_is_up_is_enough(self) -> None:
+        """Guards against a shard given up while a leaf may answer."""
+        case = GoalCase(least=1.0, down=["s1x", "s2y"])
+        self.assertEqual(4, len(case.sends))
+
+    def test_probe_goes_out_after_its_interval(self) -> None:
+        """Guards against a leaf that is never asked again."""
+        case = GoalCase(least=0.75, down=leafs_of("s1"))
+        state = case.policies.replicas.states["s1x"]
+        state.sent_s = 0.0
+        self.assertTrue(state.is_down(0.1))
+        self.assertFalse(state.is_down(0.5))
+        state.in_flight_count = 1
+        self.assertTrue(state.is_down(0.5))
+
+    def test_query_ends_when_too_few_shards_are_left(self) -> None:
+        """Guards against a lost query that is held until its deadline."""
+        case = GoalCase(least=0.75, max_leafs=1)
+        for attempt_id in (1, 2):
+            self.assertIs(None, case.outcome)
+            case.fail(
+                attempt_id,
+                0.01,
+                errors.Ran.MAYBE,
+                errors.LeafFailureKind.CONNECTION_LOST,
+            )
+        self.assertIsInstance(case.outcome, errors.RefusalError)
+        self.assertIsNot(errors.Ran.NO, case.outcome.ran)
+
+
+class ChargeTest(testtools.TestCase):
+    """The load: leafs refuse connections while the budget is short."""
+
+    def test_calls_that_reached_no_leaf_are_free(self) -> None:
+        """Guards against a budget spent on leafs that are down."""
+        case = GoalCase(extra=0.0, least=1.0)
+        for attempt_id in (1, 2, 3, 4):
+            case.fail(attempt_id, 0.01, errors.Ran.NO, CONNECT)
+        reasons = [send.reason for send in case.sends.values()]
+        retries = reasons.count(querytypes.AttemptReason.RETRY)
+        self.assertEqual(4, retries)
+
+    def test_a_hedge_that_reached_no_leaf_is_refunded(self) -> None:
+        """Guards against hedges to dead leafs that use up the budget."""
+        case = GoalCase(extra=1000.0)
+        case.take(case.machine.on_timer(0.1))
+        budget = case.budgets.of("s0")
+        self.assertEqual(1.0, budget.extra_count(0.1))
+        (hedge,) = [
+            send.attempt_id
+            for send in case.sends.values()
+            if send.shards == ("s0",)
+            and send.reason is querytypes.AttemptReason.HEDGE
+        ]
+        case.fail(hedge, 0.11, errors.Ran.NO, CONNECT)
+        self.assertEqual(0.0, budget.extra_count(0.1))
+
+    def test_refused_calls_are_charged(self) -> None:
+        """Guards against free retries of calls that a leaf received."""
+        case = GoalCase(extra=0.0, least=1.0)
+        case.fail(1, 0.01, errors.Ran.NO, errors.LeafFailureKind.REFUSED)
+        self.assertEqual(4, len(case.sends))
--- a/tests/test_querygoal.py
+++ b/tests/test_querygoal.py
@@ -11,6 +11,7 @@
     query,
     queryplan,
     querytypes,
+    replicas,
     routetable,
     shardmap,
     snapshot,
@@ -30,6 +31,7 @@
         max_leafs: int = 2,
         idempotent: bool = True,
         extra: float = 1000.0,
+        down: typing.Collection[str] = (),
     ) -> None:
         gather = routetable.Gather(SHARDS, 5, least)
         route = routetable.Route(
@@ -67,12 +69,18 @@
         view = snapshot.build_target_view("", {1: shard_map}, statuses, "x")
         policies = queryplan.build_policies("x", 1)
         policies.latencies = goalhedging.PooledLatencies()
-        policies.budgets = windowbudget.WindowBudgets(
+        budgets = windowbudget.WindowBudgets(
             windowbudget.WindowRules(10.0, 0.2, extra), lambda s: 1, -100.0
         )
+        policies.budgets = budgets
+        for name in down:
+            state = policies.replicas.state(statuses[name])
+            state.hard_failure_count = replicas.DOWN_FAILURES_COUNT
         request = querytypes.QueryRequest("q", "r", "k", {}, "f", 0.0, 0.8)
         rules = forwardplanner.rules_of(route, 0.9)
         plan = queryplan.QueryPlan(request, rules, lambda: view)
+        self.policies = policies
+        self.budgets = budgets
         self.machine = query.QueryMachine(plan, policies, 0.0)
         self.sends: dict[int, querytypes.Send] = {}
         self.outcome: typing.Any = None
