Give once-only requests fresh connections; name lost shards; stop earlier

Causes and changes: (1) leafs that forget idle connections reset what is sent next, and a request that may run once cannot be sent again: it no longer uses a connection that was idle for over 0.1 s. (3) A query given up early said that no leaf could answer any shard; it now names the shards that it lacks, as does every refusal for coverage. (4) On the grown site seven daemons on quarter-core VMs were still closing connections when they were killed; the planned stop leaves 0.9 s for that.

--- a/plantainhook/answers.py
+++ b/plantainhook/answers.py
@@ -126,7 +126,9 @@
     plan: queryplan.QueryPlan, merge: coverage.Merge, ran: errors.Ran
 ) -> errors.RefusalError:
     detail = messages.COVERAGE_TOO_LOW.format(
-        coverage=merge.ratio(), minimum=plan.rules.min_coverage_ratio
+        coverage=merge.ratio(),
+        minimum=plan.rules.min_coverage_ratio,
+        shards=", ".join(merge.missing_shards()[:NAMED_SHARDS_MAX]),
     )
     gaps = merge.area_gaps(plan.request.area)
     if gaps:
--- a/plantainhook/dispatch.py
+++ b/plantainhook/dispatch.py
@@ -216,12 +216,19 @@
             leaf = assignment.status.info.name
             if not shard_set.may_run_on(leaf, max_runs_count):
                 continue
+            hedged = reason is querytypes.AttemptReason.HEDGE
+            if hedged and self._is_down(assignment, now_s):
+                continue
             if not self._spend(shard_set, reason, now_s):
                 break
             self._send(shard_set, assignment, reason, actions, now_s)
             sent = True
         return sent
 
+    def _is_down(self, assignment: routing.Assignment, now_s: float) -> bool:
+        state = self._policies.replicas.state(assignment.status)
+        return state.is_down(now_s)
+
     def _spend(
         self,
         shard_set: attempts.ShardSet,
--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -50,8 +50,9 @@
 # Idle connections end this long after the stop began; callers have learnt by
 # then to open new ones elsewhere.
 CLOSE_IDLE_S: typing.Final = 3.0
-# Left for the process to exit before it is killed.
-EXIT_MARGIN_S: typing.Final = 0.4
+# Left for the process to exit before it is killed; closing thousands of
+# connections takes this long on a quarter of a core.
+EXIT_MARGIN_S: typing.Final = 0.9
 IDLE_CHECK_S: typing.Final = 0.05
 # Part of the connections of a leaf that the daemons share out.
 CONNECTIONS_RATIO: typing.Final = 0.9
--- a/plantainhook/forwardgateway.py
+++ b/plantainhook/forwardgateway.py
@@ -26,6 +26,9 @@
 
 # Tries on another connection of the leaf where no byte was written.
 SEND_TRIES_COUNT: typing.Final = 3
+# Leafs that forget connections reset what is sent on one that was idle for
+# 150 ms or more, and nothing tells whether the request ran.
+ONCE_IDLE_MAX_S: typing.Final = 0.1
 
 Failure = errors.LeafFailureKind
 ReplyResult = result.Result[querytypes.LeafReply, errors.LeafError]
@@ -33,9 +36,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ForwardGateway:
-    """Send one forwarded request to leafs; an ``executor.LeafCaller``."""
+    """Send one forwarded request to leafs; an ``executor.LeafCaller``.
+
+    Pattern: leafs forget idle connections. A request that may run once
+    cannot be sent again after a reset, so it gets a fresh connection.
+    """
 
     forwarded: forwardtypes.ForwardRequest
+    idempotent: bool
     dialect: forwardtypes.Dialect
     pools: leafpools.LeafPools
     instruments: metrics.LeafMetrics
@@ -75,7 +83,8 @@
         if pool is None:
             detail = "the leaf is not registered any more"
             return result.Err(leafconnect.no_connection(send.leaf, detail))
-        acquired = await pool.acquire(send.deadline_s)
+        max_idle_s = math.inf if self.idempotent else ONCE_IDLE_MAX_S
+        acquired = await pool.acquire(send.deadline_s, max_idle_s)
         if isinstance(acquired, result.Err):
             return acquired
         connection = acquired.ok_value
--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -133,6 +133,7 @@
         machine = parts.planner.machine(request, route, services, started_s)
         gateway = forwardgateway.ForwardGateway(
             forwarded,
+            route.idempotent,
             parts.dialect,
             parts.pools,
             parts.instruments,
--- a/plantainhook/leafpool.py
+++ b/plantainhook/leafpool.py
@@ -10,6 +10,7 @@
 
 import heapq
 import itertools
+import math
 import random
 import typing
 
@@ -144,12 +145,15 @@
         self._open_more()
 
     async def acquire(
-        self, deadline_s: float
+        self, deadline_s: float, max_idle_s: float = math.inf
     ) -> httpconnection.LeafResult[leafclient.LeafClient]:
         """Lend a connection; waiting callers are served by deadline.
 
-        The caller gives it back by ``release`` or ``abandon``.
+        One that was idle for longer than ``max_idle_s`` is replaced by a new
+        one. The caller gives it back by ``release`` or ``abandon``.
         """
+        if max_idle_s < math.inf:
+            self._close_idle_for(max_idle_s)
         client = self._take_idle()
         if client is not None:
             if not self._idle:
@@ -239,6 +243,15 @@
         elif isinstance(waiter.outcome, result.Ok):
             self.release(waiter.outcome.ok_value)
 
+    def _close_idle_for(self, max_idle_s: float) -> None:
+        """Close the connections that have been idle for longer."""
+        oldest_s = trio.current_time() - max_idle_s
+        kept = [client for client in self._idle if client.used_s >= oldest_s]
+        closed = [client for client in self._idle if client.used_s < oldest_s]
+        self._idle = kept
+        for client in closed:
+            self._close(client)
+
     def _take_idle(self) -> leafclient.LeafClient | None:
         while self._idle:
             client = self._idle.pop()
--- a/plantainhook/messages.py
+++ b/plantainhook/messages.py
@@ -22,7 +22,8 @@
     "the deadline of {deadline_ms} ms cannot be met"
 )
 COVERAGE_TOO_LOW: typing.Final = (
-    "coverage is {coverage:.4f}; the request kind needs {minimum:.4f}"
+    "coverage is {coverage:.4f}; the request kind needs {minimum:.4f}; "
+    "missing: {shards}"
 )
 OUT_OF_SERVICE: typing.Final = (
     "{count} shards are out of service ({shards}); "
--- a/plantainhook/query.py
+++ b/plantainhook/query.py
@@ -353,15 +353,26 @@
         if self._waiting and not self._ledger.live:
             reason = querytypes.AttemptReason.FIRST
             self._work.send_first(self._waiting.pop(), reason, actions, now_s)
-        if self._work.open_count == 0 or not self._can_suffice():
+        is_open = self._work.open_count > 0
+        if not is_open or not self._can_suffice():
             restart = self._restart_if_better(actions, now_s)
             if restart is not None:
                 return restart
+            if is_open:
+                return self._give_up(actions, now_s)
             return self._finish_with_merge(actions, now_s)
         if actions:
             self._arm(actions)
         return actions
 
+    def _give_up(self, actions: Actions, now_s: float) -> Actions:
+        """Refuse a query that has lost too many shards while others run."""
+        self._cancel_all(actions, now_s)
+        refusal = answers.out_of_service(
+            self.plan, sorted(self._work.lost), self._ledger.ran
+        )
+        return self._finish(refusal, actions, now_s)
+
     def _goal_is_met(self, now_s: float) -> bool:
         """Return whether the time to wait for more shards has passed.
 
--- a/tests/test_httpconnection.py
+++ b/tests/test_httpconnection.py
@@ -144,6 +144,7 @@
             forwardtypes.ForwardRequest(
                 b"GET", b"/", "h", [], b"", "abc", 500.0
             ),
+            True,
             dialect.PlatformDialect(),
             pools,
             instruments,
--- a/tests/test_leafpool.py
+++ b/tests/test_leafpool.py
@@ -1,5 +1,6 @@
 """Connections to one leaf: allotment, order of waiters, warming, cancel."""
 
+import math
 import typing
 from collections import abc
 
@@ -107,6 +108,30 @@
 
         self.run_virtual(case)
 
+    def test_idle_connection_is_replaced(self) -> None:
+        """Guards against a once-only request on a forgotten connection.
+
+        The load: leafs forget connections that were idle for 150 ms and
+        reset what comes next.
+        """
+
+        async def case() -> None:
+            async with leafhelp.running_rig(allotment_count=1) as rig:
+                self.assertTrue((await rig.call()).is_ok())
+                pool = self.pool(rig)
+                before = len(rig.network.connects)
+                await trio.sleep(0.05)
+                fresh = (await pool.acquire(math.inf, 0.1)).unwrap()
+                pool.release(fresh)
+                self.assertEqual(before, len(rig.network.connects))
+                await trio.sleep(0.2)
+                fresh = (await pool.acquire(math.inf, 0.1)).unwrap()
+                pool.release(fresh)
+                self.assertEqual(before + 1, len(rig.network.connects))
+                self.assertEqual(1, rig.leafs[0].open_max_count)
+
+        self.run_virtual(case)
+
     def test_late_reply(self) -> None:
         """Guards against a late reply that reaches the next request."""
 
