--- a/plantainhook/attempts.py
+++ b/plantainhook/attempts.py
@@ -7,7 +7,13 @@
 
 import dataclasses
 
-from plantainhook import errors, hedging, queryplan, querytypes, replicas
+from plantainhook import (
+    errors,
+    hedging,
+    queryplan,
+    querytypes,
+    replicastate,
+)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -64,7 +70,7 @@
     """Hold one call to a leaf."""
 
     attempt_id: int
-    leaf: replicas.ReplicaState
+    leaf: replicastate.ReplicaState
     shards: tuple[str, ...]
     shard_set: ShardSet
     sent_s: float
--- a/plantainhook/coverage.py
+++ b/plantainhook/coverage.py
@@ -8,7 +8,7 @@
 import typing
 from collections import abc
 
-from plantainhook import querytypes, shardmap
+from plantainhook import querytypes, schema, shardmap
 
 # Weights are summed in different orders, so ratios that are equal on paper
 # can differ in the last bits.
@@ -74,8 +74,8 @@
 def suffices_without(
     merge: Merge, rules: querytypes.EffectiveRules, lost: abc.Set[str]
 ) -> bool:
-    """Return whether the least coverage can be met without some shards."""
-    if not lost:
+    """Return whether an answer is possible without some shards."""
+    if not lost or rules.below_min is not schema.BelowMin.REFUSE:
         return True
     if lost >= merge.asked:
         return False
--- a/plantainhook/query.py
+++ b/plantainhook/query.py
@@ -21,7 +21,6 @@
     queryplan,
     querytypes,
     routing,
-    schema,
     snapshot,
     steps,
 )
@@ -197,20 +196,11 @@
         assignments: list[routing.Assignment],
         now_s: float,
     ) -> errors.RefusalError | None:
-        """Leave shards that are out of service out of the assignments.
-
-        A query that cannot reach its least coverage without them is refused
-        before any leaf works for it. A query of one shard tries it anyhow.
-        """
-        asked = {name for item in assignments for name in item.shards}
-        self._work.lost = set(self.merge.asked - asked)
-        if len(self.merge.asked) == 1:
-            return None
-        for item in tuple(assignments):
-            if routing.is_out(view, item, self.policies.replicas, now_s):
-                assignments.remove(item)
-                self._work.lost |= set(item.shards)
-        if self._can_suffice():
+        """Leave out shards that are down; refuse where too few are left."""
+        self._work.lost = routing.leave_out(
+            view, assignments, self.merge.asked, self.policies.replicas, now_s
+        )
+        if len(self.merge.asked) == 1 or self._can_suffice():
             return None
         return answers.out_of_service(
             self.plan, sorted(self._work.lost), self._ledger.ran
@@ -218,8 +208,6 @@
 
     def _can_suffice(self) -> bool:
         """Return whether the shards that are not lost may be enough."""
-        if self.plan.rules.below_min is not schema.BelowMin.REFUSE:
-            return True
         return coverage.suffices_without(
             self.merge, self.plan.rules, self._work.lost
         )
--- a/plantainhook/replicas.py
+++ b/plantainhook/replicas.py
@@ -10,37 +10,19 @@
 import typing
 from collections import abc
 
-from plantainhook import concurrency, errors, querytypes, zones
+from plantainhook import (
+    concurrency,
+    errors,
+    querytypes,
+    replicastate,
+    zones,
+)
 
-SPEED_WEIGHT: typing.Final = 0.1
-# A leaf that was slow gets few calls, so the few that are fast again count
-# for more than the same change upwards.
-FASTER_WEIGHT: typing.Final = 0.3
-FASTER_RATIO: typing.Final = 0.5
-# A single slow call must not mark a good leaf as slow.
-SPEED_SAMPLE_MAX: typing.Final = 10.0
-# An unused estimate moves back to average, so that a leaf that was slow or
-# failed is tried again.
-ESTIMATE_MEMORY_S: typing.Final = 10.0
-IDLE_FREE_S: typing.Final = 1.0
-COLD_FACTOR: typing.Final = 4.0
-FULL_FACTOR: typing.Final = 10.0
 # Above this cost a near replica is compared with those of other zones.
 SPILL_COST: typing.Final = 3.0
 # A call cancelled after this many medians counts as unanswered.
 UNANSWERED_FACTOR: typing.Final = 3.0
 UNANSWERED_MAX: typing.Final = 5
-PENALTY_FIRST_S: typing.Final = 0.25
-PENALTY_MAX_S: typing.Final = 4.0
-# A leaf is down after this many hard failures without a reply between; one
-# query in each interval probes it.
-DOWN_FAILURES_COUNT: typing.Final = 2
-PROBE_INTERVAL_S: typing.Final = 0.3
-FAILURE_WEIGHT: typing.Final = 0.2
-# Added to the cost factor of a leaf that fails every call.
-FAILURE_COST: typing.Final = 8.0
-# A leaf that fails more of its calls is avoided while another does better.
-GREY_RATIO: typing.Final = 0.3
 # Polling refreshes the versions that leafs serve every second.
 NOT_SERVED_S: typing.Final = 1.0
 
@@ -73,98 +55,6 @@
 )
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class ReplicaState:
-    """Hold what the calls of this daemon saw of one leaf.
-
-    ``speed`` is the leaf's recent latency over the median of its group and
-    kind, so 1 is average and 2 is half as fast. ``failure_ratio`` is the
-    share of the recent calls that it refused, lost or answered wrongly.
-    """
-
-    name: str
-    limit: concurrency.ConcurrencyLimit
-    slot_count: int
-    link: zones.Link | None
-    in_flight_count: int = 0
-    speed: float = 1.0
-    speed_s: float = 0.0
-    penalty_s: float = 0.0
-    penalised_until_s: float = 0.0
-    unanswered_count: int = 0
-    failure_ratio: float = 0.0
-    failure_s: float = 0.0
-    hard_failure_count: int = 0
-    sent_s: float = 0.0
-
-    def cost(self, cold: bool, now_s: float) -> float:
-        """Return the expected cost of one more call; lower is better."""
-        speed = 1.0 + (self.speed - 1.0) * kept_ratio(now_s - self.speed_s)
-        cost = speed * (1.0 + self.in_flight_count / self.slot_count)
-        if cold:
-            cost *= COLD_FACTOR
-        if not self.limit.has_room(self.in_flight_count):
-            cost *= FULL_FACTOR
-        cost *= 1.0 + FAILURE_COST * self.current_failure_ratio(now_s)
-        if self.link is not None:
-            cost *= self.link.cost_factor()
-        return cost
-
-    def failing(self, now_s: float) -> bool:
-        """Return whether the leaf is to be avoided.
-
-        After the penalty one call at a time probes the leaf until a reply.
-        """
-        if self.penalty_s == 0.0:
-            return False
-        return now_s < self.penalised_until_s or self.in_flight_count > 0
-
-    def is_down(self, now_s: float) -> bool:
-        """Return whether the leaf does not answer and is probed already."""
-        if self.hard_failure_count < DOWN_FAILURES_COUNT:
-            return False
-        probed = now_s - self.sent_s < PROBE_INTERVAL_S
-        return probed or self.in_flight_count > 0
-
-    def current_failure_ratio(self, now_s: float) -> float:
-        """Return the share of failed calls, which fades while idle."""
-        return self.failure_ratio * kept_ratio(now_s - self.failure_s)
-
-    def is_grey(self, now_s: float) -> bool:
-        """Return whether the leaf fails much of what it gets."""
-        return self.current_failure_ratio(now_s) > GREY_RATIO
-
-    def record_failure(self, failed: bool, now_s: float) -> None:
-        """Average whether calls fail; an idle average fades.
-
-        Pattern: a leaf refuses a part of its calls or loses their answers
-        while its health is good. A reply between two failures says little,
-        so the average decides.
-        """
-        self.failure_ratio *= kept_ratio(now_s - self.failure_s)
-        self.failure_s = now_s
-        sample = 1.0 if failed else 0.0
-        self.failure_ratio += FAILURE_WEIGHT * (sample - self.failure_ratio)
-
-    def record_speed(self, speed: float, now_s: float) -> None:
-        """Average a latency relative to the group median."""
-        kept = kept_ratio(now_s - self.speed_s)
-        self.speed = 1.0 + (self.speed - 1.0) * kept
-        self.speed_s = now_s
-        sample = min(speed, SPEED_SAMPLE_MAX)
-        faster = sample < FASTER_RATIO * self.speed
-        weight = FASTER_WEIGHT if faster else SPEED_WEIGHT
-        self.speed += weight * (sample - self.speed)
-
-    def penalise(self, now_s: float) -> None:
-        """Avoid the leaf for a time that doubles with each failure."""
-        if now_s < self.penalised_until_s:
-            return
-        doubled = max(PENALTY_FIRST_S, self.penalty_s * 2.0)
-        self.penalty_s = min(PENALTY_MAX_S, doubled)
-        self.penalised_until_s = now_s + self.penalty_s
-
-
 @dataclasses.dataclass(slots=True)
 class Choice:
     """Hold a replica, its cost and whether it is failing."""
@@ -184,13 +74,17 @@
 
     zone_policy: zones.ZonePolicy
     rng: random.Random
-    states: dict[str, ReplicaState] = dataclasses.field(default_factory=dict)
+    states: dict[str, replicastate.ReplicaState] = dataclasses.field(
+        default_factory=dict
+    )
     troubled: set[str] = dataclasses.field(default_factory=set)
     not_served_until_s: dict[tuple[str, int], float] = dataclasses.field(
         default_factory=dict
     )
 
-    def state(self, status: querytypes.LeafStatus) -> ReplicaState:
+    def state(
+        self, status: querytypes.LeafStatus
+    ) -> replicastate.ReplicaState:
         """Return the state of a leaf."""
         state = self.states.get(status.info.name)
         return self._add_state(status) if state is None else state
@@ -238,7 +132,7 @@
 
     def on_sent(
         self, status: querytypes.LeafStatus, max_ratio: float
-    ) -> ReplicaState:
+    ) -> replicastate.ReplicaState:
         """Count a call in flight."""
         state = self.state(status)
         state.in_flight_count += 1
@@ -247,7 +141,7 @@
 
     def on_reply(
         self,
-        state: ReplicaState,
+        state: replicastate.ReplicaState,
         latency_s: float,
         median_s: float,
         now_s: float,
@@ -270,7 +164,7 @@
 
     def on_cancelled(
         self,
-        state: ReplicaState,
+        state: replicastate.ReplicaState,
         waited_s: float,
         median_s: float,
         now_s: float,
@@ -287,7 +181,7 @@
 
     def on_failure(
         self,
-        state: ReplicaState,
+        state: replicastate.ReplicaState,
         kind: errors.LeafFailureKind,
         version: int,
         now_s: float,
@@ -310,14 +204,18 @@
         if lost and state.link is not None:
             state.link.record(lost=True)
 
-    def _note_unanswered(self, state: ReplicaState, now_s: float) -> None:
+    def _note_unanswered(
+        self, state: replicastate.ReplicaState, now_s: float
+    ) -> None:
         state.unanswered_count += 1
         if state.unanswered_count >= UNANSWERED_MAX:
             state.unanswered_count = 0
-            state.hard_failure_count = DOWN_FAILURES_COUNT
+            state.hard_failure_count = replicastate.DOWN_FAILURES_COUNT
             self._penalise(state, now_s)
 
-    def _penalise(self, state: ReplicaState, now_s: float) -> None:
+    def _penalise(
+        self, state: replicastate.ReplicaState, now_s: float
+    ) -> None:
         state.penalise(now_s)
         self.troubled.add(state.name)
 
@@ -330,7 +228,9 @@
         until_s = now_s + NOT_SERVED_S
         self.not_served_until_s[name, version] = until_s
 
-    def _add_state(self, status: querytypes.LeafStatus) -> ReplicaState:
+    def _add_state(
+        self, status: querytypes.LeafStatus
+    ) -> replicastate.ReplicaState:
         info = status.info
         link = None
         if info.data_centre != self.zone_policy.data_centre:
@@ -338,7 +238,9 @@
         limit = concurrency.build_limit(
             info.slot_count, info.connection_limit_count
         )
-        state = ReplicaState(info.name, limit, info.slot_count, link)
+        state = replicastate.ReplicaState(
+            info.name, limit, info.slot_count, link
+        )
         self.states[info.name] = state
         return state
 
@@ -403,10 +305,3 @@
             if status.info.name not in troubled
             or not self.states[status.info.name].failing(now_s)
         ]
-
-
-def kept_ratio(idle_s: float) -> float:
-    """Return how much of an estimate is left after a time without calls."""
-    if idle_s <= IDLE_FREE_S:
-        return 1.0
-    return max(0.0, 1.0 - idle_s / ESTIMATE_MEMORY_S)
--- a/plantainhook/routing.py
+++ b/plantainhook/routing.py
@@ -39,7 +39,29 @@
     return list(by_leaf.values())
 
 
-def is_out(
+def leave_out(
+    view: snapshot.VersionView,
+    assignments: list[Assignment],
+    asked: frozenset[str],
+    chooser: replicas.Replicas,
+    now_s: float,
+) -> set[str]:
+    """Remove the assignments to shards that are down; return what is lost.
+
+    A query of one shard tries its leafs anyhow.
+    """
+    given = {name for item in assignments for name in item.shards}
+    lost = set(asked - given)
+    if len(asked) == 1:
+        return lost
+    for item in tuple(assignments):
+        if _is_out(view, item, chooser, now_s):
+            assignments.remove(item)
+            lost.update(item.shards)
+    return lost
+
+
+def _is_out(
     view: snapshot.VersionView,
     assignment: Assignment,
     chooser: replicas.Replicas,
--- a/tests/test_querygoal.py
+++ b/tests/test_querygoal.py
@@ -11,7 +11,7 @@
     query,
     queryplan,
     querytypes,
-    replicas,
+    replicastate,
     routetable,
     shardmap,
     snapshot,
@@ -75,7 +75,7 @@
         policies.budgets = budgets
         for name in down:
             state = policies.replicas.state(statuses[name])
-            state.hard_failure_count = replicas.DOWN_FAILURES_COUNT
+            state.hard_failure_count = replicastate.DOWN_FAILURES_COUNT
         request = querytypes.QueryRequest("q", "r", "k", {}, "f", 0.0, 0.8)
         rules = forwardplanner.rules_of(route, 0.9)
         plan = queryplan.QueryPlan(request, rules, lambda: view)
