Prove the store's return by a short watch; tell followers of its outages

Cause, found by the new test: after a failed read the next watch waited up to 30 s, and a store without changes answers it only at its end. Until then a watcher counted as cut off, so after each outage every daemon of a large fleet read the store itself. And daemons that follow a watcher did not know that the store was away, so they dropped leafs whose entries had lapsed at once, while the watcher waits 2.2 s for them to register again.

Ruled out: the jitter of the hand-back (all followers were on the store, the watchers' answers said that they were not fresh).

Change: the first watch after a failure waits 50 ms; a pull passes on whether the store answers the watcher. The test fails without either change.

--- a/plantainhook/objectsource.py
+++ b/plantainhook/objectsource.py
@@ -18,6 +18,9 @@
 LOGGER: typing.Final = logs.part_logger("store")
 RETRY_FIRST_S: typing.Final = 0.1
 RETRY_MAX_S: typing.Final = 0.8
+# The first watch after a failure returns soon: a store without changes to
+# tell answers a long one only at its end.
+FIRST_WAIT_S: typing.Final = 0.05
 
 
 class SourceObject(typing.NamedTuple):
@@ -127,10 +130,12 @@
     """Keep a copy up to date until cancelled."""
     pause_s = RETRY_FIRST_S
     listed = replica.revision > 0
+    wait_s = FIRST_WAIT_S
     while True:
-        error = await _step(source, replica, options, listed)
+        error = await _step(source, replica, options, listed, wait_s)
         if error is None:
             listed = True
+            wait_s = options.watch_wait_s
             pause_s = RETRY_FIRST_S
             replica.on_answered()
             continue
@@ -140,6 +145,7 @@
             continue
         LOGGER.info("Read of {} failed: {}", source.kind, error)
         replica.on_lost(error)
+        wait_s = FIRST_WAIT_S
         await trio.sleep(pause_s * rng.uniform(0.7, 1.3))
         pause_s = min(RETRY_MAX_S, pause_s * 2)
 
@@ -149,6 +155,7 @@
     replica: Replica,
     options: FollowOptions,
     listed: bool,
+    wait_s: float,
 ) -> errors.ObjectApiError | None:
     """List or watch once; return what failed."""
     if not listed:
@@ -160,7 +167,7 @@
         await trio.sleep(options.gather_s)
         return None
     after_revision = replica.revision
-    watched = await source.watch(after_revision, options.watch_wait_s)
+    watched = await source.watch(after_revision, wait_s)
     if isinstance(watched, result.Err):
         return watched.err_value
     changes, revision = watched.ok_value
--- a/plantainhook/storerelay.py
+++ b/plantainhook/storerelay.py
@@ -21,12 +21,14 @@
 from plantainhook import (
     blackboard,
     clock,
+    errors,
     hashing,
     leafpools,
     logs,
     memberstrength,
     objectsource,
     peers,
+    steps,
     storenews,
     storereplica,
     wire,
@@ -256,6 +258,7 @@
         answer = await self._ask(address, body, PULL_TIMEOUT_S)
         if answer is None:
             return False
+        self._tell_consumers(address, answer.fresh)
         for packed in answer.packed:
             unpacked = storenews.unpack_news(packed, address)
             if isinstance(unpacked, result.Err):
@@ -267,6 +270,26 @@
                 replica.take_news(news, have[news.kind])
         return answer.fresh
 
+    def _tell_consumers(self, address: str, fresh: bool) -> None:
+        """Pass on whether the store answers the watcher.
+
+        Pattern: entries lapse while the store is away and come back shortly
+        after it. Their removal must look the same at every daemon. One that
+        reads the store itself learns this there.
+        """
+        if self._own is not None:
+            return
+        for kind, replica in self._replicas.items():
+            if fresh:
+                replica.on_answered()
+                continue
+            detail = f"{kind}: the store does not answer the watcher"
+            replica.on_lost(
+                errors.ObjectApiUnavailableError(
+                    steps.Step.SETTINGS_SPREAD, address, detail
+                )
+            )
+
     async def _ask(
         self, address: str, body: wire.StorePull, timeout_s: float
     ) -> wire.StoreReply | None:
--- a/tests/test_storerelay.py
+++ b/tests/test_storerelay.py
@@ -33,6 +33,7 @@
 
     def __init__(self) -> None:
         self.objects: dict[str, object] = {}
+        self.is_lost = False
 
     def on_listing(self, listing: objectsource.Listing) -> None:
         """Take all objects."""
@@ -47,10 +48,12 @@
                 self.objects[change.object.name] = change.object.spec
 
     def on_lost(self, error: errors.ObjectApiError) -> None:
-        """Ignore the loss of the store."""
+        """Note the loss of the store."""
+        self.is_lost = True
 
     def on_answered(self) -> None:
-        """Ignore the return of the store."""
+        """Note the return of the store."""
+        self.is_lost = False
 
 
 class Store:
@@ -282,6 +285,34 @@
 
         play(20, scenario)
 
+    def test_followers_learn_that_the_store_is_away(self) -> None:
+        """Guards against leafs dropped at once because their entries lapsed.
+
+        The load: the store is down, entries lapse, and the removals arrive
+        by a watcher before the leafs have registered again.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            await trio.sleep(5)
+            watchers = fleet.relays[0].watchers()
+            followers = [
+                seen
+                for number, seen in enumerate(fleet.seen)
+                if f"d{number}" not in watchers
+            ]
+            for address in watchers:
+                fleet.sources[int(address[1:])].is_cut = True
+            await trio.sleep(1.7)
+            self.assertTrue(all(seen.is_lost for seen in followers))
+            for address in watchers:
+                fleet.sources[int(address[1:])].is_cut = False
+            await trio.sleep(3)
+            self.assertFalse(any(seen.is_lost for seen in followers))
+            reading = [relay.reads_store() for relay in fleet.relays]
+            self.assertEqual(len(watchers), sum(reading))
+
+        play(20, scenario)
+
     def test_refused_watcher_learns_from_its_peers(self) -> None:
         """Guards against a daemon that is blind while the store refuses it.
 
