--- a/tests/test_outofservice.py
+++ b/tests/test_outofservice.py
@@ -48,6 +48,13 @@
         state.in_flight_count = 1
         self.assertTrue(state.is_down(0.5))
 
+    def test_no_hedge_to_a_leaf_that_is_down(self) -> None:
+        """Guards against hedges that only meet a refused connection."""
+        case = GoalCase(least=0.75, down=["s0y"])
+        case.take(case.machine.on_timer(0.1))
+        self.assertEqual(["s0x"], case.leafs_of("s0"))
+        self.assertEqual(2, len(case.leafs_of("s1")))
+
     def test_query_ends_when_too_few_shards_are_left(self) -> None:
         """Guards against a lost query that is held until its deadline."""
         case = GoalCase(least=0.75, max_leafs=1)
--- a/tests/test_storerelay.py
+++ b/tests/test_storerelay.py
@@ -1,5 +1,6 @@
 """Tests of the copies of the store and of their spread between daemons."""
 
+import dataclasses
 import random
 import typing
 from unittest import mock
@@ -219,6 +220,27 @@
 
         play(30, scenario)
 
+    def test_strong_members_watch(self) -> None:
+        """Guards against a watcher whose link is too narrow for its peers.
+
+        The load: in each data centre two of ten VMs are strong.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            board = fleet.relays[0]._board
+            board.members = {
+                number: dataclasses.replace(
+                    member, capacity=215 if number < 6 else 52
+                )
+                for number, member in board.members.items()
+            }
+            strong = {f"d{number}" for number in range(6)}
+            watchers = fleet.relays[0].watchers()
+            self.assertEqual(3, len(watchers))
+            self.assertEqual(set(), set(watchers) - strong)
+
+        play(30, scenario)
+
     def test_news_is_sent_once(self) -> None:
         """Guards against the same news from every watcher.
 
