--- a/plantainhook/replicastate.py
+++ b/plantainhook/replicastate.py
@@ -21,8 +21,8 @@
 FULL_FACTOR: typing.Final = 10.0
 PENALTY_FIRST_S: typing.Final = 0.25
 PENALTY_MAX_S: typing.Final = 4.0
-# A leaf is down after this many hard failures without a reply between; one
-# query in each interval probes it.
+# A leaf is down after this many hard failures without a reply between. One
+# query in each interval probes it: some more than the goal of a query.
 DOWN_FAILURES_COUNT: typing.Final = 2
 PROBE_INTERVAL_S: typing.Final = 0.3
 FAILURE_WEIGHT: typing.Final = 0.2
--- a/plantainhook/storerelay.py
+++ b/plantainhook/storerelay.py
@@ -49,8 +49,8 @@
 # Daemons lose their watchers together; they turn to the store one after the
 # other within this time, and most find a watcher before their turn.
 PATIENCE_MAX_S: typing.Final = 0.9
-# A watcher without the store pulls from peers after this time, and from so
-# many of them.
+# A watcher without the store pulls from peers after this time: a slow store
+# answers within 0.3 s. It asks so many, as some may be without it too.
 LOST_S: typing.Final = 0.4
 LOST_SOURCES_COUNT: typing.Final = 3
 # A daemon stops reading the store when watchers were fresh for this long.
