--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -285,6 +285,17 @@
         self.assertEqual(1.0, self.share("c", now_s + 0.6))
         self.assertEqual(0.0, self.share("c", now_s + 30.0))
 
+    def test_one_failure_does_not_outweigh_a_slow_leaf(self) -> None:
+        """Guards against calls to a hanging leaf after one failure elsewhere.
+
+        The load: one near leaf hangs, the other refused a single call.
+        """
+        state = self.replicas.on_sent(self.near, 0.2)
+        kind = errors.LeafFailureKind.REFUSED
+        self.replicas.on_failure(state, kind, 1, 0.0)
+        self.replicas.state(self.other).speed = 2.0
+        self.assertEqual(1.0, self.share("a", 0.5))
+
     def test_not_served(self) -> None:
         """Guards against a leaf asked again for a version it lacks."""
         self.fail_near("not_served", 0.0)
