Gather queries in branches, one for each data centre of the leafs

Cause: the daemon that gathers a query called each of its 20 to 87 shards itself.

Change: shards without a leaf here form branches. Daemons announce the feature, so an older one gets no message it can't decode. The setting gather_levels_count = 1 is the flat gather of before.

Ruled out: one branch for all shards of a data centre whatever its VMs.

--- a/plantainhook/blackboard.py
+++ b/plantainhook/blackboard.py
@@ -106,6 +106,8 @@
     share: int | None = None
     # CPU capacity in hundredths of a core; 0 if it is unknown.
     capacity: int = 0
+    # Feature bits of ``wire``.
+    features: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -15,6 +15,10 @@
 
 from plantainhook import (
     blackboard,
+    branchgather,
+    branchhelpers,
+    branchserver,
+    branchworker,
     clock,
     fleetsize,
     forwardmetrics,
@@ -119,7 +123,9 @@
         )
         self.members = membership.Membership(
             self.board,
-            membership.own_entry(self.hello, capacity_of(forward)),
+            membership.own_entry(
+                self.hello, capacity_of(forward), wire.FEATURE_BRANCHES
+            ),
             self.links,
             self.handlers,
             membership.MembershipOptions(
@@ -142,11 +148,14 @@
             self.rng,
             options=POOL_OPTIONS,
         )
+        self.gatherer_choice = gatherers.GathererChoice(
+            self.board, gatherers.GathererOptions()
+        )
         self.gatherers = gatherers.Gatherers(
             self.board,
             self.links,
             self.handlers,
-            gatherers.GathererOptions(),
+            self.gatherer_choice,
             self.clock,
         )
         self.budgets = self._build_budgets()
@@ -156,9 +165,28 @@
             self._build_policies(),
             self.budgets,
         )
+        self.worker = branchworker.BranchWorker(
+            self.board,
+            self.planner,
+            self.pools,
+            adapters.dialect,
+            self.instruments,
+            self._build_decision_log("attempt"),
+        )
+        self.branch_server = branchserver.BranchServer(
+            self.handlers, self.worker, self._build_decision_log("branch")
+        )
+        self.branches = branchgather.BranchGather(
+            branchhelpers.Helpers(self.board, self.gatherer_choice),
+            self.links,
+            self.worker,
+            self.budgets,
+            self._build_decision_log("branch"),
+        )
         self.service = forwardservice.ForwardService(
             forwardservice.Dependencies(
                 self.gatherers,
+                self.branches if forward.gather_levels_count > 1 else None,
                 self.board,
                 self.planner,
                 self.pools,
@@ -222,6 +250,8 @@
             await nursery.start(self.links.run)
             await nursery.start(self.gatherers.run)
             await nursery.start(self.pools.run)
+            await nursery.start(self.branch_server.run)
+            nursery.start_soon(self.branches.run)
             nursery.start_soon(self.members.run)
             nursery.start_soon(self.directory.run)
             nursery.start_soon(self.relay.run)
@@ -261,7 +291,7 @@
         while trio.current_time() < end_s:
             if trio.current_time() - began_s >= CLOSE_IDLE_AFTER_S:
                 self.caller_server.close_idle()
-                if not self.caller_server.connections:
+                if not self._has_work():
                     break
             await trio.sleep(IDLE_CHECK_INTERVAL_S)
         LOGGER.info(
@@ -270,6 +300,14 @@
         )
         self._nursery.cancel_scope.cancel()
 
+    def _has_work(self) -> bool:
+        """Return whether a caller or a peer still waits for an answer."""
+        return bool(
+            self.caller_server.connections
+            or self.branch_server.running_count
+            or self.gatherers.running_count
+        )
+
     async def _announce(self) -> None:
         await self.members.announce(draining=True, left=False)
 
@@ -279,7 +317,7 @@
             with trio.move_on_after(1.0):
                 await self.board.change_event(blackboard.Topic.MEMBERS).wait()
             fleet_counts = FleetCounts(
-                self.fleet.count(), self.gatherers.gatherer_count()
+                self.fleet.count(), self.gatherer_choice.count()
             )
             if fleet_counts != self.fleet_counts:
                 LOGGER.info(
--- a/plantainhook/forwardplanner.py
+++ b/plantainhook/forwardplanner.py
@@ -56,6 +56,15 @@
     view: snapshot.TargetView
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BranchTimes:
+    """Store when a branch starts, and its goal and deadline."""
+
+    started_s: float
+    goal_s: float
+    deadline_s: float
+
+
 class ForwardPlanner:
     """Build query machines from the leafs on the blackboard.
 
@@ -95,6 +104,46 @@
         )
         return query.QueryMachine(plan, self.policies, now_s)
 
+    def build_branch_machine(
+        self,
+        forwarded: forwardtypes.ForwardRequest,
+        route: routetable.Route,
+        all_services: tuple[str, ...],
+        services: tuple[str, ...],
+        times: BranchTimes,
+        is_extra: bool,
+    ) -> query.QueryMachine:
+        """Build the machine of a branch, which queries some of the shards.
+
+        It ends when each shard is merged or lost, or at the deadline. With
+        ``is_extra`` its first attempts have been charged to the budget.
+        """
+        rules = build_rules(
+            route, self._hedge_quantile(services, times.started_s)
+        )
+        max_runs_count = route.max_leafs_count
+        if is_extra:
+            max_runs_count = max(1, max_runs_count - 1)
+        rules = dataclasses.replace(
+            rules,
+            below_min=schema.BelowMin.PARTIAL,
+            min_coverage_ratio=1.0,
+            goal_ms=max(1.0, (times.goal_s - times.started_s) * 1e3),
+            max_hedges_count=max_runs_count - 1,
+            max_runs_count=max_runs_count,
+        )
+        reason = querytypes.AttemptReason.FIRST
+        if is_extra:
+            reason = querytypes.AttemptReason.RETRY
+        plan = queryplan.QueryPlan(
+            build_branch_request(forwarded, route, times, services),
+            rules,
+            lambda: self.target_view(all_services),
+            rank_of(forwarded.request_id),
+            reason,
+        )
+        return query.QueryMachine(plan, self.policies, times.started_s)
+
     def _hedge_quantile(
         self, services: tuple[str, ...], now_s: float
     ) -> float:
@@ -105,6 +154,10 @@
         ratio = self.budgets.affordable_ratio(services[0], now_s)
         return max(HEDGE_QUANTILE_MIN, 1.0 - HEDGE_BUDGET_RATIO * ratio)
 
+    def version_view(self, services: tuple[str, ...]) -> snapshot.VersionView:
+        """Return the routes to the leafs of some services."""
+        return self.target_view(services).versions[TARGET_VERSION]
+
     def target_view(self, services: tuple[str, ...]) -> snapshot.TargetView:
         """Return the view of some services; cached until leafs change."""
         cached = self._views.get(services)
@@ -173,6 +226,25 @@
     )
 
 
+def build_branch_request(
+    forwarded: forwardtypes.ForwardRequest,
+    route: routetable.Route,
+    times: BranchTimes,
+    services: tuple[str, ...],
+) -> querytypes.QueryRequest:
+    """Build the query of a branch for some shards of a route."""
+    return querytypes.QueryRequest(
+        request_id=forwarded.request_id,
+        target=route.name,
+        kind=f"{route.host}{route.path_prefix}",
+        params={},
+        fingerprint=fingerprint_of(forwarded),
+        arrived_s=times.started_s,
+        deadline_s=times.deadline_s,
+        shards=services,
+    )
+
+
 def fingerprint_of(forwarded: forwardtypes.ForwardRequest) -> str:
     """Return a hash that is equal for repetitions of a request."""
     digest = xxhash.xxh3_64(forwarded.method)
@@ -189,6 +261,12 @@
     return xxhash.xxh32_intdigest(request_id.encode()) / 2**32
 
 
+def goal_ms_of(route: routetable.Route) -> float:
+    """Return the latency goal without the time reserved for the caller."""
+    margin_ms = max(CALLER_MARGIN_MIN_MS, CALLER_MARGIN_RATIO * route.goal_ms)
+    return max(1.0, route.goal_ms - margin_ms)
+
+
 def build_rules(
     route: routetable.Route, hedge_quantile: float
 ) -> querytypes.EffectiveRules:
@@ -197,7 +275,6 @@
     The latency goal is reduced by the time reserved for the caller.
     """
     gather = route.gather
-    margin_ms = max(CALLER_MARGIN_MIN_MS, CALLER_MARGIN_RATIO * route.goal_ms)
     return querytypes.EffectiveRules(
         request_class=schema.RequestClass.INTERACTIVE,
         idempotent=route.idempotent,
@@ -213,6 +290,6 @@
         extra_load_floor_per_s=0.0,
         cross_zone_max_ratio=CROSS_ZONE_RATIO,
         queue_limit_count=0,
-        goal_ms=max(1.0, route.goal_ms - margin_ms),
+        goal_ms=goal_ms_of(route),
         max_runs_count=route.max_leafs_count,
     )
--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -12,11 +12,13 @@
 import dataclasses
 import random
 import typing
+from collections import abc
 
 import trio
 
 from plantainhook import (
     blackboard,
+    branchgather,
     errors,
     executor,
     forwardgateway,
@@ -54,6 +56,8 @@
     """Collect the objects that a forward service uses."""
 
     gatherers: gatherers.Gatherers
+    # None if this daemon calls all shards of a query itself.
+    branches: branchgather.BranchGather | None
     board: blackboard.Blackboard
     planner: forwardplanner.ForwardPlanner
     pools: leafpools.LeafPools
@@ -138,6 +142,13 @@
         arrived_s: float,
     ) -> forwardtypes.Response:
         """Run a request on leafs and return the response."""
+        gathered = None
+        if self.dependencies.branches is not None:
+            gathered = await self.dependencies.branches.gather(
+                forwarded, route, arrived_s
+            )
+        if gathered is not None:
+            return self._answer_gathered(forwarded, route, gathered, arrived_s)
         dependencies = self.dependencies
         started_s = trio.current_time()
         request = forwardplanner.build_query_request(
@@ -161,16 +172,57 @@
         outcome = await executor.run_query(
             machine, request, gateway, dependencies.planner.clock
         )
+        self._record(forwarded, route, outcome, arrived_s)
+        if isinstance(outcome, errors.RefusalError):
+            return self._build_refusal(outcome)
+        return self._build_response(route, outcome)
+
+    def _record(
+        self,
+        forwarded: forwardtypes.ForwardRequest,
+        route: routetable.Route,
+        outcome: executor.Outcome,
+        arrived_s: float,
+    ) -> None:
+        """Count and log the outcome of a request."""
+        dependencies = self.dependencies
         duration_s = trio.current_time() - arrived_s
         dependencies.forward_metrics.count(
             route, outcome, duration_s, self.in_flight_count
         )
         dependencies.decisions.log(
-            describe_outcome(request, route, outcome, duration_s)
+            describe_outcome(forwarded.request_id, route, outcome, duration_s)
+        )
+
+    def _answer_gathered(
+        self,
+        forwarded: forwardtypes.ForwardRequest,
+        route: routetable.Route,
+        gathered: branchgather.Outcome,
+        arrived_s: float,
+    ) -> forwardtypes.Response:
+        """Build the response to a request that was gathered in branches."""
+        if isinstance(gathered, errors.RefusalError):
+            self._record(forwarded, route, gathered, arrived_s)
+            return self._build_refusal(gathered)
+        missing = gathered.missing
+        merged_count = gathered.total_count - len(missing)
+        answer = querytypes.Answer(
+            forwarded.request_id,
+            not missing,
+            forwardplanner.TARGET_VERSION,
+            merged_count / gathered.total_count,
+            missing,
+            (),
+            {},
+        )
+        self._record(forwarded, route, answer, arrived_s)
+        return self._build_merged(
+            route,
+            list(gathered.signatures.values()),
+            gathered.records,
+            missing,
         )
-        if isinstance(outcome, errors.RefusalError):
-            return self._build_refusal(outcome)
-        return self._build_response(route, outcome)
 
     def is_started(self) -> bool:
         """Return whether a configuration and any leaf are known."""
@@ -216,14 +268,29 @@
             for answer in answers
             if answer.signature is not None
         ]
-        headers = dialect.gathered_headers(
-            signatures, len(outcome.missing_shards)
+        return self._build_merged(
+            route,
+            signatures,
+            [answer.body for answer in answers],
+            outcome.missing_shards,
         )
-        body = toprecords.merge_top_records(
-            (answer.body for answer in answers),
-            route.gather.record_limit_count,
+
+    def _build_merged(
+        self,
+        route: routetable.Route,
+        signatures: list[bytes],
+        parts: abc.Iterable[bytes],
+        missing: tuple[str, ...],
+    ) -> forwardtypes.Response:
+        """Build the response that merges the records of several parts."""
+        limit_count = route.gather.record_limit_count if route.gather else 0
+        return forwardtypes.Response(
+            forwardtypes.STATUS_OK,
+            self.dependencies.dialect.gathered_headers(
+                signatures, len(missing)
+            ),
+            toprecords.merge_top_records(parts, limit_count),
         )
-        return forwardtypes.Response(forwardtypes.STATUS_OK, headers, body)
 
     def _build_refusal(
         self, refusal: errors.RefusalError
@@ -249,7 +316,7 @@
 
 
 def describe_outcome(
-    request: querytypes.QueryRequest,
+    request_id: str,
     route: routetable.Route,
     outcome: executor.Outcome,
     duration_s: float,
@@ -258,13 +325,13 @@
     duration_ms = duration_s * 1e3
     if isinstance(outcome, errors.RefusalError):
         return (
-            f"Request {request.request_id} on route {route.name} was refused "
+            f"Request {request_id} on route {route.name} was refused "
             f"after {duration_ms:.0f} ms: {outcome.kind}, ran {outcome.ran}, "
             f"{outcome.detail}."
         )
     missing = outcome.missing_shards
     named = f" ({', '.join(missing[:NAMED_PARTS_MAX])})" if missing else ""
     return (
-        f"Request {request.request_id} on route {route.name} was answered "
+        f"Request {request_id} on route {route.name} was answered "
         f"after {duration_ms:.0f} ms; {len(missing)} parts are missing{named}."
     )
--- a/plantainhook/gatherers.py
+++ b/plantainhook/gatherers.py
@@ -20,6 +20,7 @@
 
 from plantainhook import (
     blackboard,
+    cancelqueue,
     clock,
     errors,
     forwardtypes,
@@ -39,8 +40,12 @@
 PROBE_INTERVAL_S: typing.Final = 0.5
 PROBE_TIMEOUT_S: typing.Final = 0.45
 PROBE_FAILED_AVOID_S: typing.Final = 1.1
-CANCEL_TIMEOUT_S: typing.Final = 0.5
-CANCEL_QUEUE_COUNT: typing.Final = 256
+# CPU time of one call to a leaf on one core, and the time that the calls of a
+# query may take on the CPU of one VM.
+CALL_CPU_S: typing.Final = 0.0005
+CALLS_S: typing.Final = 0.03
+SHARDS_LIMIT_MIN_COUNT: typing.Final = 4
+CAPACITY_PER_CORE: typing.Final = 100
 # The request to the gatherer ends this long before the deadline, because its
 # answer takes some time to arrive.
 ANSWER_MARGIN_S: typing.Final = 0.02
@@ -79,32 +84,31 @@
         board: blackboard.Blackboard,
         transport: peers.PeerTransport,
         handlers: peers.Handlers,
-        options: GathererOptions,
+        choice: "GathererChoice",
         time_source: clock.Clock,
     ) -> None:
         self._board = board
         self._transport = transport
-        self._options = options
+        self._choice = choice
         self._clock = time_source
         self._avoid_until_s: dict[str, float] = {}
         self._running: dict[tuple[int, str], trio.CancelScope] = {}
-        self._chosen_from_members: dict[int, blackboard.MemberInfo] | None = (
-            None
-        )
-        self._chosen_addresses: list[str] = []
-        self._cancel_sender, self._cancel_receiver = trio.open_memory_channel[
-            tuple[str, str]
-        ](CANCEL_QUEUE_COUNT)
+        self._cancels = cancelqueue.CancelQueue(transport)
         handlers.register(wire.HttpWork)(self._on_work)
         handlers.register(wire.CancelWork)(self._on_cancel)
 
+    @property
+    def running_count(self) -> int:
+        """Return the number of requests that run for peers."""
+        return len(self._running)
+
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Probe the gatherers and send them cancellations until cancelled."""
         task_status.started()
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._cancel_loop)
+            nursery.start_soon(self._cancels.run)
             while True:
                 for address in self._current_gatherers():
                     nursery.start_soon(self._probe, address)
@@ -122,12 +126,6 @@
                 self._clock.now_s() + PROBE_FAILED_AVOID_S
             )
 
-    async def _cancel_loop(self) -> None:
-        async for address, request_id in self._cancel_receiver:
-            await self._transport.request(
-                address, wire.CancelWork(request_id), CANCEL_TIMEOUT_S
-            )
-
     async def answer(
         self,
         forwarded: forwardtypes.ForwardRequest,
@@ -161,7 +159,7 @@
                 address, work, max(0.0, left_s)
             )
         except trio.Cancelled:
-            self._queue_cancel(address, forwarded.request_id)
+            self._cancels.put(address, wire.CancelWork(forwarded.request_id))
             raise
         return self._read_reply(address, forwarded, reply)
 
@@ -190,19 +188,6 @@
             return None
         return forwardtypes.Response(forwardtypes.STATUS_TIMEOUT, [], b"")
 
-    def gatherer_count(self) -> int:
-        """Return the number of gatherers in the fleet; 0 if all gather."""
-        members = self._board.usable_members()
-        if len(members) <= self._options.all_gather_max_count:
-            return 0
-        by_data_centre: dict[str, list[blackboard.MemberInfo]] = {}
-        for member in members:
-            by_data_centre.setdefault(member.data_centre, []).append(member)
-        return sum(
-            len(choose_gatherers(near, self._options))
-            for near in by_data_centre.values()
-        )
-
     def _select_gatherer(self, request_id: str) -> str | None:
         """Return the gatherer's address; None to run the request here."""
         now_s = self._clock.now_s()
@@ -217,32 +202,12 @@
         return None if address == self._board.own_address() else address
 
     def _current_gatherers(self) -> list[str]:
-        """Return the gatherers of this data centre for the current members."""
-        if self._board.members is not self._chosen_from_members:
-            self._chosen_from_members = self._board.members
-            self._chosen_addresses = self._choose_gatherers()
-        return self._chosen_addresses
-
-    def _choose_gatherers(self) -> list[str]:
-        """Choose the gatherers of this data centre; none in a small fleet."""
-        board = self._board
-        own = board.members.get(board.incarnation)
-        alive = self._board.usable_members()
-        if own is None or len(alive) <= self._options.all_gather_max_count:
+        """Return the gatherers of this data centre; none in a small fleet."""
+        own = self._board.members.get(self._board.incarnation)
+        if own is None or not self._choice.is_large_fleet():
             return []
-        near = [
-            member for member in alive if member.data_centre == own.data_centre
-        ]
-        return choose_gatherers(near, self._options)
-
-    def _queue_cancel(self, address: str, request_id: str) -> None:
-        try:
-            self._cancel_sender.send_nowait((address, request_id))
-        except trio.WouldBlock:
-            LOGGER.warning(
-                "The queue of cancellations is full; {} is not cancelled.",
-                request_id,
-            )
+        chosen = self._choice.by_data_centre().get(own.data_centre, [])
+        return [member.peer_address for member in chosen]
 
     async def _on_work(
         self, sender: wire.HelloFrame, body: wire.HttpWork
@@ -280,33 +245,106 @@
         return wire.Ack()
 
 
+class GathererChoice:
+    """Choose the gatherers of all data centres from the members.
+
+    All daemons with the same members and routes choose the same ones. In a
+    small fleet every daemon is a gatherer.
+    """
+
+    def __init__(
+        self, board: blackboard.Blackboard, options: GathererOptions
+    ) -> None:
+        self._board = board
+        self._options = options
+        self._members: dict[int, blackboard.MemberInfo] | None = None
+        self._routes: routetable.RouteTable | None = None
+        self._chosen: dict[str, list[blackboard.MemberInfo]] = {}
+        self._is_large = False
+
+    def by_data_centre(self) -> dict[str, list[blackboard.MemberInfo]]:
+        """Return the gatherers by data centre."""
+        self._update()
+        return self._chosen
+
+    def is_large_fleet(self) -> bool:
+        """Return whether only some of the daemons gather."""
+        self._update()
+        return self._is_large
+
+    def count(self) -> int:
+        """Return the number of gatherers in the fleet; 0 if all gather."""
+        if not self.is_large_fleet():
+            return 0
+        return sum(len(chosen) for chosen in self._chosen.values())
+
+    def _update(self) -> None:
+        board = self._board
+        if board.members is self._members and board.routes is self._routes:
+            return
+        self._members = board.members
+        self._routes = board.routes
+        alive = board.usable_members()
+        self._is_large = len(alive) > self._options.all_gather_max_count
+        near: dict[str, list[blackboard.MemberInfo]] = {}
+        for member in alive:
+            near.setdefault(member.data_centre, []).append(member)
+        self._chosen = near
+        if self._is_large:
+            shards_count = -(-board.routes.max_shards_count() // len(near))
+            self._chosen = {
+                name: choose_gatherers(members, self._options, shards_count)
+                for name, members in near.items()
+            }
+
+
 def choose_gatherers(
-    members: abc.Sequence[blackboard.MemberInfo], options: GathererOptions
-) -> list[str]:
+    members: abc.Sequence[blackboard.MemberInfo],
+    options: GathererOptions,
+    shards_count: int = 0,
+) -> list[blackboard.MemberInfo]:
     """Choose the gatherers among the members of one data centre.
 
-    Return their peer addresses.
+    ``shards_count`` is how many shards of a query are called in the data
+    centre.
 
     Pattern: VMs differ, and on one with little CPU capacity a query over
     hundreds of shards takes longer than its caller waits. The members of the
-    highest capacity are gatherers; others are added if they are too few.
+    highest capacity are gatherers; others are added if they are too few for
+    the fleet or for the calls of a query.
     """
     if not members:
         return []
-    wanted_count = -(-len(members) // options.members_per_gatherer_count)
-    min_count = options.min_per_data_centre_count
-    preferred = [
-        member.peer_address
-        for member in membercapacity.highest_capacity(members)
-    ]
-    if len(preferred) >= min_count:
-        return hashing.choose(
-            "gather", preferred, max(min_count, wanted_count)
-        )
-    rest = [
-        member.peer_address
-        for member in members
-        if member.peer_address not in preferred
+    preferred = membercapacity.highest_capacity(members)
+    limit_count = shards_limit_count(preferred[0].capacity)
+    wanted_count = max(
+        options.min_per_data_centre_count,
+        -(-len(members) // options.members_per_gatherer_count),
+    )
+    needed_count = max(
+        options.min_per_data_centre_count, -(-shards_count // limit_count)
+    )
+    if len(preferred) >= needed_count:
+        return _choose(preferred, max(wanted_count, needed_count))
+    rest = [member for member in members if member not in preferred]
+    count = max(wanted_count, needed_count) - len(preferred)
+    return preferred + _choose(rest, count)
+
+
+def _choose(
+    members: abc.Iterable[blackboard.MemberInfo], count: int
+) -> list[blackboard.MemberInfo]:
+    by_address = {member.peer_address: member for member in members}
+    return [
+        by_address[address]
+        for address in hashing.choose("gather", by_address, count)
     ]
-    count = max(min_count, wanted_count) - len(preferred)
-    return preferred + hashing.choose("gather", rest, count)
+
+
+def shards_limit_count(capacity: int) -> int:
+    """Return how many shards of a query one daemon should call.
+
+    ``capacity`` is that of its VM in hundredths of a core; 0 is unknown.
+    """
+    cores = (capacity or CAPACITY_PER_CORE) / CAPACITY_PER_CORE
+    return max(SHARDS_LIMIT_MIN_COUNT, int(cores * CALLS_S / CALL_CPU_S))
--- a/plantainhook/memberentry.py
+++ b/plantainhook/memberentry.py
@@ -76,6 +76,7 @@
         entry.counter,
         entry.share,
         entry.capacity,
+        entry.features,
     )
 
 
--- a/plantainhook/membership.py
+++ b/plantainhook/membership.py
@@ -397,13 +397,17 @@
             draining=draining or (listed is not None and listed.leaving),
             share=None if entry.share == wire.NO_SHARE else entry.share,
             capacity=entry.capacity,
+            features=entry.features,
         )
 
 
-def own_entry(hello: wire.HelloFrame, capacity: int = 0) -> wire.MemberEntry:
+def own_entry(
+    hello: wire.HelloFrame, capacity: int = 0, features: int = 0
+) -> wire.MemberEntry:
     """Return the entry with which a daemon starts in its own table.
 
     ``capacity`` is in hundredths of a core; 0 means that it is unknown.
+    ``features`` are the feature bits of ``wire``.
     """
     return wire.MemberEntry(
         hello.incarnation,
@@ -415,4 +419,5 @@
         memberentry.Liveness.ALIVE,
         0,
         capacity=capacity,
+        features=features,
     )
--- a/plantainhook/options.py
+++ b/plantainhook/options.py
@@ -55,6 +55,9 @@
     # The CPU of the VM: the share of a core, and the core's relative speed.
     cpu_share_ratio: float = pydantic.Field(default=1.0, gt=0)
     cpu_speed_factor: float = pydantic.Field(default=1.0, gt=0)
+    # With 1, the daemon that gathers a query calls all its leafs itself; with
+    # 2, helpers in other data centres call and merge the leafs there.
+    gather_levels_count: int = pydantic.Field(default=2, ge=1, le=2)
     # Number of daemons assumed until the members are known.
     fleet_least_count: int = pydantic.Field(default=9, ge=1)
 
--- a/plantainhook/query.py
+++ b/plantainhook/query.py
@@ -73,6 +73,15 @@
         if plan.rules.goal_ms is not None:
             self._goal_s = plan.request.arrived_s + plan.rules.goal_ms / 1e3
 
+    @property
+    def ran(self) -> errors.Ran:
+        """Return whether a leaf may have run the request."""
+        return self._ledger.ran if not self._ledger.live else errors.Ran.MAYBE
+
+    def lost_shards(self) -> set[str]:
+        """Return the shards for which no attempt is left."""
+        return self._dispatcher.lost_shards
+
     def start(self, now_s: float) -> Actions:
         """Pin an index version and send the first attempts."""
         refusal = self._check_quarantine(now_s)
@@ -84,7 +93,7 @@
             return self._finish(refusal, [], now_s)
         view = target.versions[target.pinned]
         return self._send_first_attempts(
-            view, querytypes.AttemptReason.FIRST, [], now_s
+            view, self.plan.first_reason, [], now_s
         )
 
     def on_reply(
--- a/plantainhook/routetable.py
+++ b/plantainhook/routetable.py
@@ -93,6 +93,18 @@
     routes_by_host: dict[str, tuple[Route, ...]]
     gathered_services: frozenset[str] = frozenset()
 
+    def max_shards_count(self) -> int:
+        """Return the number of shards of the largest gather."""
+        return max(
+            (
+                len(route.gather.shard_services)
+                for routes in self.routes_by_host.values()
+                for route in routes
+                if route.gather is not None
+            ),
+            default=0,
+        )
+
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path, if any."""
         for route in self.routes_by_host.get(host, ()):
--- a/plantainhook/wire.py
+++ b/plantainhook/wire.py
@@ -19,6 +19,9 @@
 
 PROTOCOL_VERSION: typing.Final = 2
 NO_SHARE: typing.Final = -1
+# Feature bit of daemons that handle ``BranchWork``. A daemon that does not
+# know a message closes the link on which it arrives.
+FEATURE_BRANCHES: typing.Final = 1
 FRAME_HEADER: typing.Final = struct.Struct(">I")
 
 
@@ -71,6 +74,8 @@
     ``memberentry`` explains ``state`` and ``counter``. ``share`` is the
     connection share that the member announces, or ``NO_SHARE``. ``capacity``
     is its CPU capacity in hundredths of a core, or 0 if it is unknown.
+    ``features`` has one bit for each kind of message that older daemons do
+    not handle.
     """
 
     incarnation: int
@@ -83,6 +88,7 @@
     counter: int
     share: int = NO_SHARE
     capacity: int = 0
+    features: int = 0
 
 
 class StorePull(Body, frozen=True, tag=True, array_like=True):
@@ -325,6 +331,69 @@
     body: bytes
 
 
+class BranchWork(Body, frozen=True, tag=True, array_like=True):
+    """Ask a daemon to run a request on one leaf of each of some services.
+
+    The times are relative to the moment of sending. The receiver replies when
+    all parts are merged or lost, or after ``wait_ms``, or when more than
+    ``lost_limit_count`` parts are lost. It sends hedges with regard to
+    ``goal_ms`` and ends the branch after ``deadline_ms``.
+    """
+
+    request_id: str
+    method: bytes
+    target: bytes
+    host: str
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+    services: list[str]
+    route: str
+    path_prefix: str
+    record_limit_count: int
+    max_leafs_count: int
+    lost_limit_count: int
+    goal_ms: float
+    deadline_ms: float
+    wait_ms: float
+
+
+class BranchMore(Body, frozen=True, tag=True, array_like=True):
+    """Ask for the parts of a branch that the last reply did not contain.
+
+    With ``wants_progress`` the receiver replies as soon as there is a new
+    part, otherwise as for ``BranchWork``.
+    """
+
+    request_id: str
+    wait_ms: float
+    wants_progress: bool
+
+
+class BranchResult(Body, frozen=True, tag=True, array_like=True):
+    """Carry the parts of a branch that have not been sent before.
+
+    ``records`` are the highest records of these parts. ``signatures`` has the
+    signature of each part by the index of its service. ``lost`` lists the
+    services without an answer and ``unknown`` those without a known leaf.
+    ``ran`` states whether any leaf may have run the request. If the request
+    is quarantined, ``quarantine_ms`` is the time that remains.
+    """
+
+    records: bytes
+    signatures: dict[int, bytes]
+    lost: list[int]
+    unknown: list[int]
+    done: bool
+    ran: bool
+    quarantine_ms: int = 0
+
+
+class BranchCancel(Body, frozen=True, tag=True, array_like=True):
+    """Cancel the branch of a request."""
+
+    request_id: str
+
+
 class TicketQuery(Body, frozen=True, tag=True, array_like=True):
     """Forward a query with a ticket to the daemon that issued the ticket.
 
@@ -375,6 +444,10 @@
     | TicketAnswer
     | HttpWork
     | HttpAnswer
+    | BranchWork
+    | BranchMore
+    | BranchResult
+    | BranchCancel
     | StorePull
     | StoreReply
     | Ack
--- /dev/null
+++ b/tests/test_branches.py
@@ -0,0 +1,307 @@
+"""Test branches between daemons: messages, cancellation and lost helpers."""
+
+import random
+import typing
+
+import testtools
+import trio
+
+from plantainhook import (
+    blackboard,
+    branchgather,
+    branchhelpers,
+    branchserver,
+    branchworker,
+    clock,
+    errors,
+    forwardtypes,
+    gatherers,
+    gathersplit,
+    gathertree,
+    logs,
+    memorynet,
+    peers,
+    routetable,
+    windowbudget,
+    wire,
+)
+from tests import test_gathersplit, virtualtime
+
+SERVICES: typing.Final = tuple(f"s{number}" for number in range(10))
+ROUTE: typing.Final = routetable.Route(
+    "r",
+    "h",
+    "/a/",
+    True,
+    800.0,
+    175.0,
+    2,
+    1,
+    gather=routetable.Gather(SERVICES, 20, 0.8),
+)
+REQUEST: typing.Final = forwardtypes.ForwardRequest(
+    b"GET", b"/a/b", "h", [], b"", "request", 800.0
+)
+
+
+class FakeBranch(branchworker.RunningBranch):
+    """Return all parts of a branch after a time."""
+
+    def __init__(self, owner: "FakeWorker", task: branchworker.BranchTask):
+        super().__init__(task, None)
+        self.owner = owner
+        self.parts_s = trio.current_time() + owner.work_s
+        self.is_sent = False
+
+    async def run(self) -> None:
+        """Run until cancelled; leafs would work during this time."""
+        with self.scope:
+            await trio.sleep_until(self.parts_s)
+        if self.scope.cancelled_caught:
+            self.owner.cancelled_count += 1
+
+    async def next_batch(
+        self, wait_until_s: float, wants_progress: bool
+    ) -> gathertree.Batch:
+        """Return all parts once they are there."""
+        await trio.sleep_until(min(wait_until_s, self.parts_s))
+        services = self.task.services
+        if trio.current_time() < self.parts_s:
+            services = ()
+        return gathertree.Batch(
+            b"",
+            dict.fromkeys(services, b"signed"),
+            frozenset(),
+            frozenset(),
+            bool(services),
+            True,
+        )
+
+
+class FakeWorker(branchworker.BranchWorker):
+    """Run branches without leafs; all of them are in data centre b."""
+
+    def __init__(self) -> None:
+        self.work_s = 0.02
+        self.started: list[branchworker.BranchTask] = []
+        self.cancelled_count = 0
+
+    def start(
+        self, nursery: trio.Nursery, task: branchworker.BranchTask
+    ) -> branchworker.RunningBranch:
+        self.started.append(task)
+        branch = FakeBranch(self, task)
+        nursery.start_soon(branch.run)
+        return branch
+
+    def view_of(
+        self, route: routetable.Route, services: tuple[str, ...]
+    ) -> typing.Any:
+        return test_gathersplit.view_of(dict.fromkeys(services, "b"))
+
+
+class Daemon:
+    """Set up the branches of one daemon."""
+
+    def __init__(
+        self,
+        number: int,
+        members: dict[int, blackboard.MemberInfo],
+        network: memorynet.MemoryNetwork,
+    ) -> None:
+        info = members[number]
+        board = blackboard.Blackboard(number, members=members)
+        handlers = peers.Handlers()
+        hello = wire.HelloFrame(
+            wire.PROTOCOL_VERSION,
+            number,
+            info.name,
+            "",
+            info.data_centre,
+            info.peer_address,
+            "",
+        )
+        transport = memorynet.MemoryTransport(network, hello, handlers)
+        decisions = logs.DecisionLog(
+            logs.part_logger("branch"), clock.TrioClock(), 50.0
+        )
+        rules = windowbudget.WindowRules(10.0, 0.2, 1000.0)
+        self.worker = FakeWorker()
+        self.server = branchserver.BranchServer(
+            handlers, self.worker, decisions
+        )
+        self.gather = branchgather.BranchGather(
+            branchhelpers.Helpers(
+                board,
+                gatherers.GathererChoice(board, gatherers.GathererOptions()),
+            ),
+            transport,
+            self.worker,
+            windowbudget.WindowBudgets(rules, lambda service: 1, -100.0),
+            decisions,
+        )
+
+
+class Fleet:
+    """Set up daemon 0 in data centre a, and the others in b."""
+
+    def __init__(
+        self, nursery: trio.Nursery, features: int = wire.FEATURE_BRANCHES
+    ) -> None:
+        self.network = memorynet.MemoryNetwork(nursery, random.Random(1))
+        members = {
+            number: blackboard.MemberInfo(
+                number,
+                f"d{number}",
+                "",
+                "a" if number == 0 else "b",
+                f"d{number}:1",
+                "",
+                True,
+                False,
+                capacity=107,
+                features=features,
+            )
+            for number in range(3)
+        }
+        self.daemons = [
+            Daemon(number, members, self.network) for number in members
+        ]
+
+    async def gather(self) -> branchgather.Outcome | None:
+        """Gather the request at daemon 0."""
+        return await self.daemons[0].gather.gather(
+            REQUEST, ROUTE, trio.current_time()
+        )
+
+    def started_counts(self) -> list[int]:
+        """Return the number of branches that each daemon has started."""
+        return [len(daemon.worker.started) for daemon in self.daemons]
+
+
+def run_scenario(
+    scenario: typing.Callable[[Fleet], typing.Awaitable[None]],
+    features: int = wire.FEATURE_BRANCHES,
+) -> None:
+    """Run a scenario on virtual time."""
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery, features)
+            for daemon in fleet.daemons:
+                await nursery.start(daemon.server.run)
+                nursery.start_soon(daemon.gather.run)
+            await scenario(fleet)
+            nursery.cancel_scope.cancel()
+
+    virtualtime.run(main)
+
+
+class BranchTest(testtools.TestCase):
+    """Check queries whose leafs are in another data centre."""
+
+    def test_one_helper_calls_all_far_shards(self) -> None:
+        """Guard against a call across data centres for each shard."""
+
+        async def scenario(fleet: Fleet) -> None:
+            outcome = await fleet.gather()
+            assert isinstance(outcome, gathertree.Gathered)
+            self.assertEqual((), outcome.missing)
+            counts = fleet.started_counts()
+            self.assertEqual((0, 1), (counts[0], sum(counts[1:])))
+
+        run_scenario(scenario)
+
+    def test_daemons_without_the_feature_get_no_branches(self) -> None:
+        """Guard against messages that an older daemon cannot decode."""
+
+        async def scenario(fleet: Fleet) -> None:
+            self.assertIs(None, await fleet.gather())
+
+        run_scenario(scenario, features=0)
+
+    def test_dead_helper_is_replaced(self) -> None:
+        """Guard against parts that are lost with their helper."""
+
+        async def scenario(fleet: Fleet) -> None:
+            for daemon in fleet.daemons[1:]:
+                daemon.worker.work_s = 100.0
+            fleet.network.is_reachable = lambda sender, receiver: False
+            outcome = await fleet.gather()
+            assert isinstance(outcome, gathertree.Gathered)
+            self.assertEqual((), outcome.missing)
+            self.assertTrue(fleet.daemons[0].worker.started[0].is_extra)
+            self.assertTrue(trio.current_time() < 0.175)
+
+        run_scenario(scenario)
+
+    def test_silent_helper_is_avoided(self) -> None:
+        """Guard against each query waiting for the same frozen helper."""
+
+        async def scenario(fleet: Fleet) -> None:
+            fleet.network.is_reachable = lambda sender, receiver: False
+            await fleet.gather()
+            await fleet.gather()
+            groups = fleet.daemons[0].gather.helpers.groups()
+            self.assertNotIn("b", groups)
+
+        run_scenario(scenario)
+
+    def test_leaving_caller_cancels_the_branch(self) -> None:
+        """Guard against leafs that work for a caller that disconnected."""
+
+        async def scenario(fleet: Fleet) -> None:
+            for daemon in fleet.daemons[1:]:
+                daemon.worker.work_s = 5.0
+            with trio.move_on_after(0.05):
+                await fleet.gather()
+            await trio.sleep(0.3)
+            cancelled = [
+                daemon.worker.cancelled_count for daemon in fleet.daemons
+            ]
+            self.assertEqual(1, sum(cancelled))
+            self.assertEqual(
+                [0, 0, 0],
+                [daemon.server.running_count for daemon in fleet.daemons],
+            )
+
+        run_scenario(scenario)
+
+    def test_branch_of_a_lost_sender_ends(self) -> None:
+        """Guard against leafs that work for a daemon that was killed."""
+
+        async def scenario(fleet: Fleet) -> None:
+            for daemon in fleet.daemons[1:]:
+                daemon.worker.work_s = 5.0
+            with trio.move_on_after(0.12):
+                await fleet.gather()
+            fleet.network.is_reachable = lambda sender, receiver: False
+            await trio.sleep(0.5)
+            cancelled = [
+                daemon.worker.cancelled_count for daemon in fleet.daemons
+            ]
+            self.assertEqual(1, sum(cancelled))
+
+        run_scenario(scenario)
+
+    def test_invalid_reply_is_a_failure(self) -> None:
+        """Guard against a malformed reply that ends more than its branch."""
+        remote = branchgather._Remote("d1:1", ("s0",))
+        reply = wire.BranchResult(b"", {7: b"x"}, [], [], True, True)
+        event = branchgather._read_batch(reply, remote)
+        assert isinstance(event, errors.PeerError)
+        self.assertIs(errors.Ran.MAYBE, event.ran)
+
+
+class GroupTest(testtools.TestCase):
+    """Check the helpers of a data centre."""
+
+    def test_limit_follows_the_cpu(self) -> None:
+        """Guard against a weak helper that gets as much as a strong one."""
+        limits = [
+            gatherers.shards_limit_count(capacity)
+            for capacity in (12, 52, 107, 215)
+        ]
+        self.assertEqual(sorted(limits), limits)
+        group = gathersplit.HelperGroup(("a", "b"), limits[0])
+        self.assertTrue(group.total_limit_count() < limits[1])
--- a/tests/test_gatherers.py
+++ b/tests/test_gatherers.py
@@ -39,6 +39,11 @@
     )
 
 
+def names_of(members: typing.Iterable[blackboard.MemberInfo]) -> set[str]:
+    """Return the addresses of members."""
+    return {member.peer_address for member in members}
+
+
 def request(number: int) -> forwardtypes.ForwardRequest:
     """Return a request of a caller."""
     return forwardtypes.ForwardRequest(
@@ -56,14 +61,14 @@
         """
         members = [member(n, 215 if n in (3, 7) else 52) for n in range(20)]
         chosen = gatherers.choose_gatherers(members, OPTIONS)
-        self.assertEqual({"d3", "d7"}, set(chosen))
+        self.assertEqual({"d3", "d7"}, names_of(chosen))
 
     def test_weak_members_are_added(self) -> None:
         """Guard against a single gatherer, whose loss stops a data centre."""
         members = [member(n, 215 if n == 3 else 52) for n in range(20)]
         chosen = gatherers.choose_gatherers(members, OPTIONS)
-        self.assertIn("d3", chosen)
-        self.assertEqual(3, len(set(chosen)))
+        self.assertIn("d3", names_of(chosen))
+        self.assertEqual(3, len(names_of(chosen)))
 
     def test_members_of_equal_capacity(self) -> None:
         """Guard against daemons that choose different gatherers.
@@ -74,7 +79,8 @@
         chosen = gatherers.choose_gatherers(members, OPTIONS)
         members.reverse()
         self.assertEqual(
-            set(chosen), set(gatherers.choose_gatherers(members, OPTIONS))
+            names_of(chosen),
+            names_of(gatherers.choose_gatherers(members, OPTIONS)),
         )
         self.assertEqual(5, len(chosen))
 
@@ -108,11 +114,12 @@
         ) -> wire.AnyBody:
             return wire.ProbeAck(number, [])
 
+        board = blackboard.Blackboard(number, members=members)
         built = gatherers.Gatherers(
-            blackboard.Blackboard(number, members=members),
+            board,
             transport,
             handlers,
-            OPTIONS,
+            gatherers.GathererChoice(board, OPTIONS),
             clock.TrioClock(),
         )
 
--- /dev/null
+++ b/tests/test_gathertree.py
@@ -0,0 +1,307 @@
+"""Test the decisions on a query that is gathered in branches."""
+
+import typing
+
+import hypothesis
+import testtools
+from hypothesis import strategies as st
+
+from plantainhook import errors, gathertree
+
+NEAR: typing.Final = ("n0", "n1", "n2", "n3")
+FAR: typing.Final = ("f0", "f1", "f2", "f3")
+HELPER: typing.Final = "b:1"
+GOAL_S: typing.Final = 0.1
+DEADLINE_S: typing.Final = 0.4
+
+
+def batch(
+    services: typing.Iterable[str],
+    lost: typing.Iterable[str] = (),
+    unknown: typing.Iterable[str] = (),
+    done: bool = True,
+    ran: bool = True,
+    quarantine_ms: int = 0,
+) -> gathertree.Batch:
+    """Return a batch with the parts of some services."""
+    names = sorted(services)
+    return gathertree.Batch(
+        ",".join(names).encode(),
+        {name: name.encode() for name in names},
+        frozenset(lost),
+        frozenset(unknown),
+        done,
+        ran,
+        quarantine_ms,
+    )
+
+
+class TreeCase:
+    """Run one tree with a direct branch and one helper."""
+
+    def __init__(
+        self,
+        min_coverage_ratio: float = 0.75,
+        grants: typing.Collection[str] = (*NEAR, *FAR),
+        direct: tuple[str, ...] = NEAR,
+    ) -> None:
+        self.started: dict[int, gathertree.StartBranch] = {}
+        self.asked: list[gathertree.AskMore] = []
+        self.timer_s = 0.0
+        self.outcome: typing.Any = None
+        self.charged: list[str] = []
+
+        def grant(service: str, now_s: float) -> bool:
+            self.charged.append(service)
+            return service in grants
+
+        self.tree = gathertree.GatherTree(
+            gathertree.TreeRules("q", min_coverage_ratio, GOAL_S, DEADLINE_S),
+            direct,
+            {HELPER: FAR},
+            grant,
+            lambda address: 0.03,
+        )
+        self.record(self.tree.start(0.0))
+
+    def record(self, actions: typing.Iterable[gathertree.Action]) -> None:
+        """Record the actions of the tree."""
+        for action in actions:
+            match action:
+                case gathertree.StartBranch():
+                    self.started[action.branch_id] = action
+                case gathertree.AskMore():
+                    self.asked.append(action)
+                case gathertree.SetTimer():
+                    self.timer_s = action.at_s
+                case gathertree.Finish():
+                    assert self.outcome is None
+                    self.outcome = action.outcome
+
+    def branch_of(self, address: str | None) -> int:
+        """Return the first branch of a helper, or of this daemon."""
+        return next(
+            branch_id
+            for branch_id, action in self.started.items()
+            if action.address == address
+        )
+
+    def reply(
+        self, address: str | None, now_s: float, new: gathertree.Batch
+    ) -> None:
+        """Pass a batch to the tree."""
+        self.record(self.tree.on_batch(self.branch_of(address), new, now_s))
+
+    def fail(self, now_s: float, ran: errors.Ran) -> None:
+        """Pass the loss of the helper to the tree."""
+        branch_id = self.branch_of(HELPER)
+        self.record(self.tree.on_failure(branch_id, ran, now_s))
+
+    def expire(self) -> None:
+        """Let the timer expire."""
+        self.record(self.tree.on_timer(self.timer_s))
+
+    def replacement(self) -> gathertree.StartBranch:
+        """Return the branch that replaces that of the helper."""
+        (found,) = [
+            action for action in self.started.values() if action.branch_id > 1
+        ]
+        return found
+
+
+class OutcomeTest(testtools.TestCase):
+    """Check when a query ends and with what."""
+
+    def test_complete_answer_is_sent_at_once(self) -> None:
+        """Guard against an answer that is held although it is complete."""
+        case = TreeCase()
+        case.reply(None, 0.02, batch(NEAR))
+        self.assertIs(None, case.outcome)
+        case.reply(HELPER, 0.03, batch(FAR))
+        self.assertEqual((), case.outcome.missing)
+        self.assertEqual({*NEAR, *FAR}, set(case.outcome.signatures))
+
+    def test_acceptable_answer_is_sent_at_the_goal(self) -> None:
+        """Guard against answers that wait for stragglers after the goal."""
+        case = TreeCase()
+        case.reply(None, 0.02, batch(NEAR))
+        case.reply(HELPER, 0.05, batch(FAR[:2], done=False))
+        while case.outcome is None:
+            case.expire()
+        self.assertTrue(GOAL_S <= case.timer_s < DEADLINE_S)
+        self.assertEqual(FAR[2:], case.outcome.missing)
+
+    def test_late_part_completes_the_coverage(self) -> None:
+        """Guard against a refusal while a late answer is possible."""
+        case = TreeCase(min_coverage_ratio=1.0)
+        case.reply(None, 0.02, batch(NEAR))
+        case.reply(HELPER, 0.05, batch(FAR[:3], done=False))
+        case.reply(HELPER, 0.09, batch((), done=False))
+        self.assertTrue(case.asked[-1].wants_progress)
+        case.reply(HELPER, 0.2, batch(FAR[3:]))
+        self.assertEqual((), case.outcome.missing)
+
+    def test_unanswerable_query_is_refused_at_once(self) -> None:
+        """Guard against waiting for a query that cannot be answered."""
+        case = TreeCase()
+        case.reply(HELPER, 0.01, batch((), lost=FAR, done=False, ran=False))
+        self.assertIsInstance(case.outcome, errors.RefusalError)
+        self.assertIs(errors.Ran.NO, case.outcome.ran)
+
+    def test_refusal_after_a_run_does_not_say_not_run(self) -> None:
+        """Guard against the status 503 for work that a leaf has run."""
+        case = TreeCase()
+        case.reply(None, 0.01, batch(NEAR[:1], lost=NEAR[1:]))
+        self.assertIsInstance(case.outcome, errors.RefusalError)
+        self.assertIsNot(errors.Ran.NO, case.outcome.ran)
+
+    def test_unknown_state_at_the_deadline_is_not_called_not_run(self) -> None:
+        """Guard against a lost answer that is reported as not run."""
+        case = TreeCase(grants=())
+        while case.outcome is None:
+            case.expire()
+        self.assertIs(errors.RefusalKind.DEADLINE, case.outcome.kind)
+        self.assertIsNot(errors.Ran.NO, case.outcome.ran)
+
+    def test_quarantined_request_is_refused(self) -> None:
+        """Guard against a crashing request that is called from elsewhere."""
+        case = TreeCase()
+        case.reply(HELPER, 0.01, batch((), ran=False, quarantine_ms=700))
+        self.assertIs(errors.RefusalKind.QUARANTINED, case.outcome.kind)
+        self.assertEqual(700, case.outcome.retry_after_ms)
+        self.assertEqual(2, len(case.started))
+
+
+class ReplacementTest(testtools.TestCase):
+    """Check the shards of a helper that is lost or silent."""
+
+    def test_unreached_helper_costs_no_budget(self) -> None:
+        """Guard against a charge for calls that were never made."""
+        case = TreeCase()
+        case.fail(0.01, errors.Ran.NO)
+        self.assertEqual([], case.charged)
+        self.assertEqual(FAR, case.replacement().services)
+        self.assertFalse(case.replacement().is_extra)
+
+    def test_lost_helper_is_replaced_within_the_budget(self) -> None:
+        """Guard against calls beyond the budget when helpers are killed."""
+        case = TreeCase(grants=FAR[:2])
+        case.fail(0.02, errors.Ran.MAYBE)
+        self.assertEqual(FAR[:2], case.replacement().services)
+        self.assertTrue(case.replacement().is_extra)
+        self.assertEqual(set(FAR[2:]), case.tree.lost)
+
+    def test_silent_helper_is_replaced_before_the_goal(self) -> None:
+        """Guard against a frozen helper that costs every query its parts."""
+        case = TreeCase()
+        case.reply(None, 0.02, batch(NEAR))
+        replaced_s = case.timer_s
+        case.expire()
+        self.assertTrue(replaced_s < GOAL_S)
+        self.assertEqual(FAR, case.replacement().services)
+        new = batch(FAR)
+        case.record(
+            case.tree.on_batch(case.replacement().branch_id, new, 0.09)
+        )
+        self.assertEqual((), case.outcome.missing)
+
+    def test_late_batch_of_a_silent_helper_is_used(self) -> None:
+        """Guard against parts that are there but are thrown away."""
+        case = TreeCase(grants=())
+        case.reply(None, 0.02, batch(NEAR))
+        case.expire()
+        case.reply(HELPER, 0.09, batch(FAR))
+        self.assertEqual((), case.outcome.missing)
+
+    def test_the_fuller_of_two_batches_is_kept(self) -> None:
+        """Guard against records that are merged twice.
+
+        The records of a batch cannot be separated by their parts.
+        """
+        case = TreeCase(min_coverage_ratio=1.0)
+        case.expire()
+        replacement = case.replacement().branch_id
+        case.record(
+            case.tree.on_batch(replacement, batch(FAR[:2], done=False), 0.085)
+        )
+        case.reply(HELPER, 0.09, batch(FAR))
+        case.reply(None, 0.095, batch(NEAR))
+        self.assertEqual(
+            {b"f0,f1,f2,f3", b"n0,n1,n2,n3"}, set(case.outcome.records)
+        )
+
+    def test_shards_that_the_helper_does_not_know(self) -> None:
+        """Guard against parts that are lost while a new index is adopted."""
+        case = TreeCase()
+        case.reply(HELPER, 0.01, batch(FAR[:3], unknown=FAR[3:], ran=False))
+        self.assertEqual(FAR[3:], case.replacement().services)
+        self.assertEqual([], case.charged)
+
+
+@st.composite
+def events(draw: st.DrawFn) -> list[tuple[str, int, list[str], bool]]:
+    """Draw batches, failures and timer expiries in any order."""
+    return draw(
+        st.lists(
+            st.tuples(
+                st.sampled_from(["batch", "no", "maybe", "timer"]),
+                st.integers(0, 3),
+                st.lists(st.sampled_from((*NEAR, *FAR)), unique=True),
+                st.booleans(),
+            ),
+            max_size=14,
+        )
+    )
+
+
+class InvariantTest(testtools.TestCase):
+    """Check what holds for any order of events."""
+
+    @hypothesis.given(events(), st.sampled_from([0.5, 0.75, 1.0]))
+    def test_any_order_of_events(
+        self,
+        drawn: list[tuple[str, int, list[str], bool]],
+        min_coverage_ratio: float,
+    ) -> None:
+        """Guard against a query that never ends or merges a part twice."""
+        case = TreeCase(min_coverage_ratio, grants=FAR[:2])
+        now_s = 0.0
+        for kind, branch_id, names, flag in drawn:
+            now_s += 0.01
+            if kind == "timer":
+                case.record(case.tree.on_timer(now_s))
+            elif branch_id in case.started:
+                self._play(case, kind, branch_id, names, flag, now_s)
+        while case.outcome is None:
+            assert case.timer_s <= DEADLINE_S
+            case.expire()
+        if isinstance(case.outcome, errors.RefusalError):
+            return
+        merged = [
+            name
+            for records in case.outcome.records
+            for name in records.decode().split(",")
+        ]
+        self.assertEqual(sorted(set(merged)), sorted(merged))
+        self.assertEqual(set(merged), set(case.outcome.signatures))
+        self.assertEqual({*NEAR, *FAR}, {*merged, *case.outcome.missing})
+        self.assertTrue(len(merged) / 8 >= min_coverage_ratio)
+
+    def _play(
+        self,
+        case: TreeCase,
+        kind: str,
+        branch_id: int,
+        names: list[str],
+        flag: bool,
+        now_s: float,
+    ) -> None:
+        """Pass a batch or a failure to the tree."""
+        started = case.started[branch_id]
+        if kind == "batch":
+            own = [name for name in names if name in started.services]
+            new = batch(own, done=flag)
+            case.record(case.tree.on_batch(branch_id, new, now_s))
+        elif started.address is not None:
+            ran = errors.Ran.NO if kind == "no" else errors.Ran.MAYBE
+            case.record(case.tree.on_failure(branch_id, ran, now_s))
--- a/tests/test_toprecords.py
+++ b/tests/test_toprecords.py
@@ -22,3 +22,32 @@
                 part = part[toprecords.RECORD_BYTES :]
         expected = b"".join(sorted(merged, reverse=True)[:limit])
         self.assertEqual(expected, toprecords.merge_top_records(parts, limit))
+
+    @hypothesis.given(
+        st.lists(
+            st.lists(
+                st.lists(
+                    st.sampled_from([bytes([n]) * 16 for n in range(9)]),
+                    max_size=5,
+                ).map(b"".join),
+                max_size=4,
+            ),
+            max_size=4,
+        ),
+        st.integers(1, 8),
+    )
+    def test_merge_of_merges(
+        self, branches: list[list[bytes]], limit: int
+    ) -> None:
+        """Guard against records that a merge in two levels loses.
+
+        The parts contain equal records, and some are empty.
+        """
+        merged = [
+            toprecords.merge_top_records(parts, limit) for parts in branches
+        ]
+        flat = [part for parts in branches for part in parts]
+        self.assertEqual(
+            toprecords.merge_top_records(flat, limit),
+            toprecords.merge_top_records(merged, limit),
+        )
