Survive damaged peers: late copies, endless bytes, malformed input, stops

Cause: looked for the failures that operators of similar systems reported.

Ruled out: answers broken off half-way (length, chunked, ended by close) and lost answers of once-only requests hold on the code as it was.

--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -59,6 +59,9 @@
 # Reserved for the exit of the process before it is killed: closing thousands
 # of connections takes this long on a quarter of a core.
 EXIT_MARGIN_S: typing.Final = 0.9
+# No connection is accepted in this time before the exit, so that the last
+# requests can be answered.
+LAST_REQUESTS_S: typing.Final = 1.0
 IDLE_CHECK_INTERVAL_S: typing.Final = 0.05
 # Fraction of a leaf's connection limit that is divided among the daemons.
 DIVIDED_CONNECTIONS_RATIO: typing.Final = 0.9
@@ -289,10 +292,16 @@
         self._nursery.start_soon(self._announce)
         await trio.sleep(BALANCER_NOTICE_S)
         while trio.current_time() < end_s:
+            if trio.current_time() >= end_s - LAST_REQUESTS_S:
+                self.caller_server.stop_accepting()
             if trio.current_time() - began_s >= CLOSE_IDLE_AFTER_S:
                 self.caller_server.close_idle()
                 if not self._has_work():
-                    break
+                    # Connections that wait to be accepted are served first.
+                    self.caller_server.stop_accepting()
+                    await trio.sleep(IDLE_CHECK_INTERVAL_S)
+                    if not self._has_work():
+                        break
             await trio.sleep(IDLE_CHECK_INTERVAL_S)
         LOGGER.info(
             "Stopping; {} requests in flight are cancelled.",
--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -86,6 +86,12 @@
         self.in_flight_count += 1
         try:
             return await self._answer(forwarded, trio.current_time(), True)
+        except Exception:
+            # Leafs may have run the request, so this is not "unavailable".
+            LOGGER.exception("Request {} failed.", forwarded.request_id)
+            return forwardtypes.Response(
+                forwardtypes.STATUS_BAD_GATEWAY, [], b""
+            )
         finally:
             self.in_flight_count -= 1
 
--- a/plantainhook/leafclient.py
+++ b/plantainhook/leafclient.py
@@ -33,6 +33,10 @@
 )
 _REFUSAL_DECODER: typing.Final = msgspec.json.Decoder(leafprotocol.RefusalBody)
 
+# Many leafs that send bodies without end at once must fit into the memory of
+# a small VM.
+LEAF_REPLY_LIMIT_BYTES: typing.Final = 1_048_576
+
 T = typing.TypeVar("T")
 Failure = errors.LeafFailureKind
 
@@ -89,7 +93,13 @@
 
 
 class LeafClient(httpconnection.HttpConnection):
-    """Send the requests of the leaf protocol over one connection."""
+    """Send the requests of the leaf protocol over one connection.
+
+    ``echoes_ids`` is set once a reply on this connection had a request id.
+    """
+
+    echoes_ids: bool = False
+    reply_limit_bytes = LEAF_REPLY_LIMIT_BYTES
 
     async def search(
         self, call: LeafCall
--- a/plantainhook/leafpool.py
+++ b/plantainhook/leafpool.py
@@ -350,6 +350,12 @@
                     self._options.connect_timeout_s,
                     self._options.checks_health,
                 )
+        except Exception as error:
+            # An unexpected error ends this attempt and not the process.
+            self._logger.exception("Connecting to {} failed.", self.address)
+            opened = result.Err(
+                leafconnect.connect_error(self.address, repr(error))
+            )
         finally:
             self.connecting_count -= 1
             if isinstance(opened, result.Ok):
@@ -417,6 +423,9 @@
                     await client.finish_reply()
         except errors.LeafError:
             client.phase = httpconnection.Phase.BROKEN
+        except Exception:
+            self._logger.exception("A late reply of {} failed.", self.address)
+            client.phase = httpconnection.Phase.BROKEN
         finally:
             self.release(client)
 
--- a/plantainhook/peerlinks.py
+++ b/plantainhook/peerlinks.py
@@ -188,6 +188,12 @@
                 "Connecting to {} timed out: it does not answer.",
                 link.address,
             )
+        except* Exception as group:
+            # An unexpected error, for example an invalid address in a member
+            # entry, ends this link and not the process.
+            LOGGER.warning(
+                "The link to {} failed: {}", link.address, group.exceptions
+            )
         finally:
             if self._links.get(link.address) is link:
                 del self._links[link.address]
@@ -276,6 +282,8 @@
             LOGGER.debug("An accepted link was lost: {}", group.exceptions)
         except* trio.TooSlowError:
             LOGGER.debug("No hello was received in time on an accepted link.")
+        except* Exception as group:
+            LOGGER.warning("An accepted link failed: {}", group.exceptions)
 
     async def _serve(
         self,
--- a/plantainhook/platform/documents.py
+++ b/plantainhook/platform/documents.py
@@ -13,6 +13,7 @@
 from plantainhook.platform import names
 
 MS_PER_S: typing.Final = 1000.0
+PORT_MAX: typing.Final = 65_535
 
 
 class Backend(msgspec.Struct):
@@ -117,7 +118,7 @@
         """Return the entry of the leaf that an object describes."""
         document = msgspec.convert(spec, LeafDocument)
         host, _, port = document.address.rpartition(":")
-        if not host or not port.isdigit():
+        if not host or not port.isdigit() or int(port[:6]) > PORT_MAX:
             raise ValueError(f"{document.address!r} is not host:port")
         info = shardmap.LeafInfo(
             name=name,
--- a/plantainhook/platform/store.py
+++ b/plantainhook/platform/store.py
@@ -112,6 +112,11 @@
         if isinstance(read, result.Err):
             return read
         reply = read.ok_value
+        if reply.store_revision < revision:
+            self._close()
+            return result.Err(
+                self._unavailable("the reply belongs to an earlier call")
+            )
         changes = [
             objectsource.Change(_to_source_object(event.object), event.deleted)
             for event in reply.events
@@ -151,7 +156,7 @@
         try:
             decoded = json.loads(raw.body.decode("utf-8", "replace"))
             return result.Ok(msgspec.convert(decoded, reply_type))
-        except (ValueError, msgspec.ValidationError) as error:
+        except (ValueError, RecursionError, msgspec.ValidationError) as error:
             return result.Err(
                 self._unavailable(f"the reply cannot be decoded: {error}")
             )
--- a/plantainhook/storerelay.py
+++ b/plantainhook/storerelay.py
@@ -19,6 +19,7 @@
 import random
 import typing
 
+import msgspec
 import result
 import trio
 
@@ -316,8 +317,17 @@
                 return False
             update = unpacked.ok_value
             replica = self._replicas.get(update.kind)
-            if replica is not None:
+            if replica is None:
+                continue
+            try:
                 replica.apply_update(update, have[update.kind])
+            except (msgspec.DecodeError, RecursionError) as error:
+                LOGGER.warning(
+                    "Rejected an update of the store from {}: {}",
+                    address,
+                    error,
+                )
+                return False
         return answer.fresh
 
     def _report_availability(self, address: str, available: bool) -> None:
--- a/plantainhook/wire.py
+++ b/plantainhook/wire.py
@@ -25,6 +25,11 @@
 FRAME_HEADER: typing.Final = struct.Struct(">I")
 
 
+# The owner of an entry refutes others with a higher counter, which has to fit
+# into 64 bits.
+COUNTER_MAX: typing.Final = 1 << 53
+
+
 class Body(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Base class of the bodies of requests and replies."""
 
@@ -84,8 +89,8 @@
     data_centre: str
     peer_address: str
     http_address: str
-    state: int
-    counter: int
+    state: typing.Annotated[int, msgspec.Meta(ge=0, le=7)]
+    counter: typing.Annotated[int, msgspec.Meta(ge=0, le=COUNTER_MAX)]
     share: int = NO_SHARE
     capacity: int = 0
     features: int = 0
