--- a/plantainhook/memorynet.py
+++ b/plantainhook/memorynet.py
@@ -90,7 +90,11 @@
             del self._network.nodes[self._address]
 
     async def request(
-        self, peer_address: str, body: wire.AnyBody, timeout_s: float
+        self,
+        peer_address: str,
+        body: wire.AnyBody,
+        timeout_s: float,
+        lane: int = 0,
     ) -> peers.Reply:
         """Return the reply to a request, or the error if there is none."""
         if peer_address not in self._network.nodes:
--- a/plantainhook/peerlinks.py
+++ b/plantainhook/peerlinks.py
@@ -78,7 +78,7 @@
         self._clock = time_source
         self._rng = rng
         self._tls = tls
-        self._links: dict[str, peerlink.Link] = {}
+        self._links: dict[tuple[str, int], peerlink.Link] = {}
         self._backoffs: dict[str, _Backoff] = {}
 
     async def run(
@@ -106,18 +106,22 @@
     # Requests of this daemon
 
     async def request(
-        self, peer_address: str, body: wire.AnyBody, timeout_s: float
+        self,
+        peer_address: str,
+        body: wire.AnyBody,
+        timeout_s: float,
+        lane: int = 0,
     ) -> peers.Reply:
         """Send a request; return the reply, or the error if there is none.
 
-        The timeout includes opening a link.
+        The timeout includes opening a link. Each lane has its own link.
         """
         ran = errors.Ran.NO
         deadline_s = trio.current_time() + timeout_s
-        link = self._links.get(peer_address)
+        link = self._links.get((peer_address, lane))
         if link is None or not link.is_open():
             with trio.move_on_at(deadline_s):
-                link = await self._open_link(peer_address)
+                link = await self._open_link(peer_address, lane)
         if link is None or not link.is_open():
             return peers.error_result(body, peer_address, "no connection", ran)
         submitted = link.submit(body)
@@ -158,8 +162,10 @@
         if self._clock.now_s() - link.last_received_s > SILENT_CLOSE_S:
             link.scope.cancel()
 
-    async def _open_link(self, address: str) -> peerlink.Link | None:
-        link = self._links.get(address)
+    async def _open_link(
+        self, address: str, lane: int
+    ) -> peerlink.Link | None:
+        link = self._links.get((address, lane))
         if link is None:
             backoff = self._backoffs.get(address)
             if backoff and self._clock.now_s() < backoff.retry_s:
@@ -167,12 +173,12 @@
             limit_bytes = QUEUE_LIMIT_FRAMES * self._limit_bytes
             link = peerlink.Link(address, limit_bytes)
             link.last_used_s = link.last_received_s = self._clock.now_s()
-            self._links[address] = link
-            self._nursery.start_soon(self._run_link, link)
+            self._links[address, lane] = link
+            self._nursery.start_soon(self._run_link, link, lane)
         await link.opened.wait()
         return None if link.is_closed else link
 
-    async def _run_link(self, link: peerlink.Link) -> None:
+    async def _run_link(self, link: peerlink.Link, lane: int) -> None:
         """Connect to a peer and exchange frames until the link ends."""
         try:
             with link.scope:
@@ -195,8 +201,8 @@
                 "The link to {} failed: {}", link.address, group.exceptions
             )
         finally:
-            if self._links.get(link.address) is link:
-                del self._links[link.address]
+            if self._links.get((link.address, lane)) is link:
+                del self._links[link.address, lane]
             if not link.opened.is_set():
                 self._set_backoff(link.address)
             link.close()
--- a/plantainhook/peers.py
+++ b/plantainhook/peers.py
@@ -44,9 +44,16 @@
     """Interface for sending requests to other daemons."""
 
     async def request(
-        self, peer_address: str, body: wire.AnyBody, timeout_s: float
+        self,
+        peer_address: str,
+        body: wire.AnyBody,
+        timeout_s: float,
+        lane: int = 0,
     ) -> Reply:
-        """Send a request; return the reply, or the error if there is none."""
+        """Send a request; return the reply, or the error if there is none.
+
+        Requests on different lanes don't wait for each other.
+        """
 
 
 class Handlers:
--- a/plantainhook/query.py
+++ b/plantainhook/query.py
@@ -93,7 +93,7 @@
             return self._finish(refusal, [], now_s)
         view = target.versions[target.pinned]
         return self._send_first_attempts(
-            view, self.plan.first_reason, [], now_s
+            view, querytypes.AttemptReason.FIRST, [], now_s
         )
 
     def on_reply(
