--- a/tests/test_storerelay.py
+++ b/tests/test_storerelay.py
@@ -202,6 +202,48 @@
     return fleets[0]
 
 
+class CompareTest(testtools.TestCase):
+    """Check the messages between daemons and distant watchers."""
+
+    def test_calm_daemons_send_few_messages(self) -> None:
+        """Guard against control traffic that grows with the watchers.
+
+        Pattern: hundreds of daemons in several data centres, no change.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            await trio.sleep(5.0)
+            nodes = fleet.network.nodes.values()
+            before = sum(node.traffic.message_count for node in nodes)
+            await trio.sleep(20.0)
+            after = sum(node.traffic.message_count for node in nodes)
+            # A pull and a comparison a second, each with its reply.
+            self.assertTrue((after - before) / (20.0 * 40) < 4.5)
+
+        run_scenario(40, scenario)
+
+    def test_dead_watcher_is_replaced_as_fast(self) -> None:
+        """Guard against a saving that delays changes when a watcher dies."""
+
+        async def scenario(fleet: Fleet) -> None:
+            await trio.sleep(5.0)
+            dead = fleet.relays[0].watchers()[0]
+            fleet.network.nodes[dead].close()
+            number = int(dead[1:])
+            fleet.sources[number].is_disconnected = True
+            fleet.store.put("a")
+            await trio.sleep(3.0)
+            state = fleet.store.state()
+            behind = [
+                consumer
+                for index, consumer in enumerate(fleet.consumers)
+                if index != number and consumer.objects != state
+            ]
+            self.assertEqual([], behind)
+
+        run_scenario(40, scenario)
+
+
 class RelayTest(testtools.TestCase):
     """Check that all daemons receive changes with few calls to the store."""
 
