--- a/plantainhook/branchgather.py
+++ b/plantainhook/branchgather.py
@@ -21,6 +21,7 @@
     branchworker,
     cancelqueue,
     errors,
+    forwardmetrics,
     forwardplanner,
     forwardtypes,
     gathersplit,
@@ -71,11 +72,13 @@
         helpers: branchhelpers.Helpers,
         transport: peers.PeerTransport,
         worker: branchworker.BranchWorker,
+        instruments: forwardmetrics.ForwardMetrics,
         decisions: logs.DecisionLog,
     ) -> None:
         self.helpers = helpers
         self.transport = transport
         self.worker = worker
+        self.instruments = instruments
         self.cancels = cancelqueue.CancelQueue(transport)
         self._decisions = decisions
 
@@ -234,6 +237,7 @@
         self._avoided.add(branch_id)
         address = self._remote[branch_id].address
         self._owner.helpers.avoid(address)
+        self._owner.instruments.branches.labels("lost").inc()
         LOGGER.info(
             "The branch of request {} at {} is lost: {}",
             self._query.forwarded.request_id,
@@ -261,6 +265,7 @@
             )
             work = _build_work(query, action, trio.current_time())
             self._works[action.branch_id] = work
+            self._owner.instruments.branches.labels("sent").inc()
             self._nursery.start_soon(
                 self._exchange, action.branch_id, 0, work, FIRST_LANE
             )
@@ -300,7 +305,10 @@
         else:
             # The first message may not have arrived.
             body = self._works[action.branch_id]
-        lane = SECOND_LANE if action.is_repeated else FIRST_LANE
+        lane = FIRST_LANE
+        if action.is_repeated:
+            lane = SECOND_LANE
+            self._owner.instruments.branches.labels("repeated").inc()
         await self._exchange(action.branch_id, action.ask, body, lane)
 
     async def _follow(
--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -181,6 +181,7 @@
             branchhelpers.Helpers(self.board, self.gatherer_choice),
             self.links,
             self.worker,
+            self.forward_metrics,
             self._build_decision_log("branch"),
         )
         self.service = forwardservice.ForwardService(
--- a/plantainhook/forwardmetrics.py
+++ b/plantainhook/forwardmetrics.py
@@ -32,6 +32,12 @@
             "Parts that answers lacked.",
             registry=registry,
         )
+        self.branches = prometheus_client.Counter(
+            "plantainhook_forward_branches",
+            "Branches at helpers: sent, repeated messages, lost helpers.",
+            ["event"],
+            registry=registry,
+        )
         self._in_flight = prometheus_client.Gauge(
             "plantainhook_forward_in_flight",
             "Requests in flight at the last answer.",
--- a/tests/test_branches.py
+++ b/tests/test_branches.py
@@ -3,6 +3,7 @@
 import random
 import typing
 
+import prometheus_client
 import testtools
 import trio
 
@@ -14,6 +15,7 @@
     branchworker,
     clock,
     errors,
+    forwardmetrics,
     forwardtypes,
     gatherers,
     gathersplit,
@@ -139,6 +141,9 @@
             ),
             transport,
             self.worker,
+            forwardmetrics.ForwardMetrics(
+                prometheus_client.CollectorRegistry()
+            ),
             decisions,
         )
 
