Gather the shards of slow or failing near leafs in a branch

Change: a shard whose near leafs are all failing, avoided or expensive counts as far when a query is split, if another data centre has a leaf.

--- a/plantainhook/branchgather.py
+++ b/plantainhook/branchgather.py
@@ -153,6 +153,7 @@
             groups,
             gather.record_limit_count,
             request_id,
+            self.worker.is_poor,
         )
 
     def _log_split(self, request_id: str, split: gathersplit.Split) -> None:
--- a/plantainhook/branchworker.py
+++ b/plantainhook/branchworker.py
@@ -24,6 +24,7 @@
     metrics,
     query,
     querytypes,
+    replicas,
     routetable,
     snapshot,
     toprecords,
@@ -245,6 +246,12 @@
             self._known_services(route, services)
         )
 
+    def is_poor(self, statuses: replicas.Statuses) -> bool:
+        """Return whether none of some leafs is likely to answer well."""
+        return self._planner.policies.replicas.is_poor(
+            statuses, trio.current_time()
+        )
+
     def _services_of(self, task: BranchTask) -> tuple[str, ...]:
         return self._known_services(task.route, task.services)
 
--- a/plantainhook/gathersplit.py
+++ b/plantainhook/gathersplit.py
@@ -16,7 +16,7 @@
 import typing
 from collections import abc
 
-from plantainhook import hashing, snapshot, toprecords
+from plantainhook import hashing, querytypes, snapshot, toprecords
 
 # Approximate size of the heads of one call to a leaf and of its reply.
 CALL_BYTES: typing.Final = 600
@@ -29,6 +29,9 @@
 SAVED_FACTOR: typing.Final = 2.0
 SAVED_MIN_BYTES: typing.Final = 4096
 
+# Returns whether none of some leafs is likely to answer well.
+IsPoor = abc.Callable[[abc.Sequence[querytypes.LeafStatus]], bool]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HelperGroup:
@@ -64,12 +67,17 @@
     groups: abc.Mapping[str, HelperGroup],
     record_limit_count: int,
     request_id: str,
+    is_poor: IsPoor,
 ) -> Split:
     """Split the shards of a version.
 
     ``own_group`` holds the helpers of this data centre, including this
     daemon, and ``groups`` those of the others by data centre. The request id
     decides between equal choices, so that queries are spread.
+
+    Pattern: many leafs of one data centre are slow or down. Each of their
+    shards would be called in another data centre, after a hedge delay and
+    with its full part. Together they form a branch instead.
     """
     direct: list[str] = []
     near: dict[str, frozenset[str]] = {}
@@ -78,7 +86,7 @@
         remote = frozenset(
             status.info.data_centre for status in route.far
         ).intersection(groups)
-        if route.near:
+        if route.near and not (remote and is_poor(route.near)):
             near.update(dict.fromkeys(route.shards, remote))
         elif remote:
             remaining.update(dict.fromkeys(route.shards, remote))
--- a/plantainhook/replicas.py
+++ b/plantainhook/replicas.py
@@ -137,6 +137,19 @@
                 return False
         return True
 
+    def is_poor(self, statuses: Statuses, now_s: float) -> bool:
+        """Return whether every leaf is failing, avoided or expensive."""
+        for status in statuses:
+            state = self.states.get(status.info.name)
+            if state is None:
+                return False
+            is_bad = state.should_avoid(now_s) or state.is_partly_failing(
+                now_s
+            )
+            if not is_bad and state.cost(status.cold, now_s) < SPILL_COST:
+                return False
+        return True
+
     def on_sent(
         self, status: querytypes.LeafStatus, max_ratio: float
     ) -> replicastate.ReplicaState:
--- a/tests/test_branches.py
+++ b/tests/test_branches.py
@@ -99,6 +99,9 @@
         nursery.start_soon(branch.run)
         return branch
 
+    def is_poor(self, statuses: typing.Any) -> bool:
+        return False
+
     def view_of(
         self, route: routetable.Route, services: tuple[str, ...]
     ) -> typing.Any:
--- a/tests/test_gathersplit.py
+++ b/tests/test_gathersplit.py
@@ -50,6 +50,7 @@
     own_peers: tuple[str, ...] = (),
     request_id: str = "q",
     record_limit_count: int = 20,
+    poor: typing.Collection[str] = (),
 ) -> gathersplit.Split:
     """Split shards; the own group has this daemon and ``own_peers``."""
     return gathersplit.split_shards(
@@ -59,6 +60,7 @@
         others,
         record_limit_count,
         request_id,
+        lambda statuses: all(status.info.name in poor for status in statuses),
     )
 
 
@@ -104,6 +106,24 @@
         chosen = split(replicas, {})
         self.assertEqual(set(replicas), set(chosen.direct))
 
+    def test_shards_of_poor_leafs_form_a_branch(self) -> None:
+        """Guard against a hedge across data centres for each slow leaf.
+
+        Pattern: a quarter of the leafs turn slow at once.
+        """
+        replicas = {f"s{n}": "ab" for n in range(40)}
+        poor = [f"s{n}-a" for n in range(10)]
+        chosen = split(replicas, {"b": group("b")}, poor=poor)
+        (shards,) = chosen.branches.values()
+        self.assertEqual({f"s{n}" for n in range(10)}, set(shards))
+        self.assertEqual(30, len(chosen.direct))
+
+    def test_few_poor_leafs_are_called_directly(self) -> None:
+        """Guard against a shard that loses its only choice of leafs."""
+        replicas = {"s0": "a", "s1": "ab"}
+        chosen = split(replicas, {"b": group("b")}, poor=["s0-a", "s1-a"])
+        self.assertEqual({"s0", "s1"}, set(chosen.direct))
+
     def test_each_shard_is_called_once(self) -> None:
         """Guard against shards that two branches call, or none."""
         places = ("a", "b", "c", "bc", "ab", "cd", "bcd", "e")
