Count only failing or avoided near leafs as far in a split

Change: a slow or busy leaf is not poor; the choice between it and the others stays with the cost of each call, as in the flat gather. Conclusion: the part for slow leafs is reverted, that for failing ones kept.

--- a/plantainhook/gathersplit.py
+++ b/plantainhook/gathersplit.py
@@ -75,7 +75,7 @@
     daemon, and ``groups`` those of the others by data centre. The request id
     decides between equal choices, so that queries are spread.
 
-    Pattern: many leafs of one data centre are slow or down. Each of their
+    Pattern: many leafs of one data centre fail or are down. Each of their
     shards would be called in another data centre, after a hedge delay and
     with its full part. Together they form a branch instead.
     """
--- a/plantainhook/replicas.py
+++ b/plantainhook/replicas.py
@@ -138,15 +138,16 @@
         return True
 
     def is_poor(self, statuses: Statuses, now_s: float) -> bool:
-        """Return whether every leaf is failing, avoided or expensive."""
+        """Return whether every leaf is avoided or fails many of its calls.
+
+        A slow leaf is not poor: if all its calls went to another leaf, that
+        one would be slow next.
+        """
         for status in statuses:
             state = self.states.get(status.info.name)
-            if state is None:
-                return False
-            is_bad = state.should_avoid(now_s) or state.is_partly_failing(
-                now_s
-            )
-            if not is_bad and state.cost(status.cold, now_s) < SPILL_COST:
+            if state is None or not (
+                state.should_avoid(now_s) or state.is_partly_failing(now_s)
+            ):
                 return False
         return True
 
--- a/tests/test_callershares.py
+++ b/tests/test_callershares.py
@@ -7,6 +7,8 @@
     callershares,
     clock,
     gatherers,
+    queryplan,
+    querytypes,
     routetable,
     shardmap,
 )
@@ -100,3 +102,25 @@
         self.assertEqual(before, shares.divisor("s"))
         fleet.clock.advance(callershares.RETENTION_S + 0.1)
         self.assertTrue(shares.divisor("s") < before)
+
+
+class PoorLeafTest(testtools.TestCase):
+    """Check which leafs make their shards go to another data centre."""
+
+    def test_slow_leaf_is_not_poor(self) -> None:
+        """Guard against load that moves to one leaf and overloads it.
+
+        Pattern: slow leafs while all leafs are half busy.
+        """
+        selector = queryplan.build_policies("a", 1).replicas
+        info = shardmap.LeafInfo("l", "l:1", "a", "s", "s", 2, 9)
+        status = querytypes.LeafStatus(info, True, False, {})
+        self.assertFalse(selector.is_poor([status], 0.0))
+        state = selector.state(status)
+        state.slowdown = 9.0
+        state.slowdown_updated_s = 1.0
+        state.in_flight_count = 6
+        self.assertFalse(selector.is_poor([status], 1.0))
+        for _ in range(4):
+            state.record_failure(True, 1.0)
+        self.assertTrue(selector.is_poor([status], 1.0))
--- a/tests/test_gathersplit.py
+++ b/tests/test_gathersplit.py
@@ -107,9 +107,9 @@
         self.assertEqual(set(replicas), set(chosen.direct))
 
     def test_shards_of_poor_leafs_form_a_branch(self) -> None:
-        """Guard against a hedge across data centres for each slow leaf.
+        """Guard against a call across data centres for each failing leaf.
 
-        Pattern: a quarter of the leafs turn slow at once.
+        Pattern: a quarter of the leafs fail at once.
         """
         replicas = {f"s{n}": "ab" for n in range(40)}
         poor = [f"s{n}-a" for n in range(10)]
