--- a/plantainhook/branchgather.py
+++ b/plantainhook/branchgather.py
@@ -226,7 +226,8 @@
         self._carry_out(
             self._tree.on_failure(branch_id, event.ran, now_s, ask)
         )
-        if not self._tree.branches[branch_id].is_open:
+        is_open = self._tree.branches[branch_id].is_open
+        if not is_open and branch_id not in self._avoided:
             self._avoid(branch_id, str(event))
 
     def _avoid_silent(self) -> None:
--- a/plantainhook/gathertree.py
+++ b/plantainhook/gathertree.py
@@ -228,23 +228,26 @@
     def on_failure(
         self, branch_id: int, ran: errors.Ran, now_s: float, ask: int = 0
     ) -> Actions:
-        """Record that a helper is lost.
+        """Handle the failure of the last message to a helper.
 
-        ``ran`` states whether the helper may have begun the branch; if not,
-        its shards are called from here. The failure of an earlier message
-        than the last one is ignored.
+        ``ran`` states whether the helper may have received it. If not even
+        the first one can have arrived, the shards are called from here.
+        Otherwise the message is repeated once, because the helper may be
+        alive and only its connection lost.
         """
         branch = self.branches[branch_id]
         if self.finished or not branch.is_open or ask != branch.ask:
             return []
-        branch.is_open = False
-        branch.reply_due_s = math.inf
         actions: Actions = []
+        branch.reply_due_s = math.inf
         missing = branch.services - self._merged()
         if ran is errors.Ran.NO and not branch.ask:
+            branch.is_open = False
             self._call_here(missing, actions)
+        elif not branch.is_repeated:
+            self._on_silence(branch, actions, now_s)
         else:
-            self.ran = errors.Ran.MAYBE
+            branch.is_open = False
             self.lost |= missing
         return self._advance(actions, now_s)
 
