Call unknown shards once; keep errors of a branch from the process

Cause: found in reading the change. An unexpected error in a branch of a peer would have ended the daemon. Change: shards that were taken out of a branch are not taken again; the error ends the branch with a log line. A repeated message no longer replaces the event that an earlier one waits for.

--- a/plantainhook/branchworker.py
+++ b/plantainhook/branchworker.py
@@ -129,7 +129,9 @@
             while not self._is_due(wants_progress):
                 if self.observed is None:
                     break
-                self.observed.changed = trio.Event()
+                # Two messages of the sender may wait at the same time.
+                if self.observed.changed.is_set():
+                    self.observed.changed = trio.Event()
                 await self.observed.changed.wait()
             if wants_progress and not self.is_done:
                 await trio.sleep(PROGRESS_DELAY_S)
@@ -292,6 +294,11 @@
                     gateway,
                     self._planner.clock,
                 )
+        except Exception:
+            # An unexpected error ends this branch and not the process.
+            LOGGER.exception(
+                "The branch of request {} failed.", task.forwarded.request_id
+            )
         finally:
             running.finish(outcome)
 
--- a/plantainhook/gathertree.py
+++ b/plantainhook/gathertree.py
@@ -217,7 +217,8 @@
         branch.is_silent = False
         self.lost -= branch.services
         self.lost |= batch.lost - merged
-        self._call_unknown(branch, batch.unknown - merged, actions)
+        unknown = (batch.unknown & branch.services) - merged
+        self._call_unknown(branch, unknown, actions)
         if batch.done:
             branch.is_open = False
             self.lost |= branch.services - merged
--- a/tests/test_branchworker.py
+++ b/tests/test_branchworker.py
@@ -1,6 +1,7 @@
 """Test when a branch reports its parts and its lost shards."""
 
 import typing
+from unittest import mock
 
 import testtools
 import trio
@@ -113,3 +114,28 @@
             return sent
 
         self.assertEqual([{"s0"}, {"s0", "s1"}, {"s2"}], virtualtime.run(main))
+
+
+class UnexpectedErrorTest(testtools.TestCase):
+    """Check a branch whose query raises an unexpected error."""
+
+    def test_error_ends_the_branch_only(self) -> None:
+        """Guard against one branch of a peer that ends the process."""
+
+        async def main() -> gathertree.Batch:
+            branch, machine = build_branch(0)
+
+            def fail(now_s: float) -> typing.NoReturn:
+                raise ZeroDivisionError
+
+            machine.start = fail  # type: ignore[attr-defined]
+            machine.plan = typing.cast(typing.Any, mock.MagicMock())  # type: ignore[attr-defined]
+            worker = branchworker.BranchWorker(*[mock.MagicMock()] * 6)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(worker._run, branch, branch.observed)
+                batch: gathertree.Batch = await branch.next_batch(5.0, False)
+            return batch
+
+        batch = virtualtime.run(main)
+        self.assertTrue(batch.done)
+        self.assertEqual(set(SERVICES), set(batch.lost))
--- a/tests/test_gathertree.py
+++ b/tests/test_gathertree.py
@@ -270,6 +270,17 @@
         case.reply(HELPER, 0.01, batch(FAR[:3], unknown=FAR[3:], ran=False))
         self.assertEqual(FAR[3:], case.started[2].services)
 
+    def test_unknown_shards_are_called_once(self) -> None:
+        """Guard against calls that no budget pays for.
+
+        Each batch of a helper names the shards that it does not know.
+        """
+        case = TreeCase()
+        for now_s in (0.01, 0.02):
+            new = batch((), unknown=FAR[3:], done=False, ran=False)
+            case.reply(HELPER, now_s, new)
+        self.assertEqual(3, len(case.started))
+
 
 @st.composite
 def events(draw: st.DrawFn) -> list[tuple[str, int, list[str], bool]]:
