Don't start a branch again that has ended

A message that is repeated on the second connection can overtake its first copy; after the sender's cancellation the late copy found no branch and started it again, on other leafs. Result: a test that failed before.

--- a/plantainhook/branchserver.py
+++ b/plantainhook/branchserver.py
@@ -25,6 +25,9 @@
 # A branch whose sender does not ask for the next batch ends after this time.
 ABANDONED_S: typing.Final = 0.3
 SWEEP_INTERVAL_S: typing.Final = 0.2
+# A branch that has ended is not started again within this time. A copy of its
+# first message may arrive after the cancellation, on a stalled connection.
+ENDED_KEPT_S: typing.Final = 10.0
 
 Key = tuple[int, str]
 
@@ -55,6 +58,8 @@
         self._worker = worker
         self._decisions = decisions
         self._served: dict[Key, _Served] = {}
+        # When branches ended, by key; the oldest comes first.
+        self._ended_s: dict[Key, float] = {}
         self._nursery: trio.Nursery | None = None
         handlers.register(wire.BranchWork)(self._on_work)
         handlers.register(wire.BranchMore)(self._on_more)
@@ -89,6 +94,8 @@
         if served is not None:
             # The sender repeats a message whose reply is late.
             return await self._next_result(served, 0.0, False, 0)
+        if key in self._ended_s:
+            return wire.Failed("the branch has ended")
         services = tuple(body.services)
         task = _read_task(body, trio.current_time())
         running = self._worker.start(self._nursery, task)
@@ -115,9 +122,11 @@
     async def _on_cancel(
         self, sender: wire.HelloFrame, body: wire.BranchCancel
     ) -> wire.AnyBody:
-        served = self._served.pop((sender.incarnation, body.request_id), None)
+        key = (sender.incarnation, body.request_id)
+        served = self._served.pop(key, None)
         if served is not None:
             served.running.scope.cancel()
+        self._ended_s[key] = trio.current_time()
         return wire.Ack()
 
     async def _next_result(
@@ -145,11 +154,14 @@
 
     def _remove_expired(self) -> None:
         now_s = trio.current_time()
-        self._served = {
-            key: served
-            for key, served in self._served.items()
-            if served.waiting_count > 0 or served.expires_s > now_s
-        }
+        for key, served in list(self._served.items()):
+            if served.waiting_count == 0 and served.expires_s <= now_s:
+                del self._served[key]
+                self._ended_s[key] = now_s
+        for key, ended_s in list(self._ended_s.items()):
+            if ended_s > now_s - ENDED_KEPT_S:
+                break
+            del self._ended_s[key]
 
 
 def _read_task(body: wire.BranchWork, now_s: float) -> branchworker.BranchTask:
--- a/tests/test_branches.py
+++ b/tests/test_branches.py
@@ -291,6 +291,32 @@
 
         run_scenario(scenario)
 
+    def test_late_copy_of_an_ended_branch(self) -> None:
+        """Guard against a request that runs on more leafs than allowed.
+
+        Pattern: a message is repeated because its connection stalls. The
+        first copy arrives after the branch was cancelled or has ended.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            helper = fleet.daemons[1]
+            sender = wire.HelloFrame(
+                wire.PROTOCOL_VERSION, 0, "d0", "", "a", "d0:1", ""
+            )
+            query = branchgather._Query(REQUEST, ROUTE, 0.1, 0.5, 0)
+            action = gathertree.StartBranch(0, "d1:1", SERVICES, 0.05)
+            work = branchgather._build_work(query, action, 0.0)
+            await helper.server._on_work(sender, work)
+            cancel = wire.BranchCancel(REQUEST.request_id)
+            await helper.server._on_cancel(sender, cancel)
+            reply = await helper.server._on_work(sender, work)
+            self.assertIsInstance(reply, wire.Failed)
+            self.assertEqual([0, 1, 0], fleet.started_counts())
+            await trio.sleep(branchserver.ENDED_KEPT_S + 1.0)
+            self.assertEqual({}, helper.server._ended_s)
+
+        run_scenario(scenario)
+
     def test_branch_of_a_lost_sender_ends(self) -> None:
         """Guard against leafs that work for a daemon that was killed."""
 
