--- a/plantainhook/branchgather.py
+++ b/plantainhook/branchgather.py
@@ -26,6 +26,7 @@
     forwardtypes,
     gathersplit,
     gathertree,
+    gathertypes,
     logs,
     peers,
     routetable,
@@ -41,8 +42,8 @@
 FIRST_LANE: typing.Final = 0
 SECOND_LANE: typing.Final = 1
 
-Event = gathertree.Batch | errors.PeerError
-Outcome = gathertree.Gathered | errors.RefusalError
+Event = gathertypes.Batch | errors.PeerError
+Outcome = gathertypes.Gathered | errors.RefusalError
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,7 +107,7 @@
         goal_s = arrived_s + forwardplanner.goal_ms_of(route) / 1e3
         goal_s = min(goal_s, request.deadline_s)
         tree = gathertree.GatherTree(
-            gathertree.TreeRules(
+            gathertypes.TreeRules(
                 forwarded.request_id,
                 gather.min_coverage_ratio,
                 goal_s,
@@ -220,7 +221,7 @@
             self._avoid_silent()
             return
         branch_id, ask, event = self._events.popleft()
-        if isinstance(event, gathertree.Batch):
+        if isinstance(event, gathertypes.Batch):
             self._carry_out(self._tree.on_batch(branch_id, event, now_s, ask))
             return
         self._carry_out(
@@ -247,19 +248,19 @@
             detail,
         )
 
-    def _carry_out(self, actions: abc.Iterable[gathertree.Action]) -> None:
+    def _carry_out(self, actions: abc.Iterable[gathertypes.Action]) -> None:
         for action in actions:
             match action:
-                case gathertree.StartBranch():
+                case gathertypes.StartBranch():
                     self._start(action)
-                case gathertree.AskMore():
+                case gathertypes.AskMore():
                     self._nursery.start_soon(self._ask_more, action)
-                case gathertree.SetTimer():
+                case gathertypes.SetTimer():
                     self._timer_s = action.at_s
-                case gathertree.Finish():
+                case gathertypes.Finish():
                     self._outcome = action.outcome
 
-    def _start(self, action: gathertree.StartBranch) -> None:
+    def _start(self, action: gathertypes.StartBranch) -> None:
         query = self._query
         if action.address is not None:
             self._remote[action.branch_id] = _Remote(
@@ -286,7 +287,7 @@
             self._follow, action.branch_id, 0, action.wait_until_s, False
         )
 
-    async def _ask_more(self, action: gathertree.AskMore) -> None:
+    async def _ask_more(self, action: gathertypes.AskMore) -> None:
         if action.branch_id in self._local:
             await self._follow(
                 action.branch_id,
@@ -350,7 +351,7 @@
 
 
 def _build_work(
-    query: _Query, action: gathertree.StartBranch, now_s: float
+    query: _Query, action: gathertypes.StartBranch, now_s: float
 ) -> wire.BranchWork:
     gather = query.route.gather
     forwarded = query.forwarded
@@ -381,7 +382,7 @@
     indices = {*reply.signatures, *reply.lost, *reply.unknown}
     if any(not 0 <= index < len(services) for index in indices):
         return _invalid(remote, "the reply names services that do not exist")
-    return gathertree.Batch(
+    return gathertypes.Batch(
         reply.records,
         {services[index]: part for index, part in reply.signatures.items()},
         frozenset(services[index] for index in reply.lost),
--- a/plantainhook/branchserver.py
+++ b/plantainhook/branchserver.py
@@ -14,14 +14,13 @@
 from plantainhook import (
     branchworker,
     forwardtypes,
-    gathertree,
+    gathertypes,
     logs,
     peers,
     routetable,
     wire,
 )
 
-LOGGER: typing.Final = logs.part_logger("branch")
 # A branch whose sender does not ask for the next batch ends after this time.
 ABANDONED_S: typing.Final = 0.3
 SWEEP_INTERVAL_S: typing.Final = 0.2
@@ -197,7 +196,7 @@
 
 
 def _build_result(
-    batch: gathertree.Batch, services: tuple[str, ...]
+    batch: gathertypes.Batch, services: tuple[str, ...]
 ) -> wire.BranchResult:
     """Build the reply, which names services by their index."""
     index_of = {name: index for index, name in enumerate(services)}
--- a/plantainhook/branchworker.py
+++ b/plantainhook/branchworker.py
@@ -18,7 +18,7 @@
     forwardgateway,
     forwardplanner,
     forwardtypes,
-    gathertree,
+    gathertypes,
     leafpools,
     logs,
     metrics,
@@ -114,7 +114,7 @@
         wait_until_s: float,
         wants_progress: bool,
         acknowledged: int | None = None,
-    ) -> gathertree.Batch:
+    ) -> gathertypes.Batch:
         """Wait for the next batch and return it.
 
         It is returned when the branch is done, when too many shards are lost,
@@ -157,7 +157,7 @@
             or self._machine.merge.results.keys() - self._acknowledged
         )
 
-    def _build_batch(self) -> gathertree.Batch:
+    def _build_batch(self) -> gathertypes.Batch:
         quarantine_ms = 0
         outcome = self.outcome
         if (
@@ -166,7 +166,7 @@
         ):
             quarantine_ms = max(1, outcome.retry_after_ms)
         if self._machine is None:
-            return gathertree.Batch(
+            return gathertypes.Batch(
                 b"", {}, frozenset(), self.unknown, True, False
             )
         parts: dict[str, forwardtypes.LeafAnswer] = {
@@ -182,7 +182,7 @@
         self._sent[self._sequence] = (frozenset(parts), lost)
         gather = self.task.route.gather
         limit_count = gather.record_limit_count if gather else 0
-        return gathertree.Batch(
+        return gathertypes.Batch(
             toprecords.merge_top_records(
                 (answer.body for answer in parts.values()), limit_count
             ),
--- a/plantainhook/gathertree.py
+++ b/plantainhook/gathertree.py
@@ -22,7 +22,7 @@
 import typing
 from collections import abc
 
-from plantainhook import answers, errors, messages, steps
+from plantainhook import answers, errors, gathertypes, messages, steps
 
 # The first batch is expected at this fraction of the time to the goal. It is
 # early enough to call the leafs of a silent helper before the goal.
@@ -39,36 +39,6 @@
 RATIO_TOLERANCE: typing.Final = 1e-9
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Batch:
-    """Represent the parts that a branch has newly received.
-
-    ``signatures`` is by service. ``lost`` names services without an answer,
-    ``unknown`` those without a leaf that the helper knows. ``quarantine_ms``
-    is set if the request is quarantined. A batch contains everything since
-    the one that was acknowledged last; ``sequence`` counts the batches.
-    """
-
-    records: bytes
-    signatures: dict[str, bytes]
-    lost: frozenset[str]
-    unknown: frozenset[str]
-    done: bool
-    ran: bool
-    quarantine_ms: int = 0
-    sequence: int = 0
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TreeRules:
-    """Define when a query is complete, acceptable and late."""
-
-    request_id: str
-    min_coverage_ratio: float
-    goal_s: float
-    deadline_s: float
-
-
 @dataclasses.dataclass(slots=True, eq=False)
 class Branch:
     """Track one branch.
@@ -92,62 +62,6 @@
     acknowledged: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StartBranch:
-    """Represent the action of starting a branch."""
-
-    branch_id: int
-    address: str | None
-    services: tuple[str, ...]
-    wait_until_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AskMore:
-    """Represent the action of asking a branch for its next batch.
-
-    ``ask`` numbers the messages to the branch. If ``is_repeated``, the last
-    message is sent again on another connection.
-    """
-
-    branch_id: int
-    ask: int
-    wait_until_s: float
-    wants_progress: bool
-    acknowledged: int
-    is_repeated: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SetTimer:
-    """Represent the action of calling ``on_timer`` at a time."""
-
-    at_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Gathered:
-    """Represent the merged parts of an answer.
-
-    ``records`` are those of each batch, and ``missing`` names the services
-    without a part.
-    """
-
-    signatures: dict[str, bytes]
-    records: tuple[bytes, ...]
-    missing: tuple[str, ...]
-    total_count: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Finish:
-    """Represent the action of ending the query with its outcome."""
-
-    outcome: Gathered | errors.RefusalError
-
-
-Action = StartBranch | AskMore | SetTimer | Finish
-Actions = list[Action]
 # Returns by how much the reply of a helper may be late.
 GraceOf = abc.Callable[[str], float]
 
@@ -165,7 +79,7 @@
 
     def __init__(
         self,
-        rules: TreeRules,
+        rules: gathertypes.TreeRules,
         direct: tuple[str, ...],
         remote: abc.Mapping[str, tuple[str, ...]],
         grace_of: GraceOf,
@@ -179,13 +93,13 @@
         self._services = frozenset(direct).union(*remote.values())
         self._direct = direct
         self._remote = remote
-        self._batches: list[Batch] = []
+        self._batches: list[gathertypes.Batch] = []
 
-    def start(self, now_s: float) -> Actions:
+    def start(self, now_s: float) -> gathertypes.Actions:
         """Start all branches."""
         left_s = max(0.0, self._rules.goal_s - now_s)
         wait_until_s = now_s + FIRST_BATCH_RATIO * left_s
-        actions: Actions = []
+        actions: gathertypes.Actions = []
         for address, services in self._remote.items():
             self._open(actions, address, services, wait_until_s)
         if self._direct:
@@ -193,8 +107,12 @@
         return self._advance(actions, now_s)
 
     def on_batch(
-        self, branch_id: int, batch: Batch, now_s: float, ask: int = 0
-    ) -> Actions:
+        self,
+        branch_id: int,
+        batch: gathertypes.Batch,
+        now_s: float,
+        ask: int = 0,
+    ) -> gathertypes.Actions:
         """Merge a batch, and ask its branch for the next one.
 
         ``ask`` is the number of the message to which the batch replies.
@@ -211,7 +129,7 @@
         if batch.quarantine_ms:
             return self._finish([], self._quarantine_refusal(batch))
         self._merge(batch)
-        actions: Actions = []
+        actions: gathertypes.Actions = []
         merged = self._merged()
         # A silent helper that replies again has not lost its shards.
         branch.is_silent = False
@@ -228,7 +146,7 @@
 
     def on_failure(
         self, branch_id: int, ran: errors.Ran, now_s: float, ask: int = 0
-    ) -> Actions:
+    ) -> gathertypes.Actions:
         """Handle the failure of the last message to a helper.
 
         ``ran`` states whether the helper may have received it. If not even
@@ -239,7 +157,7 @@
         branch = self.branches[branch_id]
         if self.finished or not branch.is_open or ask != branch.ask:
             return []
-        actions: Actions = []
+        actions: gathertypes.Actions = []
         branch.reply_due_s = math.inf
         missing = branch.services - self._merged()
         if ran is errors.Ran.NO and not branch.ask:
@@ -252,18 +170,18 @@
             self.lost |= missing
         return self._advance(actions, now_s)
 
-    def on_timer(self, now_s: float) -> Actions:
+    def on_timer(self, now_s: float) -> gathertypes.Actions:
         """Handle silent helpers, or finish the query."""
         if self.finished:
             return []
-        actions: Actions = []
+        actions: gathertypes.Actions = []
         for branch in tuple(self.branches.values()):
             if branch.is_open and now_s >= _silent_s(branch):
                 self._on_silence(branch, actions, now_s)
         return self._advance(actions, now_s)
 
     def _on_silence(
-        self, branch: Branch, actions: Actions, now_s: float
+        self, branch: Branch, actions: gathertypes.Actions, now_s: float
     ) -> None:
         """Repeat the last message; if that was done, give the shards up."""
         branch.reply_due_s = math.inf
@@ -283,14 +201,14 @@
         wait_until_s: float,
         due_s: float,
         wants_progress: bool,
-        actions: Actions,
+        actions: gathertypes.Actions,
     ) -> None:
         """Send the next message to a branch."""
         branch.ask += 1
         if branch.address is not None:
             branch.reply_due_s = due_s
         actions.append(
-            AskMore(
+            gathertypes.AskMore(
                 branch.branch_id,
                 branch.ask,
                 wait_until_s,
@@ -302,7 +220,7 @@
 
     def _open(
         self,
-        actions: Actions,
+        actions: gathertypes.Actions,
         address: str | None,
         services: tuple[str, ...],
         wait_until_s: float,
@@ -313,14 +231,16 @@
         if address is not None:
             branch.reply_due_s = wait_until_s
         self.branches[branch_id] = branch
-        actions.append(StartBranch(branch_id, address, services, wait_until_s))
+        actions.append(
+            gathertypes.StartBranch(branch_id, address, services, wait_until_s)
+        )
 
     def _batch_s(self) -> float:
         """Return when the batch that decides at the goal has to be sent."""
         return self._rules.goal_s - GOAL_MARGIN_S
 
     def _ask_more(
-        self, branch: Branch, actions: Actions, now_s: float
+        self, branch: Branch, actions: gathertypes.Actions, now_s: float
     ) -> None:
         """Ask for a batch at the goal, and after it for each new part."""
         wait_until_s = self._batch_s()
@@ -331,19 +251,24 @@
         self._ask(branch, wait_until_s, wait_until_s, wants_progress, actions)
 
     def _call_unknown(
-        self, branch: Branch, services: frozenset[str], actions: Actions
+        self,
+        branch: Branch,
+        services: frozenset[str],
+        actions: gathertypes.Actions,
     ) -> None:
         """Call the shards from here for which the helper knows no leaf."""
         if services and branch.address is not None:
             branch.services -= services
             self._call_here(services, actions)
 
-    def _call_here(self, services: frozenset[str], actions: Actions) -> None:
+    def _call_here(
+        self, services: frozenset[str], actions: gathertypes.Actions
+    ) -> None:
         if services:
             names = tuple(sorted(services))
             self._open(actions, None, names, self._batch_s())
 
-    def _merge(self, batch: Batch) -> None:
+    def _merge(self, batch: gathertypes.Batch) -> None:
         """Merge a batch unless merged batches hold more of its parts."""
         if not batch.signatures:
             return
@@ -372,7 +297,9 @@
         ratio = count / len(self._services)
         return ratio >= self._rules.min_coverage_ratio - RATIO_TOLERANCE
 
-    def _advance(self, actions: Actions, now_s: float) -> Actions:
+    def _advance(
+        self, actions: gathertypes.Actions, now_s: float
+    ) -> gathertypes.Actions:
         """Finish if nothing more can improve the answer."""
         total_count = len(self._services)
         merged = self._merged()
@@ -386,7 +313,7 @@
             return self._finish(actions, self._lost_refusal(lost))
         if now_s >= self._rules.deadline_s:
             return self._finish(actions, self._late_refusal(merged))
-        actions.append(SetTimer(self._next_timer_s(now_s)))
+        actions.append(gathertypes.SetTimer(self._next_timer_s(now_s)))
         return actions
 
     def _next_timer_s(self, now_s: float) -> float:
@@ -399,21 +326,25 @@
         return at_s
 
     def _finish(
-        self, actions: Actions, outcome: Gathered | errors.RefusalError
-    ) -> Actions:
+        self,
+        actions: gathertypes.Actions,
+        outcome: gathertypes.Gathered | errors.RefusalError,
+    ) -> gathertypes.Actions:
         self.finished = True
         kept = [
             action
             for action in actions
-            if not isinstance(action, StartBranch | AskMore)
+            if not isinstance(
+                action, gathertypes.StartBranch | gathertypes.AskMore
+            )
         ]
-        return [*kept, Finish(outcome)]
+        return [*kept, gathertypes.Finish(outcome)]
 
-    def _gathered(self, merged: set[str]) -> Gathered:
+    def _gathered(self, merged: set[str]) -> gathertypes.Gathered:
         signatures: dict[str, bytes] = {}
         for batch in self._batches:
             signatures.update(batch.signatures)
-        return Gathered(
+        return gathertypes.Gathered(
             signatures,
             tuple(batch.records for batch in self._batches),
             tuple(sorted(self._services - merged)),
@@ -448,7 +379,9 @@
             errors.Ran.MAYBE,
         )
 
-    def _quarantine_refusal(self, batch: Batch) -> errors.RefusalError:
+    def _quarantine_refusal(
+        self, batch: gathertypes.Batch
+    ) -> errors.RefusalError:
         refusal = answers.quarantine_refusal(batch.quarantine_ms / 1e3)
         refusal.ran = self.ran
         return refusal
--- a/tests/test_branches.py
+++ b/tests/test_branches.py
@@ -19,7 +19,7 @@
     forwardtypes,
     gatherers,
     gathersplit,
-    gathertree,
+    gathertypes,
     logs,
     memorynet,
     peers,
@@ -66,13 +66,13 @@
         wait_until_s: float,
         wants_progress: bool,
         acknowledged: int | None = None,
-    ) -> gathertree.Batch:
+    ) -> gathertypes.Batch:
         """Return all parts once they are there."""
         await trio.sleep_until(min(wait_until_s, self.parts_s))
         services = self.task.services
         if trio.current_time() < self.parts_s:
             services = ()
-        return gathertree.Batch(
+        return gathertypes.Batch(
             b"",
             dict.fromkeys(services, b"signed"),
             frozenset(),
@@ -214,7 +214,7 @@
 
         async def scenario(fleet: Fleet) -> None:
             outcome = await fleet.gather()
-            assert isinstance(outcome, gathertree.Gathered)
+            assert isinstance(outcome, gathertypes.Gathered)
             self.assertEqual((), outcome.missing)
             counts = fleet.started_counts()
             self.assertEqual((0, 1), (counts[0], sum(counts[1:])))
@@ -236,7 +236,7 @@
             for address in ("d1:1", "d2:1"):
                 fleet.network.nodes[address].close()
             outcome = await fleet.gather()
-            assert isinstance(outcome, gathertree.Gathered)
+            assert isinstance(outcome, gathertypes.Gathered)
             self.assertEqual((), outcome.missing)
             self.assertEqual([1, 0, 0], fleet.started_counts())
 
@@ -304,7 +304,7 @@
                 wire.PROTOCOL_VERSION, 0, "d0", "", "a", "d0:1", ""
             )
             query = branchgather._Query(REQUEST, ROUTE, 0.1, 0.5, 0)
-            action = gathertree.StartBranch(0, "d1:1", SERVICES, 0.05)
+            action = gathertypes.StartBranch(0, "d1:1", SERVICES, 0.05)
             work = branchgather._build_work(query, action, 0.0)
             await helper.server._on_work(sender, work)
             cancel = wire.BranchCancel(REQUEST.request_id)
--- a/tests/test_branchworker.py
+++ b/tests/test_branchworker.py
@@ -6,7 +6,12 @@
 import testtools
 import trio
 
-from plantainhook import branchworker, forwardtypes, gathertree, routetable
+from plantainhook import (
+    branchworker,
+    forwardtypes,
+    gathertypes,
+    routetable,
+)
 from tests import virtualtime
 
 SERVICES: typing.Final = ("s0", "s1", "s2", "s3")
@@ -60,7 +65,7 @@
 
     def batches(
         self, lost_limit_count: int, wants_progress: bool = False
-    ) -> list[tuple[float, gathertree.Batch]]:
+    ) -> list[tuple[float, gathertypes.Batch]]:
         """Lose a shard each 0.1 s; return the batches and their times."""
         found = []
 
@@ -122,7 +127,7 @@
     def test_error_ends_the_branch_only(self) -> None:
         """Guard against one branch of a peer that ends the process."""
 
-        async def main() -> gathertree.Batch:
+        async def main() -> gathertypes.Batch:
             branch, machine = build_branch(0)
 
             def fail(now_s: float) -> typing.NoReturn:
@@ -133,7 +138,7 @@
             worker = branchworker.BranchWorker(*[mock.MagicMock()] * 6)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(worker._run, branch, branch.observed)
-                batch: gathertree.Batch = await branch.next_batch(5.0, False)
+                batch: gathertypes.Batch = await branch.next_batch(5.0, False)
             return batch
 
         batch = virtualtime.run(main)
--- a/tests/test_gathertree.py
+++ b/tests/test_gathertree.py
@@ -6,7 +6,7 @@
 import testtools
 from hypothesis import strategies as st
 
-from plantainhook import errors, gathertree
+from plantainhook import errors, gathertree, gathertypes
 
 NEAR: typing.Final = ("n0", "n1", "n2", "n3")
 FAR: typing.Final = ("f0", "f1", "f2", "f3")
@@ -22,10 +22,10 @@
     done: bool = True,
     ran: bool = True,
     quarantine_ms: int = 0,
-) -> gathertree.Batch:
+) -> gathertypes.Batch:
     """Return a batch with the parts of some services."""
     names = sorted(services)
-    return gathertree.Batch(
+    return gathertypes.Batch(
         ",".join(names).encode(),
         {name: name.encode() for name in names},
         frozenset(lost),
@@ -44,30 +44,30 @@
         min_coverage_ratio: float = 0.75,
         direct: tuple[str, ...] = NEAR,
     ) -> None:
-        self.started: dict[int, gathertree.StartBranch] = {}
-        self.asked: list[gathertree.AskMore] = []
+        self.started: dict[int, gathertypes.StartBranch] = {}
+        self.asked: list[gathertypes.AskMore] = []
         self.timer_s = 0.0
         self.outcome: typing.Any = None
 
         self.tree = gathertree.GatherTree(
-            gathertree.TreeRules("q", min_coverage_ratio, GOAL_S, DEADLINE_S),
+            gathertypes.TreeRules("q", min_coverage_ratio, GOAL_S, DEADLINE_S),
             direct,
             {HELPER: FAR},
             lambda address: 0.03,
         )
         self.record(self.tree.start(0.0))
 
-    def record(self, actions: typing.Iterable[gathertree.Action]) -> None:
+    def record(self, actions: typing.Iterable[gathertypes.Action]) -> None:
         """Record the actions of the tree."""
         for action in actions:
             match action:
-                case gathertree.StartBranch():
+                case gathertypes.StartBranch():
                     self.started[action.branch_id] = action
-                case gathertree.AskMore():
+                case gathertypes.AskMore():
                     self.asked.append(action)
-                case gathertree.SetTimer():
+                case gathertypes.SetTimer():
                     self.timer_s = action.at_s
-                case gathertree.Finish():
+                case gathertypes.Finish():
                     assert self.outcome is None
                     self.outcome = action.outcome
 
@@ -80,7 +80,7 @@
         )
 
     def reply(
-        self, address: str | None, now_s: float, new: gathertree.Batch
+        self, address: str | None, now_s: float, new: gathertypes.Batch
     ) -> None:
         """Pass a batch to the tree."""
         branch_id = self.branch_of(address)
