Remove repetitions from the gather in branches

Found in reading the change once more; behaviour is the same: - one function reads the request that a peer's message carries (it stood in gatherers and branchserver), one converts a capacity to cores, one builds the query of a request, and the tolerance of ratios is that of coverage; - a branch looks up the shards of its route once and not twice; - TreeRules.request_id and the default of lost_limit_count were never used; - four comments said what an earlier version did.

--- a/plantainhook/branchgather.py
+++ b/plantainhook/branchgather.py
@@ -108,7 +108,6 @@
         goal_s = min(goal_s, request.deadline_s)
         tree = gathertree.GatherTree(
             gathertypes.TreeRules(
-                forwarded.request_id,
                 gather.min_coverage_ratio,
                 goal_s,
                 request.deadline_s,
--- a/plantainhook/branchhelpers.py
+++ b/plantainhook/branchhelpers.py
@@ -17,7 +17,6 @@
 # if it has one core.
 LINK_GRACE_S: typing.Final = 0.015
 CORE_GRACE_S: typing.Final = 0.01
-CAPACITY_PER_CORE: typing.Final = 100
 
 
 class Helpers:
@@ -76,12 +75,11 @@
         """Return by how much a reply of a helper may be late.
 
         Pattern: on a VM with little CPU a branch takes long to start. If its
-        helper counted as silent, others would repeat the work.
+        helper counted as silent, its shards would be given up.
         """
         member = self._member_at(address)
         capacity = member.capacity if member is not None else 0
-        cores = (capacity or CAPACITY_PER_CORE) / CAPACITY_PER_CORE
-        return LINK_GRACE_S + CORE_GRACE_S / cores
+        return LINK_GRACE_S + CORE_GRACE_S / gatherers.cores_of(capacity)
 
     def _member_at(self, address: str) -> blackboard.MemberInfo | None:
         members = self._board.members
--- a/plantainhook/branchserver.py
+++ b/plantainhook/branchserver.py
@@ -13,7 +13,7 @@
 
 from plantainhook import (
     branchworker,
-    forwardtypes,
+    gatherers,
     gathertypes,
     logs,
     peers,
@@ -164,15 +164,7 @@
 
 
 def _read_task(body: wire.BranchWork, now_s: float) -> branchworker.BranchTask:
-    forwarded = forwardtypes.ForwardRequest(
-        body.method,
-        body.target,
-        body.host,
-        [(name, value) for name, value in body.headers],
-        body.body,
-        body.request_id,
-        body.deadline_ms,
-    )
+    forwarded = gatherers.read_forwarded(body, body.deadline_ms)
     services = tuple(body.services)
     route = routetable.Route(
         name=body.route,
--- a/plantainhook/branchworker.py
+++ b/plantainhook/branchworker.py
@@ -33,7 +33,6 @@
 LOGGER: typing.Final = logs.part_logger("branch")
 # Parts that arrive within this time are sent in one batch.
 PROGRESS_DELAY_S: typing.Final = 0.003
-NO_LIMIT: typing.Final = 1 << 30
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,11 +48,11 @@
     services: tuple[str, ...]
     goal_s: float
     deadline_s: float
-    lost_limit_count: int = NO_LIMIT
+    lost_limit_count: int
 
 
 class _ObservedMachine:
-    """Report each event of a query machine through ``branch.changed``."""
+    """Pass events to a query machine and set ``changed`` at each result."""
 
     def __init__(self, machine: query.QueryMachine) -> None:
         self.machine = machine
@@ -144,9 +143,7 @@
             self._known_lost = lost
 
     def _is_due(self, wants_progress: bool) -> bool:
-        if self.is_done:
-            return True
-        if self._machine is None:
+        if self.is_done or self._machine is None:
             return True
         lost = self._machine.lost_shards()
         has_new_lost = not lost <= self._known_lost
@@ -218,7 +215,8 @@
     def start(self, nursery: trio.Nursery, task: BranchTask) -> RunningBranch:
         """Start a branch; its tasks run in the nursery."""
         now_s = trio.current_time()
-        view = self.view_of(task.route, task.services)
+        all_services = self._known_services(task.route, task.services)
+        view = self._planner.version_view(all_services)
         unknown = frozenset(
             name for name in task.services if not has_replica(view, name)
         )
@@ -228,7 +226,7 @@
             machine = self._planner.build_branch_machine(
                 task.forwarded,
                 task.route,
-                self._services_of(task),
+                all_services,
                 known,
                 forwardplanner.BranchTimes(
                     now_s, task.goal_s, task.deadline_s
@@ -254,9 +252,6 @@
             statuses, trio.current_time()
         )
 
-    def _services_of(self, task: BranchTask) -> tuple[str, ...]:
-        return self._known_services(task.route, task.services)
-
     def _known_services(
         self, route: routetable.Route, services: tuple[str, ...]
     ) -> tuple[str, ...]:
--- a/plantainhook/callershares.py
+++ b/plantainhook/callershares.py
@@ -2,8 +2,8 @@
 
 A daemon does not see the calls of others, so each uses only its part of a
 limit. With helpers (``gathersplit``), the shards of a service are called by
-the daemons in the data centres of its leafs. Others call them only if a
-helper is lost or a branch would not pay.
+the daemons in the data centres of its leafs. Others call them only if no
+helper can be reached or knows them, or if a branch would not pay.
 
 Pattern: the leafs of a shard are slow, and hedges and retries decide whether
 a query is complete. If the limit were divided among all daemons, the parts of
--- a/plantainhook/cancelqueue.py
+++ b/plantainhook/cancelqueue.py
@@ -17,7 +17,7 @@
 
 
 class CancelQueue:
-    """Queue messages to peers and send them one after the other."""
+    """Queue messages to peers and send them without waiting for replies."""
 
     def __init__(self, transport: peers.PeerTransport) -> None:
         self._transport = transport
--- a/plantainhook/forwardplanner.py
+++ b/plantainhook/forwardplanner.py
@@ -222,15 +222,9 @@
     services: tuple[str, ...],
 ) -> querytypes.QueryRequest:
     """Build the query of a branch for some shards of a route."""
-    return querytypes.QueryRequest(
-        request_id=forwarded.request_id,
-        target=route.name,
-        kind=f"{route.host}{route.path_prefix}",
-        params={},
-        fingerprint=fingerprint_of(forwarded),
-        arrived_s=times.started_s,
-        deadline_s=times.deadline_s,
-        shards=services,
+    request = build_query_request(forwarded, route, times.started_s)
+    return dataclasses.replace(
+        request, deadline_s=times.deadline_s, shards=services
     )
 
 
--- a/plantainhook/gatherers.py
+++ b/plantainhook/gatherers.py
@@ -212,15 +212,7 @@
     async def _on_work(
         self, sender: wire.HelloFrame, body: wire.HttpWork
     ) -> wire.AnyBody:
-        forwarded = forwardtypes.ForwardRequest(
-            body.method,
-            body.target,
-            body.host,
-            [(name, value) for name, value in body.headers],
-            body.body,
-            body.request_id,
-            body.left_ms,
-        )
+        forwarded = read_forwarded(body, body.left_ms)
         key = (sender.incarnation, body.request_id)
         scope = self._running[key] = trio.CancelScope()
         try:
@@ -341,10 +333,33 @@
     ]
 
 
+def read_forwarded(
+    body: wire.HttpWork | wire.BranchWork, left_ms: float | None
+) -> forwardtypes.ForwardRequest:
+    """Return the request that a message of a peer carries."""
+    return forwardtypes.ForwardRequest(
+        body.method,
+        body.target,
+        body.host,
+        [(name, value) for name, value in body.headers],
+        body.body,
+        body.request_id,
+        left_ms,
+    )
+
+
+def cores_of(capacity: int) -> float:
+    """Return the cores of a VM; an unknown capacity counts as one core.
+
+    ``capacity`` is in hundredths of a core; 0 is unknown.
+    """
+    return (capacity or CAPACITY_PER_CORE) / CAPACITY_PER_CORE
+
+
 def shards_limit_count(capacity: int) -> int:
     """Return how many shards of a query one daemon should call.
 
     ``capacity`` is that of its VM in hundredths of a core; 0 is unknown.
     """
-    cores = (capacity or CAPACITY_PER_CORE) / CAPACITY_PER_CORE
-    return max(SHARDS_LIMIT_MIN_COUNT, int(cores * CALLS_S / CALL_CPU_S))
+    limit = cores_of(capacity) * CALLS_S / CALL_CPU_S
+    return max(SHARDS_LIMIT_MIN_COUNT, int(limit))
--- a/plantainhook/gathertree.py
+++ b/plantainhook/gathertree.py
@@ -22,7 +22,14 @@
 import typing
 from collections import abc
 
-from plantainhook import answers, errors, gathertypes, messages, steps
+from plantainhook import (
+    answers,
+    coverage,
+    errors,
+    gathertypes,
+    messages,
+    steps,
+)
 
 # The first batch is expected at this fraction of the time to the goal. It is
 # early enough to call the leafs of a silent helper before the goal.
@@ -35,8 +42,6 @@
 # The batch for the goal is requested this long before it, because it crosses
 # the link between data centres.
 GOAL_MARGIN_S: typing.Final = 0.01
-# Coverage ratios are computed from counts; this absorbs rounding errors.
-RATIO_TOLERANCE: typing.Final = 1e-9
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -295,7 +300,9 @@
         if not count:
             return False
         ratio = count / len(self._services)
-        return ratio >= self._rules.min_coverage_ratio - RATIO_TOLERANCE
+        return (
+            ratio >= self._rules.min_coverage_ratio - coverage.RATIO_TOLERANCE
+        )
 
     def _advance(
         self, actions: gathertypes.Actions, now_s: float
--- a/plantainhook/gathertypes.py
+++ b/plantainhook/gathertypes.py
@@ -33,7 +33,6 @@
 class TreeRules:
     """Define when a query is complete, acceptable and late."""
 
-    request_id: str
     min_coverage_ratio: float
     goal_s: float
     deadline_s: float
--- a/tests/test_gathertree.py
+++ b/tests/test_gathertree.py
@@ -50,7 +50,7 @@
         self.outcome: typing.Any = None
 
         self.tree = gathertree.GatherTree(
-            gathertypes.TreeRules("q", min_coverage_ratio, GOAL_S, DEADLINE_S),
+            gathertypes.TreeRules(min_coverage_ratio, GOAL_S, DEADLINE_S),
             direct,
             {HELPER: FAR},
             lambda address: 0.03,
