Log and count the calls to leafs that limit their requests

The logs could not tell whether first attempts, hedges or a restarted daemon exceed the limit of a leaf: no line said that a leaf named one, and calls were not counted by leaf and reason.

The limit is read from the replies (Server-Limit on the platform), logged when it changes, and the calls to such a leaf are logged each 4 s and counted. No decision uses it yet.

--- a/plantainhook/branchworker.py
+++ b/plantainhook/branchworker.py
@@ -19,6 +19,7 @@
     forwardplanner,
     forwardtypes,
     gathertypes,
+    leaflimits,
     leafpools,
     logs,
     metrics,
@@ -201,6 +202,7 @@
         board: blackboard.Blackboard,
         planner: forwardplanner.ForwardPlanner,
         pools: leafpools.LeafPools,
+        limits: leaflimits.LeafLimits,
         dialect: forwardtypes.Dialect,
         instruments: metrics.LeafMetrics,
         failure_log: logs.DecisionLog,
@@ -208,6 +210,7 @@
         self._board = board
         self._planner = planner
         self._pools = pools
+        self._limits = limits
         self._dialect = dialect
         self._instruments = instruments
         self._failure_log = failure_log
@@ -277,6 +280,7 @@
             True,
             self._dialect,
             self._pools,
+            self._limits,
             self._instruments,
             self._failure_log,
         )
--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -31,6 +31,7 @@
     httpserver,
     leafconnect,
     leafdirectory,
+    leaflimits,
     leafpools,
     logs,
     membership,
@@ -152,6 +153,7 @@
             self.rng,
             options=POOL_OPTIONS,
         )
+        self.limits = leaflimits.LeafLimits(self.instruments)
         self.gatherers = gatherers.Gatherers(
             self.board,
             self.links,
@@ -170,6 +172,7 @@
             self.board,
             self.planner,
             self.pools,
+            self.limits,
             adapters.dialect,
             self.instruments,
             self._build_decision_log("attempt"),
@@ -191,6 +194,7 @@
                 self.board,
                 self.planner,
                 self.pools,
+                self.limits,
                 adapters.dialect,
                 self.instruments,
                 self.forward_metrics,
--- a/plantainhook/forwardgateway.py
+++ b/plantainhook/forwardgateway.py
@@ -20,6 +20,7 @@
     httpconnection,
     leafclient,
     leafconnect,
+    leaflimits,
     leafpools,
     logs,
     metrics,
@@ -52,6 +53,7 @@
     idempotent: bool
     dialect: forwardtypes.Dialect
     pools: leafpools.LeafPools
+    limits: leaflimits.LeafLimits
     instruments: metrics.LeafMetrics
     failure_log: logs.DecisionLog
 
@@ -124,6 +126,9 @@
                     self.forwarded, send.leaf, left_ms
                 ),
             )
+            self.limits.record_call(
+                send.leaf, send.reason, trio.current_time()
+            )
             # No deadline here: the query machine cancels late attempts.
             exchanged = await connection.exchange(
                 head, self.forwarded.body, math.inf
@@ -138,6 +143,10 @@
                 return _build_error(send.leaf, detail, Failure.MALFORMED)
         finally:
             pool.abandon(connection)
+        if not answer.misdirected:
+            self.limits.observe(
+                send.leaf, answer.limit_per_s, trio.current_time()
+            )
         return self._check_answer(send.leaf, answer)
 
     def _is_own(
--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -26,6 +26,7 @@
     forwardplanner,
     forwardtypes,
     gatherers,
+    leaflimits,
     leafpools,
     logs,
     metrics,
@@ -61,6 +62,7 @@
     board: blackboard.Blackboard
     planner: forwardplanner.ForwardPlanner
     pools: leafpools.LeafPools
+    limits: leaflimits.LeafLimits
     dialect: forwardtypes.Dialect
     instruments: metrics.LeafMetrics
     forward_metrics: forwardmetrics.ForwardMetrics
@@ -172,6 +174,7 @@
             route.idempotent,
             dependencies.dialect,
             dependencies.pools,
+            dependencies.limits,
             dependencies.instruments,
             dependencies.failure_log,
         )
--- a/plantainhook/forwardtypes.py
+++ b/plantainhook/forwardtypes.py
@@ -57,7 +57,8 @@
     ``headers`` are all headers of the reply. ``signature`` proves which leaf
     ran which request. ``encoded`` is set if the body has a content encoding,
     ``refused`` if the leaf states that it has not run the request, and
-    ``misdirected`` if another leaf has the address.
+    ``misdirected`` if another leaf has the address. ``limit_per_s`` is how
+    many requests a second the leaf accepts from all daemons, or None.
     """
 
     status: int
@@ -68,6 +69,7 @@
     encoded: bool
     refused: bool
     misdirected: bool
+    limit_per_s: float | None = None
 
     def is_success(self) -> bool:
         """Return whether the status is one of success."""
--- a/plantainhook/metrics.py
+++ b/plantainhook/metrics.py
@@ -60,6 +60,17 @@
             "Calls sent again because nothing of the first try was written.",
             registry=registry,
         )
+        self.limited_calls = prometheus_client.Counter(
+            "plantainhook_leaf_limited_calls",
+            "Calls to leafs that limit their requests, by reason.",
+            ["reason"],
+            registry=registry,
+        )
+        self.limited_leafs = prometheus_client.Gauge(
+            "plantainhook_leaf_limits",
+            "Leafs that limit their requests, as far as this daemon knows.",
+            registry=registry,
+        )
         self.connections = prometheus_client.Gauge(
             "plantainhook_leaf_connections",
             "Connections to leafs that are open or being closed.",
--- a/plantainhook/platform/dialect.py
+++ b/plantainhook/platform/dialect.py
@@ -3,6 +3,7 @@
 It implements ``forwardtypes.Dialect``. Header names are in lower case.
 """
 
+import math
 import typing
 
 from plantainhook import forwardtypes, httpconnection
@@ -91,6 +92,7 @@
             encoded=b"content-encoding" in by_name,
             refused=names.NOT_RUN in by_name or misdirected,
             misdirected=misdirected,
+            limit_per_s=_parse_limit(by_name.get(names.REQUEST_LIMIT)),
         )
 
     def answer_headers(
@@ -126,3 +128,13 @@
     if value is None or not value.strip().isdigit():
         return None
     return float(value)
+
+
+def _parse_limit(value: bytes | None) -> float | None:
+    """Parse a number of requests a second; None if absent or invalid."""
+    try:
+        limit_per_s = float(value) if value is not None else math.nan
+    except ValueError:
+        return None
+    valid = math.isfinite(limit_per_s) and limit_per_s >= 0.0
+    return limit_per_s if valid else None
--- a/tests/test_damaged_peers.py
+++ b/tests/test_damaged_peers.py
@@ -26,6 +26,7 @@
     forwardtypes,
     httpserver,
     leafconnect,
+    leaflimits,
     leafpools,
     leaftransport,
     logs,
@@ -115,6 +116,7 @@
             idempotent,
             dialect.PlatformDialect(),
             self.pools,
+            leaflimits.LeafLimits(self.instruments),
             self.instruments,
             logs.DecisionLog(
                 logs.part_logger("attempt"), clock.TrioClock(), 50.0
--- a/tests/test_httpconnection.py
+++ b/tests/test_httpconnection.py
@@ -18,6 +18,7 @@
     forwardtypes,
     httpconnection,
     leafconnect,
+    leaflimits,
     leafpools,
     logs,
     metrics,
@@ -153,6 +154,7 @@
             True,
             dialect.PlatformDialect(),
             pools,
+            leaflimits.LeafLimits(instruments),
             instruments,
             logs.DecisionLog(
                 logs.part_logger("attempt"), clock.TrioClock(), 50.0
