Grant the calls to leafs with a request limit for the whole fleet

Cause: a leaf's limit is for all daemons together, but each daemon decided alone how often to call it, and nothing knew the limit. Not chosen: an equal part for each daemon, because two of seven send three quarters of the calls and would leave most of the limit unused.

A call to a limited leaf takes a token. One daemon of the fleet, chosen by rendezvous hashing, grants the tokens of all leafs (limitgrants); the others report what they hold and need (limitsync). It stores nothing and can be replaced at any time; without it a daemon uses an equal part. A query that lacks a token waits one exchange. If all leafs of a service are limited and too many queries need it, queries are admitted by rank, the same ones at every shard, and the others are refused at once before anything has run.

--- a/plantainhook/answers.py
+++ b/plantainhook/answers.py
@@ -85,6 +85,19 @@
     )
 
 
+def over_limit_refusal(shards: abc.Sequence[str]) -> errors.RefusalError:
+    """Build the refusal of a query that leafs have no room for."""
+    return errors.RefusalError(
+        steps.Step.QUERY_ADMIT,
+        PEER,
+        messages.OVER_LIMIT.format(
+            count=len(shards), shards=", ".join(shards[:NAMED_SHARDS_MAX])
+        ),
+        errors.RefusalKind.COVERAGE,
+        errors.Ran.NO,
+    )
+
+
 def unknown_shards_refusal(
     version: int,
     shards: abc.Iterable[str],
--- a/plantainhook/attempts.py
+++ b/plantainhook/attempts.py
@@ -129,6 +129,7 @@
             status, self.plan.rules.cross_zone_max_ratio
         )
         leaf.sent_s = now_s
+        policies.replicas.limits.take(leaf.name, now_s)
         attempt = Attempt(
             self._opened_count, leaf, shards, shard_set, now_s, version
         )
--- a/plantainhook/blackboard.py
+++ b/plantainhook/blackboard.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import enum
+import typing
 from collections import abc
 
 import trio
@@ -39,6 +40,10 @@
     DOWN = "down"
 
 
+# A leaf in one of these states gets new work.
+USABLE_STATES: typing.Final = (LeafState.LIVE, LeafState.COLD)
+
+
 class LifecycleState(enum.StrEnum):
     """Name the lifecycle states of a daemon, in order.
 
--- a/plantainhook/branchgather.py
+++ b/plantainhook/branchgather.py
@@ -342,6 +342,10 @@
         if isinstance(reply, result.Err):
             self._queue(branch_id, ask, reply.err_value)
             return
+        if isinstance(reply.ok_value, wire.BranchResult):
+            self._owner.worker.limits.learn(
+                reply.ok_value.limits, trio.current_time()
+            )
         self._queue(branch_id, ask, _read_batch(reply.ok_value, remote))
 
     def _queue(self, branch_id: int, ask: int, event: Event) -> None:
--- a/plantainhook/branchserver.py
+++ b/plantainhook/branchserver.py
@@ -149,7 +149,11 @@
             served.expires_s = trio.current_time() + ABANDONED_S
             if served.waiting_count == 0:
                 served.running.scope.deadline = served.expires_s
-        return _build_result(batch, served.services)
+        return _build_result(
+            batch,
+            served.services,
+            self._worker.limits.limits_of(served.services),
+        )
 
     def _remove_expired(self) -> None:
         now_s = trio.current_time()
@@ -188,7 +192,9 @@
 
 
 def _build_result(
-    batch: gathertypes.Batch, services: tuple[str, ...]
+    batch: gathertypes.Batch,
+    services: tuple[str, ...],
+    limits: dict[str, float],
 ) -> wire.BranchResult:
     """Build the reply, which names services by their index."""
     index_of = {name: index for index, name in enumerate(services)}
@@ -201,4 +207,5 @@
         batch.ran,
         batch.quarantine_ms,
         batch.sequence,
+        limits,
     )
--- a/plantainhook/branchworker.py
+++ b/plantainhook/branchworker.py
@@ -21,6 +21,7 @@
     gathertypes,
     leaflimits,
     leafpools,
+    limitsync,
     logs,
     metrics,
     query,
@@ -203,6 +204,7 @@
         planner: forwardplanner.ForwardPlanner,
         pools: leafpools.LeafPools,
         limits: leaflimits.LeafLimits,
+        tokens: limitsync.LimitSync,
         dialect: forwardtypes.Dialect,
         instruments: metrics.LeafMetrics,
         failure_log: logs.DecisionLog,
@@ -210,7 +212,8 @@
         self._board = board
         self._planner = planner
         self._pools = pools
-        self._limits = limits
+        self.limits = limits
+        self._tokens = tokens
         self._dialect = dialect
         self._instruments = instruments
         self._failure_log = failure_log
@@ -280,13 +283,18 @@
             True,
             self._dialect,
             self._pools,
-            self._limits,
+            self.limits,
             self._instruments,
             self._failure_log,
         )
         outcome: executor.Outcome | None = None
         try:
             with running.scope:
+                await self._tokens.prepare(
+                    self.view_of(task.route, task.services),
+                    task.services,
+                    machine.machine.plan.rank,
+                )
                 outcome = await executor.run_query(
                     machine,
                     machine.machine.plan.request,
--- a/plantainhook/coverage.py
+++ b/plantainhook/coverage.py
@@ -93,6 +93,14 @@
     return ratio >= rules.min_coverage_ratio - RATIO_TOLERANCE
 
 
+def is_enough(
+    present_count: int, total_count: int, min_coverage_ratio: float
+) -> bool:
+    """Return whether a number of shards reaches the minimum coverage."""
+    least_count = (min_coverage_ratio - RATIO_TOLERANCE) * total_count
+    return present_count >= max(1.0, least_count)
+
+
 def is_acceptable(
     merge: Merge,
     rules: querytypes.EffectiveRules,
--- a/plantainhook/dispatch.py
+++ b/plantainhook/dispatch.py
@@ -229,7 +229,7 @@
             if not shard_set.may_run_on(leaf, max_runs_count):
                 continue
             is_hedge = reason is querytypes.AttemptReason.HEDGE
-            if is_hedge and self._is_down(assignment, now_s):
+            if is_hedge and not self._may_hedge_to(assignment, now_s):
                 continue
             if not self._charge(shard_set, reason, now_s):
                 break
@@ -237,9 +237,13 @@
             sent = True
         return sent
 
-    def _is_down(self, assignment: routing.Assignment, now_s: float) -> bool:
-        state = self._policies.replicas.state(assignment.status)
-        return state.is_down(now_s)
+    def _may_hedge_to(
+        self, assignment: routing.Assignment, now_s: float
+    ) -> bool:
+        replicas = self._policies.replicas
+        if not replicas.limits.may_hedge(assignment.status.info.name):
+            return False
+        return not replicas.state(assignment.status).is_down(now_s)
 
     def _charge(
         self,
--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -33,6 +33,7 @@
     leafdirectory,
     leaflimits,
     leafpools,
+    limitsync,
     logs,
     membership,
     metrics,
@@ -129,7 +130,9 @@
         self.members = membership.Membership(
             self.board,
             membership.own_entry(
-                self.hello, capacity_of(forward), wire.FEATURE_BRANCHES
+                self.hello,
+                capacity_of(forward),
+                wire.FEATURE_BRANCHES | wire.FEATURE_LIMITS,
             ),
             self.links,
             self.handlers,
@@ -153,7 +156,18 @@
             self.rng,
             options=POOL_OPTIONS,
         )
-        self.limits = leaflimits.LeafLimits(self.instruments)
+        self.limits = leaflimits.LeafLimits()
+        self.instruments.limited_leafs.set_function(
+            lambda: len(self.limits.leafs)
+        )
+        self.tokens = limitsync.LimitSync(
+            self.board,
+            self.limits,
+            self.links,
+            self.handlers,
+            self.fleet.count,
+            self.rng,
+        )
         self.gatherers = gatherers.Gatherers(
             self.board,
             self.links,
@@ -173,6 +187,7 @@
             self.planner,
             self.pools,
             self.limits,
+            self.tokens,
             adapters.dialect,
             self.instruments,
             self._build_decision_log("attempt"),
@@ -195,6 +210,7 @@
                 self.planner,
                 self.pools,
                 self.limits,
+                self.tokens,
                 adapters.dialect,
                 self.instruments,
                 self.forward_metrics,
@@ -259,6 +275,7 @@
             nursery.start_soon(self.branches.run)
             nursery.start_soon(self.members.run)
             nursery.start_soon(self.directory.run)
+            nursery.start_soon(self.tokens.run)
             nursery.start_soon(self.relay.run)
             nursery.start_soon(
                 self.readiness_server.serve,
@@ -425,6 +442,7 @@
         )
         policies.latencies = goalhedging.PooledLatencies()
         policies.budgets = self.budgets
+        policies.replicas.limits = self.limits
         return policies
 
 
--- a/plantainhook/forwardgateway.py
+++ b/plantainhook/forwardgateway.py
@@ -126,9 +126,10 @@
                     self.forwarded, send.leaf, left_ms
                 ),
             )
-            self.limits.record_call(
+            if self.limits.record_call(
                 send.leaf, send.reason, trio.current_time()
-            )
+            ):
+                self.instruments.limited_calls.labels(send.reason).inc()
             # No deadline here: the query machine cancels late attempts.
             exchanged = await connection.exchange(
                 head, self.forwarded.body, math.inf
--- a/plantainhook/forwardplanner.py
+++ b/plantainhook/forwardplanner.py
@@ -169,8 +169,7 @@
             state = self.board.leafs[name].state
             statuses[name] = querytypes.LeafStatus(
                 info=info,
-                usable=state
-                in (blackboard.LeafState.LIVE, blackboard.LeafState.COLD),
+                usable=state in blackboard.USABLE_STATES,
                 cold=state is blackboard.LeafState.COLD,
                 versions={TARGET_VERSION: frozenset((info.service,))},
             )
--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -17,8 +17,10 @@
 import trio
 
 from plantainhook import (
+    answers,
     blackboard,
     branchgather,
+    coverage,
     errors,
     executor,
     forwardgateway,
@@ -28,6 +30,7 @@
     gatherers,
     leaflimits,
     leafpools,
+    limitsync,
     logs,
     metrics,
     querytypes,
@@ -63,6 +66,7 @@
     planner: forwardplanner.ForwardPlanner
     pools: leafpools.LeafPools
     limits: leaflimits.LeafLimits
+    tokens: limitsync.LimitSync
     dialect: forwardtypes.Dialect
     instruments: metrics.LeafMetrics
     forward_metrics: forwardmetrics.ForwardMetrics
@@ -150,6 +154,11 @@
         arrived_s: float,
     ) -> forwardtypes.Response:
         """Run a request on leafs and return the response."""
+        services = self._choose_services(route)
+        refusal = self._check_limits(forwarded, route, services)
+        if refusal is not None:
+            self._record(forwarded, route, refusal, arrived_s)
+            return self._build_refusal(refusal)
         gathered = None
         if self.dependencies.branches is not None:
             gathered = await self.dependencies.branches.gather(
@@ -162,10 +171,11 @@
         request = forwardplanner.build_query_request(
             forwarded, route, arrived_s
         )
-        if route.gather is not None:
-            services = route.gather.shard_services
-        else:
-            services = (route.choose_service(dependencies.rng),)
+        await dependencies.tokens.prepare(
+            dependencies.planner.version_view(services),
+            services,
+            forwardplanner.rank_of(forwarded.request_id),
+        )
         machine = dependencies.planner.build_machine(
             request, route, services, started_s
         )
@@ -186,6 +196,38 @@
             return self._build_refusal(outcome)
         return self._build_response(route, outcome)
 
+    def _choose_services(self, route: routetable.Route) -> tuple[str, ...]:
+        """Return the services that a request needs."""
+        if route.gather is not None:
+            return route.gather.shard_services
+        return (route.choose_service(self.dependencies.rng),)
+
+    def _check_limits(
+        self,
+        forwarded: forwardtypes.ForwardRequest,
+        route: routetable.Route,
+        services: tuple[str, ...],
+    ) -> errors.RefusalError | None:
+        """Return a refusal if the limits of leafs don't admit the request.
+
+        Pattern: all leafs of many shards limit their requests. Calls for a
+        query that can't reach its minimum coverage would use up tokens that
+        others need.
+        """
+        limits = self.dependencies.limits
+        limits.record_query(services, trio.current_time())
+        rank = forwardplanner.rank_of(forwarded.request_id)
+        excluded = [
+            service for service in services if not limits.admits(service, rank)
+        ]
+        gather = route.gather
+        minimum_ratio = gather.min_coverage_ratio if gather else 1.0
+        if coverage.is_enough(
+            len(services) - len(excluded), len(services), minimum_ratio
+        ):
+            return None
+        return answers.over_limit_refusal(excluded)
+
     def _record(
         self,
         forwarded: forwardtypes.ForwardRequest,
--- a/plantainhook/leaflimits.py
+++ b/plantainhook/leaflimits.py
@@ -2,74 +2,208 @@
 
 A leaf that needs relief states in its replies how many requests a second it
 accepts from all daemons together. The limit holds for as long as its replies
-state it. ``LeafLimits`` keeps the limits that this daemon knows and counts
-its calls to these leafs.
+state it.
+
+``LeafLimits`` is the side of the daemons that call leafs. A call to a limited
+leaf takes a token. One daemon of the fleet grants the tokens of all others
+(``limitgrants``); ``limitsync`` exchanges reports and grants with it. A
+daemon that cannot reach it uses an equal part of the limit.
+
+If all leafs of a service are limited and too many queries need it, each query
+is admitted by its rank, so the same queries are served at every shard.
 """
 
 import collections
 import dataclasses
+import math
 import typing
+from collections import abc
 
-from plantainhook import logs, metrics, querytypes
+from plantainhook import logs, querytypes, wire
 
 LOGGER: typing.Final = logs.part_logger("limit")
 # The calls to a limited leaf are logged at this interval.
 REPORT_INTERVAL_S: typing.Final = 4.0
+# Granted tokens are void this long after the last exchange. The granter then
+# grants them again.
+TOKEN_VALIDITY_S: typing.Final = 1.5
+# Tokens are kept in advance for the calls of this time.
+STOCK_S: typing.Final = 0.3
+CALL_RATE_WINDOW_S: typing.Final = 1.0
+QUERY_RATE_WINDOW_S: typing.Final = 2.0
+# Also a leaf that accepts nothing gets calls, whose replies show when the
+# limit is lifted.
+LIMIT_MIN_PER_S: typing.Final = 0.25
+
+
+@dataclasses.dataclass(slots=True)
+class EventRate:
+    """Estimate the rate of events with an exponentially decaying count."""
+
+    window_s: float
+    count: float = 0.0
+    updated_s: float = 0.0
+
+    def record(self, now_s: float) -> None:
+        """Count an event."""
+        self.count = self._decayed(now_s) + 1.0
+        self.updated_s = now_s
+
+    def per_s(self, now_s: float) -> float:
+        """Return the recent number of events per second."""
+        return self._decayed(now_s) / self.window_s
+
+    def _decayed(self, now_s: float) -> float:
+        elapsed_s = max(0.0, now_s - self.updated_s)
+        return self.count * math.exp(-elapsed_s / self.window_s)
 
 
 @dataclasses.dataclass(slots=True)
 class LimitedLeaf:
     """Describe a leaf with a limit.
 
-    ``calls`` counts the calls of this daemon by reason since ``counted_s``.
+    ``stated_s`` is when a reply stated the limit last. ``requested_count``
+    is the number of tokens for which queries wait, and ``wanted`` the rate of
+    the calls that were made or lacked a token. ``calls`` counts the calls by
+    reason since ``counted_s``.
     """
 
     limit_per_s: float
+    stated_s: float
     counted_s: float
+    tokens_count: int = 0
+    requested_count: int = 0
+    wanted: EventRate = dataclasses.field(
+        default_factory=lambda: EventRate(CALL_RATE_WINDOW_S)
+    )
     calls: collections.Counter[querytypes.AttemptReason] = dataclasses.field(
         default_factory=collections.Counter
     )
 
+    def stock_count(self, now_s: float) -> int:
+        """Return how many tokens to keep for the next calls."""
+        return round(self.wanted.per_s(now_s) * STOCK_S)
+
 
 class LeafLimits:
-    """Store the request limits of leafs, by leaf name."""
+    """Store the limits of leafs and the tokens of this daemon, by leaf name.
+
+    ``service_of`` returns the service of a leaf, or None if it has left.
+    ``on_change`` is called when a limit becomes known or has ended.
+    """
+
+    service_of: abc.Callable[[str], str | None]
+    on_change: abc.Callable[[], None]
 
-    def __init__(self, instruments: metrics.LeafMetrics) -> None:
+    def __init__(self) -> None:
         self.leafs: dict[str, LimitedLeaf] = {}
-        self._instruments = instruments
-        instruments.limited_leafs.set_function(lambda: len(self.leafs))
+        self.service_of = lambda leaf: None
+        self.on_change = lambda: None
+        # The leafs whose limits have ended, until the granter knows it.
+        self._ended_s: dict[str, float] = {}
+        # The share of queries that a service can serve, if below 1.
+        self._admitted_ratios: dict[str, float] = {}
+        self._queries: dict[str, EventRate] = {}
+        self._exchanged_s = -math.inf
+        self._accrued_s = -math.inf
+        self._accrued: dict[str, float] = {}
+
+    # Limits
 
     def observe(
         self, leaf: str, limit_per_s: float | None, now_s: float
     ) -> None:
         """Apply the limit that a reply of a leaf states; None is no limit."""
-        known = self.leafs.get(leaf)
         if limit_per_s is None:
-            if known is not None:
-                del self.leafs[leaf]
-                LOGGER.info("Leaf {} no longer limits its requests.", leaf)
+            if leaf in self.leafs:
+                self._end(leaf, now_s)
             return
+        self._ended_s.pop(leaf, None)
+        self._set(leaf, max(limit_per_s, LIMIT_MIN_PER_S), now_s, now_s)
+
+    def learn(self, limits: abc.Mapping[str, float], now_s: float) -> None:
+        """Add limits that a peer knows."""
+        for leaf, limit_per_s in limits.items():
+            if leaf not in self.leafs and leaf not in self._ended_s:
+                self._set(leaf, limit_per_s, now_s, now_s)
+
+    def limits_of(self, services: abc.Collection[str]) -> dict[str, float]:
+        """Return the limits of the leafs of some services."""
+        return {
+            leaf: known.limit_per_s
+            for leaf, known in self.leafs.items()
+            if self.service_of(leaf) in services
+        }
+
+    def needs_exchange(self) -> bool:
+        """Return whether there is something to report to the granter."""
+        return bool(self.leafs or self._ended_s)
+
+    def remove_absent(self) -> None:
+        """Remove the leafs that have left."""
+        for leaf in list(self.leafs):
+            if self.service_of(leaf) is None:
+                del self.leafs[leaf]
+
+    def _set(
+        self, leaf: str, limit_per_s: float, stated_s: float, now_s: float
+    ) -> None:
+        known = self.leafs.get(leaf)
         if known is None:
-            self.leafs[leaf] = LimitedLeaf(limit_per_s, now_s)
-        elif known.limit_per_s == limit_per_s:
-            return
+            self.leafs[leaf] = LimitedLeaf(limit_per_s, stated_s, now_s)
         else:
+            known.stated_s = max(known.stated_s, stated_s)
+            if known.limit_per_s == limit_per_s:
+                return
             known.limit_per_s = limit_per_s
         LOGGER.info(
             "Leaf {} limits its requests to {:.2f} a second.",
             leaf,
             limit_per_s,
         )
+        self.on_change()
+
+    def _end(self, leaf: str, ended_s: float) -> None:
+        del self.leafs[leaf]
+        self._ended_s[leaf] = ended_s
+        LOGGER.info("Leaf {} no longer limits its requests.", leaf)
+        self.on_change()
+
+    # Calls
+
+    def may_call(self, leaf: str) -> bool:
+        """Return whether a leaf has no limit or there is a token."""
+        known = self.leafs.get(leaf)
+        return known is None or known.tokens_count > 0
+
+    def may_hedge(self, leaf: str) -> bool:
+        """Return whether a hedge to a leaf leaves a token for a first call."""
+        known = self.leafs.get(leaf)
+        return known is None or known.tokens_count > 1
+
+    def take(self, leaf: str, now_s: float) -> None:
+        """Take the token for a call."""
+        known = self.leafs.get(leaf)
+        if known is not None:
+            known.tokens_count -= 1
+            known.wanted.record(now_s)
+
+    def record_denied(self, leaf: str, now_s: float) -> None:
+        """Count a call that was not made because there was no token."""
+        self.leafs[leaf].wanted.record(now_s)
+
+    def request_token(self, leaf: str) -> None:
+        """Ask for one token more at the next exchange."""
+        self.leafs[leaf].requested_count += 1
 
     def record_call(
         self, leaf: str, reason: querytypes.AttemptReason, now_s: float
-    ) -> None:
-        """Count a call that is sent to a leaf; log the calls at intervals."""
+    ) -> bool:
+        """Count a call that is sent; return whether the leaf has a limit."""
         known = self.leafs.get(leaf)
         if known is None:
-            return
+            return False
         known.calls[reason] += 1
-        self._instruments.limited_calls.labels(reason).inc()
         elapsed_s = now_s - known.counted_s
         if elapsed_s >= REPORT_INTERVAL_S:
             LOGGER.info(
@@ -84,3 +218,112 @@
             )
             known.calls.clear()
             known.counted_s = now_s
+        return True
+
+    # Queries
+
+    def record_query(self, services: abc.Iterable[str], now_s: float) -> None:
+        """Count a query that needs some services."""
+        if not self.leafs:
+            self._queries.clear()
+            return
+        limited = {self.service_of(leaf) for leaf in self.leafs}
+        for service in services:
+            if service in limited:
+                rate = self._queries.get(service)
+                if rate is None:
+                    rate = EventRate(QUERY_RATE_WINDOW_S)
+                    self._queries[service] = rate
+                rate.record(now_s)
+
+    def admits(self, service: str, rank: float) -> bool:
+        """Return whether the service can serve a query of a rank."""
+        return rank < self._admitted_ratios.get(service, math.inf)
+
+    # Exchanges with the granter
+
+    def build_report(self, since: int, now_s: float) -> wire.LimitReport:
+        """Return the report to the granter.
+
+        ``since`` is the sequence of its last reply, or 0. Tokens that are not
+        needed are returned.
+        """
+        demands = [
+            self._build_demand(name, leaf, now_s)
+            for name, leaf in self.leafs.items()
+        ]
+        demands += [
+            wire.LeafDemand(name, None, int(1e3 * (now_s - ended_s)))
+            for name, ended_s in self._ended_s.items()
+        ]
+        queries = {
+            service: rate.per_s(now_s)
+            for service, rate in self._queries.items()
+        }
+        return wire.LimitReport(since, demands, queries)
+
+    def _build_demand(
+        self, name: str, leaf: LimitedLeaf, now_s: float
+    ) -> wire.LeafDemand:
+        held_count = max(0, leaf.tokens_count)
+        target_count = leaf.stock_count(now_s) + leaf.requested_count
+        leaf.requested_count = 0
+        returned_count = max(0, held_count - target_count)
+        leaf.tokens_count -= returned_count
+        return wire.LeafDemand(
+            name,
+            leaf.limit_per_s,
+            int(1e3 * (now_s - leaf.stated_s)),
+            held_count - returned_count,
+            returned_count,
+            max(0, target_count - leaf.tokens_count),
+        )
+
+    def apply(
+        self, report: wire.LimitReport, grants: wire.LimitGrants, now_s: float
+    ) -> None:
+        """Apply the granter's reply to a report."""
+        self._exchanged_s = now_s
+        self._admitted_ratios = grants.admitted
+        for demand in report.leafs:
+            if demand.limit_per_s is None:
+                self._ended_s.pop(demand.leaf, None)
+        for grant in grants.leafs:
+            stated_s = now_s - grant.age_ms / 1e3
+            known = self.leafs.get(grant.leaf)
+            if grant.limit_per_s is None:
+                if known is not None and known.stated_s < stated_s:
+                    self._end(grant.leaf, stated_s)
+                    self._ended_s.pop(grant.leaf)
+                continue
+            if known is None and grant.leaf in self._ended_s:
+                continue
+            self._set(grant.leaf, grant.limit_per_s, stated_s, now_s)
+            self.leafs[grant.leaf].tokens_count += grant.count
+
+    def accrue_alone(self, daemons_count: int, now_s: float) -> None:
+        """Accrue an equal part of each limit while no granter answers."""
+        if now_s - self._exchanged_s < TOKEN_VALIDITY_S:
+            self._accrued_s = now_s
+            return
+        elapsed_s = min(TOKEN_VALIDITY_S, now_s - self._accrued_s)
+        if self._accrued_s < self._exchanged_s + TOKEN_VALIDITY_S:
+            LOGGER.info(
+                "No daemon grants tokens; this one uses 1/{} of each limit.",
+                daemons_count,
+            )
+            self._void_tokens()
+        self._accrued_s = now_s
+        for leaf, known in self.leafs.items():
+            gained = elapsed_s * known.limit_per_s / daemons_count
+            accrued = min(1.0, self._accrued.get(leaf, 0.0) + gained)
+            if known.tokens_count < 1 and accrued >= 1.0:
+                known.tokens_count += 1
+                accrued -= 1.0
+            self._accrued[leaf] = accrued
+
+    def _void_tokens(self) -> None:
+        self._accrued.clear()
+        self._admitted_ratios = {}
+        for known in self.leafs.values():
+            known.tokens_count = min(0, known.tokens_count)
--- /dev/null
+++ b/plantainhook/limitsync.py
@@ -0,0 +1,291 @@
+"""Exchange of reports and grants with the daemon that grants for the fleet.
+
+All daemons with the same members choose the same granter, by rendezvous
+hashing. Nothing is elected and nothing is stored: two granters at the same
+time, while daemons disagree on the members, exceed a limit by at most what
+the smaller group of daemons is granted. A daemon that is asked although it
+would choose another one grants only the part of those that ask it.
+"""
+
+import math
+import random
+import typing
+from collections import abc
+
+import result
+import trio
+
+from plantainhook import (
+    blackboard,
+    hashing,
+    leaflimits,
+    limitgrants,
+    logs,
+    membercapacity,
+    peers,
+    snapshot,
+    wire,
+)
+
+LOGGER: typing.Final = logs.part_logger("limit")
+GRANTER_KEY: typing.Final = "limits"
+EXCHANGE_INTERVAL_S: typing.Final = 0.25
+# Least time between two exchanges, and per daemon of a large fleet.
+EXCHANGE_GAP_S: typing.Final = 0.03
+GAP_PER_DAEMON_S: typing.Final = 0.0005
+EXCHANGE_TIMEOUT_S: typing.Final = 0.3
+# A query without a token waits at most this long for the next exchange.
+TOKEN_WAIT_S: typing.Final = 0.06
+# A granter that has not answered is avoided for this time.
+FAILED_AVOID_S: typing.Final = 3.0
+CANDIDATES_COUNT: typing.Final = 3
+# Changes within this time are told in one message.
+NOTICE_DELAY_S: typing.Final = 0.01
+
+
+class LimitSync:
+    """Keep the tokens of this daemon up to date; grant those of others.
+
+    ``daemons_count`` returns the number of daemons in the fleet.
+    """
+
+    def __init__(
+        self,
+        board: blackboard.Blackboard,
+        limits: leaflimits.LeafLimits,
+        transport: peers.PeerTransport,
+        handlers: peers.Handlers,
+        daemons_count: abc.Callable[[], int],
+        rng: random.Random,
+    ) -> None:
+        self._board = board
+        self._limits = limits
+        self._transport = transport
+        self._daemons_count = daemons_count
+        self._rng = rng
+        self._granter = limitgrants.LimitGranter(board)
+        self._granter_id: int | None = None
+        self._sequence = 0
+        self._avoid_until_s: dict[int, float] = {}
+        self._wake = trio.Event()
+        # Set when the next exchange that starts from now on has ended.
+        self._exchanged = trio.Event()
+        limits.service_of = self._service_of
+        limits.on_change = self._on_change
+        # Set when this daemon has learnt of a limit for which it may grant.
+        self._granted = trio.Event()
+        handlers.register(wire.LimitReport)(self._on_report)
+        handlers.register(wire.LimitNotice)(self._on_notice)
+
+    async def run(self) -> None:
+        """Exchange reports and grants while limits are known.
+
+        The first exchange tells a daemon that has just started the limits.
+        """
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._notify_others)
+            await self._exchange_repeatedly()
+
+    async def _exchange_repeatedly(self) -> None:
+        while True:
+            while (
+                self._granter_id is not None
+                and not self._limits.needs_exchange()
+            ):
+                await self._wait(math.inf)
+            exchanged, self._exchanged = self._exchanged, trio.Event()
+            await self._exchange()
+            exchanged.set()
+            gap_s = max(
+                EXCHANGE_GAP_S, GAP_PER_DAEMON_S * self._daemons_count()
+            )
+            await trio.sleep(gap_s)
+            interval_s = max(EXCHANGE_INTERVAL_S, 2.0 * gap_s)
+            await self._wait(interval_s * self._rng.uniform(0.8, 1.2))
+
+    async def _notify_others(self) -> None:
+        """Tell changed limits to the daemons that have not reported.
+
+        Pattern: a leaf accepts one request a second. If each of many daemons
+        learnt the limit from its own call, these calls would exceed it.
+        """
+        sequence = 0
+        while True:
+            await self._granted.wait()
+            await trio.sleep(NOTICE_DELAY_S)
+            self._granted = trio.Event()
+            limits = self._granter.limits()
+            if self._granter.sequence == sequence or not limits:
+                continue
+            sequence = self._granter.sequence
+            callers = self._granter.callers(trio.current_time())
+            async with trio.open_nursery() as nursery:
+                for member in self._board.usable_members():
+                    if (
+                        member.features & wire.FEATURE_LIMITS
+                        and member.incarnation not in callers
+                    ):
+                        nursery.start_soon(
+                            self._notify, member, wire.LimitNotice(limits)
+                        )
+
+    async def _notify(
+        self, member: blackboard.MemberInfo, notice: wire.LimitNotice
+    ) -> None:
+        reply = await self._transport.request(
+            member.peer_address, notice, EXCHANGE_TIMEOUT_S
+        )
+        if isinstance(reply, result.Err):
+            LOGGER.info(
+                "Limits were not told to {}: {}", member.name, reply.err_value
+            )
+
+    async def prepare(
+        self,
+        view: snapshot.VersionView,
+        services: abc.Iterable[str],
+        rank: float,
+    ) -> None:
+        """Get tokens for a query that lacks them; wait for a short time.
+
+        Pattern: a fleet is large and each daemon calls a leaf rarely. If the
+        daemons held tokens in advance, few of them would be used.
+        """
+        if not self._limits.leafs:
+            return
+        lacking = False
+        for service in services:
+            route = view.route_of.get(service)
+            if route is None or not self._limits.admits(service, rank):
+                continue
+            names = [leaf.info.name for leaf in (*route.near, *route.far)]
+            if not any(self._limits.may_call(name) for name in names):
+                for name in names:
+                    self._limits.request_token(name)
+                lacking = lacking or bool(names)
+        if lacking:
+            self._wake.set()
+            with trio.move_on_after(TOKEN_WAIT_S):
+                await self._exchanged.wait()
+
+    def _on_change(self) -> None:
+        self._wake.set()
+
+    async def _wait(self, seconds: float) -> None:
+        with trio.move_on_after(seconds):
+            await self._wake.wait()
+        self._wake = trio.Event()
+
+    async def _exchange(self) -> None:
+        """Exchange with the first candidate that answers."""
+        self._limits.remove_absent()
+        for member in self._candidates():
+            report = self._limits.build_report(
+                self._sequence
+                if member.incarnation == self._granter_id
+                else 0,
+                trio.current_time(),
+            )
+            grants = await self._send(member, report)
+            if grants is not None:
+                self._granter_id = member.incarnation
+                self._sequence = grants.sequence
+                self._limits.apply(report, grants, trio.current_time())
+                return
+        self._limits.accrue_alone(self._daemons_count(), trio.current_time())
+
+    async def _send(
+        self, member: blackboard.MemberInfo, report: wire.LimitReport
+    ) -> wire.LimitGrants | None:
+        now_s = trio.current_time()
+        if member.incarnation == self._board.incarnation:
+            return self._grant(member.incarnation, report)
+        reply = await self._transport.request(
+            member.peer_address, report, EXCHANGE_TIMEOUT_S
+        )
+        if isinstance(reply, result.Ok):
+            if isinstance(reply.ok_value, wire.LimitGrants):
+                return reply.ok_value
+            LOGGER.warning(
+                "Unexpected reply {} of {} to a report on limits.",
+                type(reply.ok_value).__name__,
+                member.name,
+            )
+        else:
+            LOGGER.info("No grants from {}: {}", member.name, reply.err_value)
+        self._avoid_until_s[member.incarnation] = now_s + FAILED_AVOID_S
+        return None
+
+    def _candidates(self) -> list[blackboard.MemberInfo]:
+        """Return the granter and its substitutes without those that failed."""
+        now_s = trio.current_time()
+        self._avoid_until_s = {
+            incarnation: until_s
+            for incarnation, until_s in self._avoid_until_s.items()
+            if until_s > now_s
+        }
+        return [
+            member
+            for member in self._ordered_members()
+            if member.incarnation not in self._avoid_until_s
+        ][:CANDIDATES_COUNT]
+
+    def _ordered_members(self) -> list[blackboard.MemberInfo]:
+        """Return the daemons that can grant, the granter first."""
+        members = {
+            member.incarnation: member
+            for member in membercapacity.highest_capacity(
+                [
+                    member
+                    for member in self._board.usable_members()
+                    if member.features & wire.FEATURE_LIMITS
+                ]
+            )
+        }
+        chosen = hashing.choose(
+            GRANTER_KEY, members, CANDIDATES_COUNT + len(self._avoid_until_s)
+        )
+        return [members[incarnation] for incarnation in chosen]
+
+    async def _on_report(
+        self, sender: wire.HelloFrame, body: wire.LimitReport
+    ) -> wire.AnyBody:
+        self._limits.learn(
+            {
+                demand.leaf: demand.limit_per_s
+                for demand in body.leafs
+                if demand.limit_per_s is not None
+            },
+            trio.current_time(),
+        )
+        return self._grant(sender.incarnation, body)
+
+    async def _on_notice(
+        self, sender: wire.HelloFrame, body: wire.LimitNotice
+    ) -> wire.AnyBody:
+        self._limits.learn(body.limits, trio.current_time())
+        return wire.Ack()
+
+    def _grant(
+        self, caller_id: int, report: wire.LimitReport
+    ) -> wire.LimitGrants:
+        now_s = trio.current_time()
+        before = self._granter.sequence
+        grants = self._granter.on_report(
+            caller_id, report, self._part_ratio(now_s), now_s
+        )
+        if self._granter.sequence != before:
+            self._granted.set()
+        return grants
+
+    def _part_ratio(self, now_s: float) -> float:
+        """Return the part of each limit that this daemon may grant."""
+        members = self._ordered_members()
+        if members and members[0].incarnation == self._board.incarnation:
+            return 1.0
+        callers_count = len(self._granter.callers(now_s)) + 1
+        return min(1.0, callers_count / self._daemons_count())
+
+    def _service_of(self, leaf: str) -> str | None:
+        info = self._board.settings.leafs.get(leaf)
+        return info.service if info is not None else None
--- a/plantainhook/messages.py
+++ b/plantainhook/messages.py
@@ -29,6 +29,9 @@
     "{count} shards are unavailable ({shards}); "
     "the request kind needs a coverage of {minimum:.4f}"
 )
+OVER_LIMIT: typing.Final = (
+    "the leafs of {count} shards accept no more requests now ({shards})"
+)
 AREA_HAS_GAPS: typing.Final = "tiles missing in the area: {tiles}"
 QUARANTINED: typing.Final = (
     "this request crashed backend servers and is in quarantine "
--- a/plantainhook/query.py
+++ b/plantainhook/query.py
@@ -238,6 +238,7 @@
             assignments,
             self.merge.requested,
             self.policies.replicas,
+            self.plan.rank,
             now_s,
         )
         if len(self.merge.requested) == 1 or self._can_be_sufficient():
--- a/plantainhook/queryplan.py
+++ b/plantainhook/queryplan.py
@@ -26,7 +26,8 @@
     request: querytypes.QueryRequest
     rules: querytypes.EffectiveRules
     latest_view: abc.Callable[[], snapshot.TargetView]
-    # From 0 to 1; if the budget for extra calls is short, low ranks go first.
+    # From 0 to 1; if the budget for extra calls or the limits of leafs are
+    # short, low ranks go first.
     rank: float = 0.0
 
 
--- a/plantainhook/ratelimit.py
+++ b/plantainhook/ratelimit.py
@@ -25,7 +25,7 @@
 
     def reserve(self, now_s: float) -> float:
         """Take a token and return the seconds to wait before the call."""
-        self._refill(now_s)
+        self.refill(now_s)
         self.tokens_count -= 1
         debt_s = max(0.0, -self.tokens_count / self.rate_per_s)
         pause_s = max(0.0, self.paused_until_s - now_s)
@@ -33,7 +33,7 @@
 
     def try_take(self, now_s: float) -> bool:
         """Take a token if one is available; return whether it was."""
-        self._refill(now_s)
+        self.refill(now_s)
         if self.tokens_count < 1:
             return False
         self.tokens_count -= 1
@@ -43,7 +43,11 @@
         """Grant no call for a number of seconds."""
         self.paused_until_s = max(self.paused_until_s, now_s + seconds)
 
-    def _refill(self, now_s: float) -> None:
+    def put_back(self, count: int) -> None:
+        """Return tokens that were taken and not used."""
+        self.tokens_count = min(self.burst_count, self.tokens_count + count)
+
+    def refill(self, now_s: float) -> None:
         """Add the tokens gained since the last call."""
         if self.refilled_s is None:
             self.tokens_count = self.burst_count
--- a/plantainhook/replicas.py
+++ b/plantainhook/replicas.py
@@ -14,6 +14,7 @@
 from plantainhook import (
     concurrency,
     errors,
+    leaflimits,
     querytypes,
     replicastate,
     zones,
@@ -87,6 +88,9 @@
     not_served_until_s: dict[tuple[str, int], float] = dataclasses.field(
         default_factory=dict
     )
+    limits: leaflimits.LeafLimits = dataclasses.field(
+        default_factory=leaflimits.LeafLimits
+    )
 
     def state(
         self, status: querytypes.LeafStatus
@@ -105,10 +109,11 @@
     ) -> querytypes.LeafStatus | None:
         """Return the leaf for the next attempt, or None.
 
-        Leafs in ``avoid`` and leafs that recently answered 409 for the
-        version are skipped. A leaf in another zone is selected if no near
-        leaf is usable or the near leaf is failing, and, within the limit on
-        optional cross-zone calls, if the near leaf costs more.
+        Leafs in ``avoid``, leafs without a token for their limit, and leafs
+        that recently answered 409 for the version are skipped. A leaf in
+        another zone is selected if no near leaf is usable or the near leaf is
+        failing, and, within the limit on optional cross-zone calls, if the
+        near leaf costs more.
         """
         best = self._pick(near, avoid, version, now_s)
         if best is not None and (
@@ -276,7 +281,12 @@
     ) -> Candidate | None:
         """Choose among leafs that are not failing, or else among all."""
         failing = False
-        if avoid or self.penalised or self.not_served_until_s:
+        if (
+            avoid
+            or self.penalised
+            or self.not_served_until_s
+            or self.limits.leafs
+        ):
             statuses = self._usable(statuses, avoid, version, now_s)
             healthy = self._healthy(statuses, now_s)
             failing = not healthy
@@ -318,8 +328,16 @@
             for status in statuses
             if status.info.name not in avoid
             and not_served.get((status.info.name, version), 0.0) <= now_s
+            and self._has_token(status.info.name, now_s)
         ]
 
+    def _has_token(self, name: str, now_s: float) -> bool:
+        """Return whether the request limit of a leaf allows a call."""
+        if self.limits.may_call(name):
+            return True
+        self.limits.record_denied(name, now_s)
+        return False
+
     def _healthy(self, statuses: Statuses, now_s: float) -> Statuses:
         penalised = self.penalised
         return [
--- a/plantainhook/routing.py
+++ b/plantainhook/routing.py
@@ -48,21 +48,26 @@
     assignments: list[Assignment],
     requested: frozenset[str],
     selector: replicas.ReplicaSelector,
+    rank: float,
     now_s: float,
 ) -> set[str]:
-    """Remove assignments whose leafs are all down; return the lost shards.
+    """Remove assignments that cannot be served; return the lost shards.
 
-    Shards without an assignment are lost too. A query of one shard keeps its
-    assignment and tries its leafs anyway.
+    These are the ones whose leafs are all down, and those that a query of the
+    rank may not send to leafs with request limits. Shards without an
+    assignment are lost too. A query of one shard tries its leafs even if all
+    seem to be down.
     """
     assigned = {
         name for assignment in assignments for name in assignment.shards
     }
     lost = set(requested - assigned)
-    if len(requested) == 1:
-        return lost
+    tries_down_leafs = len(requested) == 1
     for assignment in tuple(assignments):
-        if _is_unavailable(view, assignment, selector, now_s):
+        if not selector.limits.admits(assignment.group, rank) or (
+            not tries_down_leafs
+            and _is_unavailable(view, assignment, selector, now_s)
+        ):
             assignments.remove(assignment)
             lost.update(assignment.shards)
     return lost
--- a/plantainhook/wire.py
+++ b/plantainhook/wire.py
@@ -19,9 +19,10 @@
 
 PROTOCOL_VERSION: typing.Final = 2
 NO_SHARE: typing.Final = -1
-# Feature bit of daemons that handle ``BranchWork``. A daemon that does not
-# know a message closes the link on which it arrives.
+# Feature bits of daemons that handle ``BranchWork`` and ``LimitReport``. A
+# daemon that does not know a message closes the link on which it arrives.
 FEATURE_BRANCHES: typing.Final = 1
+FEATURE_LIMITS: typing.Final = 2
 FRAME_HEADER: typing.Final = struct.Struct(">I")
 
 
@@ -384,7 +385,8 @@
     services without an answer and ``unknown`` those without a known leaf.
     ``ran`` states whether any leaf may have run the request. If the request
     is quarantined, ``quarantine_ms`` is the time that remains. ``sequence``
-    counts the replies of the branch.
+    counts the replies of the branch. ``limits`` has the request limits of
+    leafs of the services, by leaf name.
     """
 
     records: bytes
@@ -395,6 +397,7 @@
     ran: bool
     quarantine_ms: int = 0
     sequence: int = 0
+    limits: dict[str, float] = {}
 
 
 class BranchCancel(Body, frozen=True, tag=True, array_like=True):
@@ -403,6 +406,62 @@
     request_id: str
 
 
+class LeafDemand(msgspec.Struct, frozen=True, array_like=True):
+    """Describe a leaf with a request limit in a report.
+
+    ``limit_per_s`` is None if the limit has ended. ``age_ms`` is the time
+    since the leaf stated that. ``held``, ``returned`` and ``wanted`` count
+    the tokens that the sender keeps, gives back and asks for.
+    """
+
+    leaf: str
+    limit_per_s: float | None
+    age_ms: int
+    held: int = 0
+    returned: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
+    wanted: int = 0
+
+
+class LimitReport(Body, frozen=True, tag=True, array_like=True):
+    """Report the limited leafs that the sender calls, and ask for tokens.
+
+    ``since`` is the sequence of the receiver's last reply, or 0. ``queries``
+    has the queries per second that need a service, before any is refused.
+    """
+
+    since: int
+    leafs: list[LeafDemand]
+    queries: dict[str, float]
+
+
+class LeafGrant(msgspec.Struct, frozen=True, array_like=True):
+    """Grant tokens for a leaf, or state that its limit has changed."""
+
+    leaf: str
+    limit_per_s: float | None
+    age_ms: int
+    count: int
+
+
+class LimitGrants(Body, frozen=True, tag=True, array_like=True):
+    """Reply to a ``LimitReport``.
+
+    ``leafs`` contains grants and the limits that have changed since the
+    sequence in the report. ``admitted`` has the share of queries that each
+    overloaded service can serve.
+    """
+
+    sequence: int
+    leafs: list[LeafGrant]
+    admitted: dict[str, float]
+
+
+class LimitNotice(Body, frozen=True, tag=True, array_like=True):
+    """Tell a daemon the request limits of leafs, by leaf name."""
+
+    limits: dict[str, float]
+
+
 class TicketQuery(Body, frozen=True, tag=True, array_like=True):
     """Forward a query with a ticket to the daemon that issued the ticket.
 
@@ -457,6 +516,9 @@
     | BranchMore
     | BranchResult
     | BranchCancel
+    | LimitReport
+    | LimitGrants
+    | LimitNotice
     | StorePull
     | StoreReply
     | Ack
--- a/tests/limitfleet.py
+++ b/tests/limitfleet.py
@@ -8,7 +8,6 @@
 import random
 import typing
 
-import prometheus_client
 import result
 import trio
 
@@ -20,13 +19,15 @@
     forwardtypes,
     goalhedging,
     leaflimits,
+    limitsync,
     memorynet,
-    metrics,
+    peers,
     queryplan,
     querytypes,
     routetable,
     shardmap,
     windowbudget,
+    wire,
 )
 
 WORK_S: typing.Final = 0.03
@@ -92,9 +93,30 @@
             name: blackboard.LeafView(blackboard.LeafState.LIVE, {}, 0.0)
             for name in fleet.leafs
         }
-        self.limits = leaflimits.LeafLimits(
-            metrics.LeafMetrics(prometheus_client.CollectorRegistry())
+        self.limits = leaflimits.LeafLimits()
+        handlers = peers.Handlers()
+        member = fleet.members[number]
+        hello = wire.HelloFrame(
+            wire.PROTOCOL_VERSION,
+            number,
+            member.name,
+            "",
+            place,
+            member.peer_address,
+            "",
         )
+        self.transport = memorynet.MemoryTransport(
+            fleet.network, hello, handlers
+        )
+        self.tokens = limitsync.LimitSync(
+            self.board,
+            self.limits,
+            self.transport,
+            handlers,
+            lambda: len(fleet.members),
+            random.Random(number),
+        )
+        fleet.nursery.start_soon(self.tokens.run)
         budgets = windowbudget.WindowBudgets(
             windowbudget.WindowRules(10.0, 0.2, 52.0),
             lambda service: len(fleet.members),
@@ -103,6 +125,7 @@
         policies = queryplan.build_policies(place, number)
         policies.latencies = goalhedging.PooledLatencies()
         policies.budgets = budgets
+        policies.replicas.limits = self.limits
         self.planner = forwardplanner.ForwardPlanner(
             self.board, place, policies, budgets
         )
@@ -124,6 +147,13 @@
         )
         now_s = trio.current_time()
         request = forwardplanner.build_query_request(forwarded, route, now_s)
+        self.limits.record_query(self.fleet.services, now_s)
+        rank = forwardplanner.rank_of(request_id)
+        await self.tokens.prepare(
+            self.planner.version_view(self.fleet.services),
+            self.fleet.services,
+            rank,
+        )
         machine = self.planner.build_machine(
             request, route, self.fleet.services, now_s
         )
@@ -180,6 +210,7 @@
                 "",
                 True,
                 False,
+                features=wire.FEATURE_LIMITS,
             )
             for number, place in enumerate(places)
         }
--- a/tests/test_branches.py
+++ b/tests/test_branches.py
@@ -20,6 +20,7 @@
     gatherers,
     gathersplit,
     gathertypes,
+    leaflimits,
     logs,
     memorynet,
     peers,
@@ -90,6 +91,7 @@
         self.work_s = 0.02
         self.started: list[branchworker.BranchTask] = []
         self.cancelled_count = 0
+        self.limits = leaflimits.LeafLimits()
 
     def start(
         self, nursery: trio.Nursery, task: branchworker.BranchTask
--- a/tests/test_damaged_peers.py
+++ b/tests/test_damaged_peers.py
@@ -116,7 +116,7 @@
             idempotent,
             dialect.PlatformDialect(),
             self.pools,
-            leaflimits.LeafLimits(self.instruments),
+            leaflimits.LeafLimits(),
             self.instruments,
             logs.DecisionLog(
                 logs.part_logger("attempt"), clock.TrioClock(), 50.0
--- a/tests/test_httpconnection.py
+++ b/tests/test_httpconnection.py
@@ -154,7 +154,7 @@
             True,
             dialect.PlatformDialect(),
             pools,
-            leaflimits.LeafLimits(instruments),
+            leaflimits.LeafLimits(),
             instruments,
             logs.DecisionLog(
                 logs.part_logger("attempt"), clock.TrioClock(), 50.0
