Check rates and token counts in messages on request limits

The fields now have ranges, so such a frame costs its connection like any other malformed frame. A limit stated by a leaf is clamped to the same range.

MalformedReportTest fails without the change to wire.py and passes with it (tests/test_leaflimits.py).

--- a/plantainhook/leaflimits.py
+++ b/plantainhook/leaflimits.py
@@ -34,6 +34,7 @@
 # Also a leaf that accepts nothing gets calls, whose replies show when the
 # limit is lifted.
 LIMIT_MIN_PER_S: typing.Final = 0.25
+LIMIT_MAX_PER_S: typing.Final = 1e6
 
 
 @dataclasses.dataclass(slots=True)
@@ -119,7 +120,8 @@
                 self._end(leaf, now_s)
             return
         self._ended_s.pop(leaf, None)
-        self._set(leaf, max(limit_per_s, LIMIT_MIN_PER_S), now_s, now_s)
+        limit_per_s = max(LIMIT_MIN_PER_S, min(LIMIT_MAX_PER_S, limit_per_s))
+        self._set(leaf, limit_per_s, now_s, now_s)
 
     def learn(self, limits: abc.Mapping[str, float], now_s: float) -> None:
         """Add limits that a peer knows."""
--- a/plantainhook/wire.py
+++ b/plantainhook/wire.py
@@ -31,6 +31,12 @@
 COUNTER_MAX: typing.Final = 1 << 53
 
 
+# Rates and counts of peers are checked, because a granter adds them up.
+RatePerS = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
+TokenCount = typing.Annotated[int, msgspec.Meta(ge=0, le=1 << 20)]
+AgeMs = typing.Annotated[int, msgspec.Meta(ge=0, le=COUNTER_MAX)]
+
+
 class Body(msgspec.Struct, frozen=True, tag=True, array_like=True):
     """Base class of the bodies of requests and replies."""
 
@@ -397,7 +403,7 @@
     ran: bool
     quarantine_ms: int = 0
     sequence: int = 0
-    limits: dict[str, float] = {}
+    limits: dict[str, RatePerS] = {}
 
 
 class BranchCancel(Body, frozen=True, tag=True, array_like=True):
@@ -415,11 +421,11 @@
     """
 
     leaf: str
-    limit_per_s: float | None
-    age_ms: int
-    held: int = 0
-    returned: typing.Annotated[int, msgspec.Meta(ge=0)] = 0
-    wanted: int = 0
+    limit_per_s: RatePerS | None
+    age_ms: AgeMs
+    held: TokenCount = 0
+    returned: TokenCount = 0
+    wanted: TokenCount = 0
 
 
 class LimitReport(Body, frozen=True, tag=True, array_like=True):
@@ -431,16 +437,16 @@
 
     since: int
     leafs: list[LeafDemand]
-    queries: dict[str, float]
+    queries: dict[str, RatePerS]
 
 
 class LeafGrant(msgspec.Struct, frozen=True, array_like=True):
     """Grant tokens for a leaf, or state that its limit has changed."""
 
     leaf: str
-    limit_per_s: float | None
-    age_ms: int
-    count: int
+    limit_per_s: RatePerS | None
+    age_ms: AgeMs
+    count: TokenCount
 
 
 class LimitGrants(Body, frozen=True, tag=True, array_like=True):
@@ -453,13 +459,13 @@
 
     sequence: int
     leafs: list[LeafGrant]
-    admitted: dict[str, float]
+    admitted: dict[str, RatePerS]
 
 
 class LimitNotice(Body, frozen=True, tag=True, array_like=True):
     """Tell a daemon the request limits of leafs, by leaf name."""
 
-    limits: dict[str, float]
+    limits: dict[str, RatePerS]
 
 
 class TicketQuery(Body, frozen=True, tag=True, array_like=True):
--- a/tests/test_leaflimits.py
+++ b/tests/test_leaflimits.py
@@ -1,10 +1,13 @@
 """Test that the fleet together respects the request limits of leafs."""
 
+import math
 import typing
 
+import msgspec
 import testtools
 import trio
 
+from plantainhook import wire
 from tests import limitfleet, virtualtime
 
 SHARDS: typing.Final = {"s0": "ab", "s1": "bc", "s2": "ca"}
@@ -31,3 +34,27 @@
             return fleet.leafs["s0a"].excess()
 
         self.assertTrue(virtualtime.run(main) <= 0.0)
+
+
+class MalformedReportTest(testtools.TestCase):
+    """Check values of peers that a granter must not add up."""
+
+    def test_values_out_of_range(self) -> None:
+        """Guard against a report that gives a daemon unlimited tokens."""
+        valid = wire.LeafDemand("l", 1.0, 0)
+        for demand in (
+            msgspec.structs.replace(valid, limit_per_s=math.nan),
+            msgspec.structs.replace(valid, limit_per_s=math.inf),
+            msgspec.structs.replace(valid, limit_per_s=-1.0),
+            msgspec.structs.replace(valid, held=-5),
+            msgspec.structs.replace(valid, returned=-5),
+            msgspec.structs.replace(valid, wanted=1 << 40),
+            msgspec.structs.replace(valid, age_ms=-1),
+        ):
+            frame = wire.encode_frame(
+                wire.RequestFrame(1, wire.LimitReport(0, [demand], {}))
+            )
+            with testtools.ExpectedException(msgspec.ValidationError):
+                msgspec.msgpack.decode(
+                    frame[wire.FRAME_HEADER.size :], type=wire.AnyFrame
+                )
