Admit all queries at once when a leaf's limit has ended

Callers of a service whose leafs had all limited their requests were refused until the next exchange with the granter (up to 0.3 s, or 1.5 s if no granter answered), although a leaf had just stated that it has no limit any more. Cause: the share of admitted queries came only from the granter. A daemon now drops it when a limit ends. Queries of services without a limit are not counted or reported any more.

Found by reading; LeafLimitsTest fails without the change (tests/test_leaflimits.py).

--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -215,6 +215,8 @@
         others need.
         """
         limits = self.dependencies.limits
+        if not limits.leafs:
+            return None
         limits.record_query(services, trio.current_time())
         rank = forwardplanner.rank_of(forwarded.request_id)
         excluded = [
--- a/plantainhook/leaflimits.py
+++ b/plantainhook/leaflimits.py
@@ -168,6 +168,8 @@
     def _end(self, leaf: str, ended_s: float) -> None:
         del self.leafs[leaf]
         self._ended_s[leaf] = ended_s
+        # A leaf without a limit serves all queries that the others can't.
+        self._admitted_ratios.pop(self.service_of(leaf) or "", None)
         LOGGER.info("Leaf {} no longer limits its requests.", leaf)
         self.on_change()
 
@@ -226,10 +228,7 @@
 
     def record_query(self, services: abc.Iterable[str], now_s: float) -> None:
         """Count a query that needs some services."""
-        if not self.leafs:
-            self._queries.clear()
-            return
-        limited = {self.service_of(leaf) for leaf in self.leafs}
+        limited = self._limited_services()
         for service in services:
             if service in limited:
                 rate = self._queries.get(service)
@@ -238,6 +237,9 @@
                     self._queries[service] = rate
                 rate.record(now_s)
 
+    def _limited_services(self) -> set[str | None]:
+        return {self.service_of(leaf) for leaf in self.leafs}
+
     def admits(self, service: str, rank: float) -> bool:
         """Return whether the service can serve a query of a rank."""
         return rank < self._admitted_ratios.get(service, math.inf)
@@ -258,9 +260,11 @@
             wire.LeafDemand(name, None, int(1e3 * (now_s - ended_s)))
             for name, ended_s in self._ended_s.items()
         ]
+        limited = self._limited_services()
         queries = {
             service: rate.per_s(now_s)
             for service, rate in self._queries.items()
+            if service in limited
         }
         return wire.LimitReport(since, demands, queries)
 
--- a/tests/test_leaflimits.py
+++ b/tests/test_leaflimits.py
@@ -7,7 +7,7 @@
 import testtools
 import trio
 
-from plantainhook import wire
+from plantainhook import leaflimits, wire
 from tests import limitfleet, virtualtime
 
 SHARDS: typing.Final = {"s0": "ab", "s1": "bc", "s2": "ca"}
@@ -36,6 +36,24 @@
         self.assertTrue(virtualtime.run(main) <= 0.0)
 
 
+class LeafLimitsTest(testtools.TestCase):
+    """Check what one daemon knows of limits."""
+
+    def test_service_admits_all_queries_after_the_limit(self) -> None:
+        """Guard against refusals for a limit that has ended."""
+        limits = leaflimits.LeafLimits()
+        limits.service_of = lambda leaf: leaf[0]
+        for leaf in ("sa", "sb", "ta"):
+            limits.observe(leaf, 5.0, 10.0)
+        report = limits.build_report(0, 10.0)
+        grants = wire.LimitGrants(1, [], {"s": 0.2, "t": 0.2})
+        limits.apply(report, grants, 10.0)
+        limits.observe("sa", None, 10.1)
+        self.assertEqual(
+            (True, False), (limits.admits("s", 0.9), limits.admits("t", 0.9))
+        )
+
+
 class MalformedReportTest(testtools.TestCase):
     """Check values of peers that a granter must not add up."""
 
