Don't spread the limit of a leaf again after its end

A daemon that learnt a limit from a peer counted it as stated at that moment. Its next report was then newer than the end of the limit that another daemon had seen in a reply, so the granter put the limit in force again and calls were held back until the next reply of the leaf. A limit that a peer tells now counts as old.

Found by reading.

--- a/plantainhook/leaflimits.py
+++ b/plantainhook/leaflimits.py
@@ -35,6 +35,9 @@
 # limit is lifted.
 LIMIT_MIN_PER_S: typing.Final = 0.25
 LIMIT_MAX_PER_S: typing.Final = 1e6
+# A limit that a peer tells counts as stated this long ago, so that the end
+# of a limit, which another daemon has seen in a reply, takes precedence.
+LEARNED_AGE_S: typing.Final = 10.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -127,7 +130,7 @@
         """Add limits that a peer knows."""
         for leaf, limit_per_s in limits.items():
             if leaf not in self.leafs and leaf not in self._ended_s:
-                self._set(leaf, limit_per_s, now_s, now_s)
+                self._set(leaf, limit_per_s, now_s - LEARNED_AGE_S, now_s)
 
     def limits_of(self, services: abc.Collection[str]) -> dict[str, float]:
         """Return the limits of the leafs of some services."""
