Let queries with a long goal wait longer for a token

Callers with a goal of 800 ms were refused 60 ms after they had asked, although the leafs of the service accepted more queries than there were. Cause: a query without a token waited for one exchange only, whatever its goal, and tokens of low limits arrive one by one. It now waits through exchanges for a quarter of the time until its goal, at least 60 ms; if it is refused then, a retry can still be in time.

The new test fails without the change.

--- a/plantainhook/branchworker.py
+++ b/plantainhook/branchworker.py
@@ -294,6 +294,7 @@
                     self.view_of(task.route, task.services),
                     task.services,
                     machine.machine.plan.rank,
+                    task.goal_s,
                 )
                 outcome = await executor.run_query(
                     machine,
--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -175,6 +175,7 @@
             dependencies.planner.version_view(services),
             services,
             forwardplanner.rank_of(forwarded.request_id),
+            arrived_s + forwardplanner.goal_ms_of(route) / 1e3,
         )
         machine = dependencies.planner.build_machine(
             request, route, services, started_s
--- a/plantainhook/limitsync.py
+++ b/plantainhook/limitsync.py
@@ -33,8 +33,10 @@
 EXCHANGE_GAP_S: typing.Final = 0.03
 GAP_PER_DAEMON_S: typing.Final = 0.0005
 EXCHANGE_TIMEOUT_S: typing.Final = 0.3
-# A query without a token waits at most this long for the next exchange.
+# A query without a token waits for exchanges at least this long, and for this
+# part of the time until its goal. If it is refused, there is time for a retry.
 TOKEN_WAIT_S: typing.Final = 0.06
+TOKEN_WAIT_RATIO: typing.Final = 0.25
 # A granter that has not answered is avoided for this time.
 FAILED_AVOID_S: typing.Final = 3.0
 CANDIDATES_COUNT: typing.Final = 3
@@ -142,16 +144,32 @@
     async def prepare(
         self,
         view: snapshot.VersionView,
-        services: abc.Iterable[str],
+        services: abc.Collection[str],
         rank: float,
+        goal_s: float,
     ) -> None:
         """Get tokens for a query that lacks them; wait for a short time.
 
-        Pattern: a fleet is large and each daemon calls a leaf rarely. If the
-        daemons held tokens in advance, few of them would be used.
+        ``goal_s`` is when the query should be answered. Pattern: a fleet is
+        large and each daemon calls a leaf rarely. If the daemons held tokens
+        in advance, few of them would be used.
         """
+        now_s = trio.current_time()
+        wait_s = max(TOKEN_WAIT_S, TOKEN_WAIT_RATIO * (goal_s - now_s))
+        with trio.move_on_after(wait_s):
+            while self._request_lacking(view, services, rank):
+                self._wake.set()
+                await self._exchanged.wait()
+
+    def _request_lacking(
+        self,
+        view: snapshot.VersionView,
+        services: abc.Iterable[str],
+        rank: float,
+    ) -> bool:
+        """Request the tokens that a query lacks; return whether it does."""
         if not self._limits.leafs:
-            return
+            return False
         lacking = False
         for service in services:
             route = view.route_of.get(service)
@@ -162,10 +180,7 @@
                 for name in names:
                     self._limits.request_token(name)
                 lacking = lacking or bool(names)
-        if lacking:
-            self._wake.set()
-            with trio.move_on_after(TOKEN_WAIT_S):
-                await self._exchanged.wait()
+        return lacking
 
     def _on_change(self) -> None:
         self._wake.set()
--- a/tests/limitfleet.py
+++ b/tests/limitfleet.py
@@ -164,6 +164,7 @@
             self.planner.version_view(self.fleet.services),
             self.fleet.services,
             rank,
+            now_s + forwardplanner.goal_ms_of(route) / 1e3,
         )
         machine = self.planner.build_machine(
             request, route, self.fleet.services, now_s
@@ -205,7 +206,7 @@
         nursery: trio.Nursery,
         places: str,
         leaf_places: dict[str, str],
-        min_coverage_ratio: float = 1.0,
+        goal_ms: float = 175.0,
     ) -> None:
         self.nursery = nursery
         self.network = memorynet.MemoryNetwork(
@@ -227,11 +228,11 @@
             "h",
             "/a/",
             True,
-            800.0,
-            175.0,
+            5.0 * goal_ms,
+            goal_ms,
             2,
             1,
-            gather=routetable.Gather(self.services, 5, min_coverage_ratio),
+            gather=routetable.Gather(self.services, 5, 1.0),
         )
         self.daemons: list[Daemon] = []
         for place in places:
@@ -276,6 +277,16 @@
         for daemon, rate_per_s in zip(self.daemons, rates_per_s, strict=True):
             self.nursery.start_soon(daemon.send_queries, rate_per_s)
 
+    def answered_ratio(self, from_s: float, until_s: float) -> float:
+        """Return the share of the queries begun in a time with an answer."""
+        begun = sum(
+            from_s <= at_s < until_s
+            for daemon in self.daemons
+            for at_s, _ in daemon.outcomes
+        )
+        answered = self.answered_per_s(from_s, until_s) * (until_s - from_s)
+        return answered / begun
+
     def answered_per_s(self, from_s: float, until_s: float) -> float:
         """Return the rate of the queries begun in a time with an answer."""
         answered = sum(
--- a/tests/test_leaflimits.py
+++ b/tests/test_leaflimits.py
@@ -35,12 +35,13 @@
     places: str = PLACES,
     shards: dict[str, str] = SHARDS,
     rates: typing.Sequence[float] = RATES,
+    goal_ms: float = 175.0,
 ) -> limitfleet.Fleet:
     """Run a fleet for 26 s; the limits by leaf are stated from 6 s on."""
 
     async def main() -> limitfleet.Fleet:
         async with trio.open_nursery() as nursery:
-            fleet = limitfleet.Fleet(nursery, places, shards)
+            fleet = limitfleet.Fleet(nursery, places, shards, goal_ms)
             for leaf, limit_per_s in limits.items():
                 fleet.limit([leaf], limit_per_s=limit_per_s, from_s=6.0)
             fleet.start_queries(rates)
@@ -91,6 +92,21 @@
         self.assert_limits_kept(fleet)
         self.assertTrue(fleet.answered_per_s(10.0, 25.0) > 0.75 * 22.0)
 
+    def test_queries_wait_for_a_token(self) -> None:
+        """Guard against refusals of queries that could be served in time.
+
+        Pattern: a service of six leafs accepts more queries than there are,
+        but each daemon calls each leaf rarely. The queries have a long goal.
+        """
+        fleet = run_fleet(
+            {f"s0{letter}": 2.0 for letter in "abcdef"},
+            shards={"s0": "abcdef"},
+            rates=[1.4] * 7,
+            goal_ms=800.0,
+        )
+        self.assert_limits_kept(fleet)
+        self.assertTrue(fleet.answered_ratio(10.0, 25.0) > 0.95)
+
     def test_large_fleet_and_low_limit(self) -> None:
         """Guard against daemons that each learn the limit from an own call.
 
