Let a daemon that reaches no granter grant its own part

Callers of a daemon that was cut off from its peers were refused: in a fleet of 24, 17 of 23 queries to a service whose leafs limit their requests, although the daemon's part of the limits was enough for them. Cause: it tried three other daemons at each exchange, 0.3 s each, and accrued at most one token a leaf after each round. Small fleets did not show it, because there a daemon soon came to choose itself.

It now grants its part itself when two candidates have not answered, answers its own queries at once for 2 s, and then tries one other daemon. The code that accrued tokens without a granter is gone. The share of admitted queries follows the part too, and the tokens that daemons may hold are rounded down.

Also new: tokens that daemons keep are bounded; the last token is not for a hedge.

--- a/plantainhook/leaflimits.py
+++ b/plantainhook/leaflimits.py
@@ -6,8 +6,7 @@
 
 ``LeafLimits`` is the side of the daemons that call leafs. A call to a limited
 leaf takes a token. One daemon of the fleet grants the tokens of all others
-(``limitgrants``); ``limitsync`` exchanges reports and grants with it. A
-daemon that cannot reach it uses an equal part of the limit.
+(``limitgrants``); ``limitsync`` exchanges reports and grants with it.
 
 If all leafs of a service are limited and too many queries need it, each query
 is admitted by its rank, so the same queries are served at every shard.
@@ -24,9 +23,6 @@
 LOGGER: typing.Final = logs.part_logger("limit")
 # The calls to a limited leaf are logged at this interval.
 REPORT_INTERVAL_S: typing.Final = 4.0
-# Granted tokens are void this long after the last exchange. The granter then
-# grants them again.
-TOKEN_VALIDITY_S: typing.Final = 1.5
 # Tokens are kept in advance for the calls of this time.
 STOCK_S: typing.Final = 0.3
 CALL_RATE_WINDOW_S: typing.Final = 1.0
@@ -108,9 +104,6 @@
         # The share of queries that a service can serve, if below 1.
         self._admitted_ratios: dict[str, float] = {}
         self._queries: dict[str, EventRate] = {}
-        self._exchanged_s = -math.inf
-        self._accrued_s = -math.inf
-        self._accrued: dict[str, float] = {}
 
     # Limits
 
@@ -292,7 +285,6 @@
         self, report: wire.LimitReport, grants: wire.LimitGrants, now_s: float
     ) -> None:
         """Apply the granter's reply to a report."""
-        self._exchanged_s = now_s
         self._admitted_ratios = grants.admitted
         for demand in report.leafs:
             if demand.limit_per_s is None:
@@ -309,30 +301,3 @@
                 continue
             self._set(grant.leaf, grant.limit_per_s, stated_s, now_s)
             self.leafs[grant.leaf].tokens_count += grant.count
-
-    def accrue_alone(self, daemons_count: int, now_s: float) -> None:
-        """Accrue an equal part of each limit while no granter answers."""
-        if now_s - self._exchanged_s < TOKEN_VALIDITY_S:
-            self._accrued_s = now_s
-            return
-        elapsed_s = min(TOKEN_VALIDITY_S, now_s - self._accrued_s)
-        if self._accrued_s < self._exchanged_s + TOKEN_VALIDITY_S:
-            LOGGER.info(
-                "No daemon grants tokens; this one uses 1/{} of each limit.",
-                daemons_count,
-            )
-            self._void_tokens()
-        self._accrued_s = now_s
-        for leaf, known in self.leafs.items():
-            gained = elapsed_s * known.limit_per_s / daemons_count
-            accrued = min(1.0, self._accrued.get(leaf, 0.0) + gained)
-            if known.tokens_count < 1 and accrued >= 1.0:
-                known.tokens_count += 1
-                accrued -= 1.0
-            self._accrued[leaf] = accrued
-
-    def _void_tokens(self) -> None:
-        self._accrued.clear()
-        self._admitted_ratios = {}
-        for known in self.leafs.values():
-            known.tokens_count = min(0, known.tokens_count)
--- a/plantainhook/limitgrants.py
+++ b/plantainhook/limitgrants.py
@@ -15,7 +15,7 @@
 import typing
 from collections import abc
 
-from plantainhook import blackboard, leaflimits, ratelimit, wire
+from plantainhook import blackboard, ratelimit, wire
 
 # Tokens that a bucket and all daemons together may hold: a fixed number, and
 # those of some time at the rate of the limit.
@@ -29,6 +29,8 @@
 CREDIT_MAX_COUNT: typing.Final = 2.0
 # A daemon that has not reported for this time may use another granter.
 PRESENT_S: typing.Final = 0.8
+# The tokens of a daemon that has not reported for this time do not count.
+SILENT_S: typing.Final = 1.5
 # The end of a limit is remembered this long, so that a daemon that does not
 # know of it can't restore the limit.
 ENDED_KEPT_S: typing.Final = 10.0
@@ -73,7 +75,7 @@
         room = HELD_COUNT + HELD_S * self.bucket.rate_per_s
         room -= sum(other.held_count for other in self.callers.values())
         count = 0
-        while count < min(demand.wanted, room) and (
+        while count < min(demand.wanted, int(room)) and (
             caller.credit >= 1.0 or self._has_excess()
         ):
             if not self.bucket.try_take(now_s):
@@ -103,7 +105,7 @@
         return caller
 
     def _remove_silent(self, now_s: float) -> None:
-        oldest_s = now_s - leaflimits.TOKEN_VALIDITY_S
+        oldest_s = now_s - SILENT_S
         for caller_id, caller in list(self.callers.items()):
             if caller.seen_s < oldest_s:
                 del self.callers[caller_id]
@@ -176,7 +178,7 @@
                 or counts.get(name)
                 or (name in reported and leaf.limit_per_s is None)
             ],
-            self._admitted_ratios(now_s),
+            self._admitted_ratios(part_ratio, now_s),
         )
 
     def _apply_statement(self, demand: wire.LeafDemand, now_s: float) -> _Leaf:
@@ -203,10 +205,15 @@
             if ended and now_s - leaf.stated_s > ENDED_KEPT_S:
                 del self._leafs[name]
 
-    def _admitted_ratios(self, now_s: float) -> dict[str, float]:
+    def _admitted_ratios(
+        self, part_ratio: float, now_s: float
+    ) -> dict[str, float]:
         """Return the share of queries that each overloaded service serves."""
-        accepted = self._accepted_per_s()
-        oldest_s = now_s - leaflimits.TOKEN_VALIDITY_S
+        accepted = {
+            service: per_s * part_ratio
+            for service, per_s in self._accepted_per_s().items()
+        }
+        oldest_s = now_s - SILENT_S
         admitted = {}
         for service, rates in list(self._queries.items()):
             wanted_per_s = sum(
--- a/plantainhook/limitsync.py
+++ b/plantainhook/limitsync.py
@@ -39,7 +39,10 @@
 TOKEN_WAIT_RATIO: typing.Final = 0.25
 # A granter that has not answered is avoided for this time.
 FAILED_AVOID_S: typing.Final = 3.0
-CANDIDATES_COUNT: typing.Final = 3
+CANDIDATES_COUNT: typing.Final = 2
+# A daemon that reaches no candidate grants its own part for this time. It is
+# shorter than FAILED_AVOID_S, so that other candidates are tried next.
+ALONE_S: typing.Final = 2.0
 # Changes within this time are told in one message.
 NOTICE_DELAY_S: typing.Final = 0.01
 
@@ -68,6 +71,7 @@
         self._granter_id: int | None = None
         self._sequence = 0
         self._avoid_until_s: dict[int, float] = {}
+        self._alone_until_s = -math.inf
         self._wake = trio.Event()
         # Set when the next exchange that starts from now on has ended.
         self._exchanged = trio.Event()
@@ -191,22 +195,37 @@
         self._wake = trio.Event()
 
     async def _exchange(self) -> None:
-        """Exchange with the first candidate that answers."""
+        """Exchange with the first candidate that answers, or else alone."""
         self._limits.remove_absent()
         for member in self._candidates():
-            report = self._limits.build_report(
-                self._sequence
-                if member.incarnation == self._granter_id
-                else 0,
-                trio.current_time(),
-            )
+            report = self._build_report(member.incarnation)
             grants = await self._send(member, report)
             if grants is not None:
-                self._granter_id = member.incarnation
-                self._sequence = grants.sequence
-                self._limits.apply(report, grants, trio.current_time())
+                self._apply(member.incarnation, report, grants)
                 return
-        self._limits.accrue_alone(self._daemons_count(), trio.current_time())
+        own_id = self._board.incarnation
+        if self._granter_id != own_id:
+            LOGGER.info(
+                "No other daemon grants tokens; this one uses its own part."
+            )
+        if trio.current_time() >= self._alone_until_s:
+            self._alone_until_s = trio.current_time() + ALONE_S
+        report = self._build_report(own_id)
+        self._apply(own_id, report, self._grant(own_id, report))
+
+    def _build_report(self, granter_id: int) -> wire.LimitReport:
+        since = self._sequence if granter_id == self._granter_id else 0
+        return self._limits.build_report(since, trio.current_time())
+
+    def _apply(
+        self,
+        granter_id: int,
+        report: wire.LimitReport,
+        grants: wire.LimitGrants,
+    ) -> None:
+        self._granter_id = granter_id
+        self._sequence = grants.sequence
+        self._limits.apply(report, grants, trio.current_time())
 
     async def _send(
         self, member: blackboard.MemberInfo, report: wire.LimitReport
@@ -233,18 +252,21 @@
     def _candidates(self) -> list[blackboard.MemberInfo]:
         """Return the granter and its substitutes without those that failed."""
         now_s = trio.current_time()
+        if now_s < self._alone_until_s:
+            return []
         self._avoid_until_s = {
             incarnation: until_s
             for incarnation, until_s in self._avoid_until_s.items()
             if until_s > now_s
         }
+        alone = self._granter_id == self._board.incarnation
         return [
             member
             for member in granters(
                 self._board, CANDIDATES_COUNT + len(self._avoid_until_s)
             )
             if member.incarnation not in self._avoid_until_s
-        ][:CANDIDATES_COUNT]
+        ][: 1 if alone else CANDIDATES_COUNT]
 
     async def _on_report(
         self, sender: wire.HelloFrame, body: wire.LimitReport
--- a/tests/test_leaflimits.py
+++ b/tests/test_leaflimits.py
@@ -11,6 +11,7 @@
 
 from plantainhook import (
     blackboard,
+    errors,
     leaflimits,
     limitgrants,
     limitsync,
@@ -191,6 +192,33 @@
         fleet = run_fleet({"s0a": 11.0, "s0b": 11.0}, damage)
         self.assert_limits_kept(fleet)
 
+    def test_daemon_that_reaches_no_granter(self) -> None:
+        """Guard against refusals by a daemon that is cut off from its peers.
+
+        Pattern: there are so many daemons that it does not come to try itself
+        as the granter.
+        """
+
+        async def cut(fleet: limitfleet.Fleet) -> None:
+            await trio.sleep(10.0)
+            alone = fleet.members[1].peer_address
+            fleet.network.is_reachable = lambda a, b: alone not in (a, b)
+
+        fleet = run_fleet(
+            {"s0a": 20.0, "s0b": 20.0},
+            cut,
+            places="abc" * 8,
+            shards={"s0": "ab"},
+            rates=[1.5] * 24,
+        )
+        self.assert_limits_kept(fleet)
+        answered = [
+            outcome
+            for at_s, outcome in fleet.daemons[1].outcomes
+            if at_s > 12.0 and not isinstance(outcome, errors.RefusalError)
+        ]
+        self.assertTrue(len(answered) > 0.5 * 13.0 * 1.5)
+
     def test_restarted_daemon_knows_the_limit(self) -> None:
         """Guard against a restarted daemon that calls without a limit."""
         known: list[str] = []
@@ -225,6 +253,18 @@
             (True, False), (limits.admits("s", 0.9), limits.admits("t", 0.9))
         )
 
+    def test_last_token_is_not_for_a_hedge(self) -> None:
+        """Guard against first calls that lack a token because of hedges."""
+        limits = leaflimits.LeafLimits()
+        limits.observe("sa", 10.0, 10.0)
+        report = limits.build_report(0, 10.0)
+        grants = wire.LimitGrants(1, [wire.LeafGrant("sa", 10.0, 0, 2)], {})
+        limits.apply(report, grants, 10.0)
+        self.assertTrue(limits.may_hedge("sa"))
+        limits.take("sa", 10.0)
+        self.assertTrue(limits.may_call("sa"))
+        self.assertFalse(limits.may_hedge("sa"))
+
 
 class Granter:
     """Send reports to a granter that knows one leaf."""
@@ -286,7 +326,7 @@
         for pause_s, caller, wanted, uses in steps:
             now_s += pause_s
             before = held.get(caller, 0)
-            if now_s - seen_s.get(caller, now_s) > leaflimits.TOKEN_VALIDITY_S:
+            if now_s - seen_s.get(caller, now_s) > limitgrants.SILENT_S:
                 before = 0
             seen_s[caller] = now_s
             grants = case.report(
@@ -298,6 +338,18 @@
             window = [at_s for at_s in used if at_s > now_s - 4.0]
             self.assertTrue(len(window) <= 6.0 * limit_per_s + 5.0)
 
+    def test_tokens_that_daemons_keep_are_bounded(self) -> None:
+        """Guard against many tokens that are all used at the same time."""
+        case = Granter()
+        held = dict.fromkeys(range(5), 0)
+        for step in range(200):
+            caller = step % 5
+            grants = case.report(
+                0.05 * step, 10.0, caller, held=held[caller], wanted=30
+            )
+            held[caller] += sum(grant.count for grant in grants.leafs)
+        self.assertTrue(5.0 <= sum(held.values()) <= 0.75 * 10.0 + 2.0)
+
     def test_light_daemon_gets_its_part(self) -> None:
         """Guard against a daemon that gets nothing beside a greedy one."""
         case = Granter()
