Exchange with the granter whenever another daemon becomes it

A daemon that had just started called limited leafs without a limit until a reply told it. Cause: it asks for the limits in its first exchange, but at its start it knows no other member, chooses itself as the granter, and asks nobody afterwards. The test did not show it because its new daemon knew all members at once.

A daemon now exchanges with its granter when that changes, also if it knows no limit; changes of the members wake it. A new granter thereby has the reports of all at once.

--- a/plantainhook/limitsync.py
+++ b/plantainhook/limitsync.py
@@ -77,6 +77,7 @@
         self._exchanged = trio.Event()
         limits.service_of = self._service_of
         limits.on_change = self._on_change
+        board.listeners.append(self._on_board_change)
         # Set when this daemon has learnt of a limit for which it may grant.
         self._granted = trio.Event()
         handlers.register(wire.LimitReport)(self._on_report)
@@ -85,7 +86,7 @@
     async def run(self) -> None:
         """Exchange reports and grants while limits are known.
 
-        The first exchange tells a daemon that has just started the limits.
+        The first exchange with a granter tells this daemon the limits.
         """
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._notify_others)
@@ -93,11 +94,8 @@
 
     async def _exchange_repeatedly(self) -> None:
         while True:
-            while (
-                self._granter_id is not None
-                and not self._limits.needs_exchange()
-            ):
-                await self._wait(math.inf)
+            while not self._needs_exchange():
+                await self._wait(FAILED_AVOID_S)
             exchanged, self._exchanged = self._exchanged, trio.Event()
             await self._exchange()
             exchanged.set()
@@ -108,6 +106,14 @@
             interval_s = max(EXCHANGE_INTERVAL_S, 2.0 * gap_s)
             await self._wait(interval_s * self._rng.uniform(0.8, 1.2))
 
+    def _needs_exchange(self) -> bool:
+        if self._limits.needs_exchange():
+            return True
+        candidates = self._candidates()
+        return (
+            bool(candidates) and candidates[0].incarnation != self._granter_id
+        )
+
     async def _notify_others(self) -> None:
         """Tell changed limits to the daemons that have not reported.
 
@@ -189,6 +195,10 @@
     def _on_change(self) -> None:
         self._wake.set()
 
+    def _on_board_change(self, topic: blackboard.Topic) -> None:
+        if topic is blackboard.Topic.MEMBERS:
+            self._wake.set()
+
     async def _wait(self, seconds: float) -> None:
         with trio.move_on_after(seconds):
             await self._wake.wait()
--- a/tests/limitfleet.py
+++ b/tests/limitfleet.py
@@ -238,7 +238,7 @@
         for place in places:
             self.add_daemon(place)
 
-    def add_daemon(self, place: str) -> None:
+    def add_daemon(self, place: str) -> Daemon:
         """Add a daemon, which all others know at once."""
         number = len(self.daemons)
         self.members[number] = blackboard.MemberInfo(
@@ -252,7 +252,9 @@
             False,
             features=wire.FEATURE_LIMITS,
         )
-        self.daemons.append(Daemon(number, self))
+        daemon = Daemon(number, self)
+        self.daemons.append(daemon)
+        return daemon
 
     def granter(self) -> Daemon:
         """Return the daemon that grants, from the members."""
--- a/tests/test_leaflimits.py
+++ b/tests/test_leaflimits.py
@@ -220,7 +220,10 @@
         self.assertTrue(len(answered) > 0.5 * 13.0 * 1.5)
 
     def test_restarted_daemon_knows_the_limit(self) -> None:
-        """Guard against a restarted daemon that calls without a limit."""
+        """Guard against a restarted daemon that calls without a limit.
+
+        It knows the other members only some time after its start.
+        """
         known: list[str] = []
 
         async def restart(fleet: limitfleet.Fleet) -> None:
@@ -228,9 +231,15 @@
             fleet.daemons[1].stop()
             del fleet.members[1]
             await trio.sleep(1.0)
-            fleet.add_daemon("a")
+            daemon = fleet.add_daemon("a")
+            daemon.board.members = {
+                daemon.number: fleet.members[daemon.number]
+            }
+            await trio.sleep(1.0)
+            daemon.board.members = fleet.members
+            daemon.board.notify(blackboard.Topic.MEMBERS)
             await trio.sleep(0.1)
-            known.extend(fleet.daemons[-1].limits.leafs)
+            known.extend(daemon.limits.leafs)
 
         run_fleet({"s0a": 11.0}, restart)
         self.assertEqual(["s0a"], known)
