Check the minimum coverage of counted shards in one place

Behaviour is the same: both forms agree for all counts of 1 to 300 shards and nine minimum ratios (compared by a script).

Looked at and left: the branch worker looks its cached view up a second time, some microseconds a branch.

--- a/plantainhook/gathertree.py
+++ b/plantainhook/gathertree.py
@@ -297,11 +297,8 @@
         return merged
 
     def _is_acceptable(self, count: int) -> bool:
-        if not count:
-            return False
-        ratio = count / len(self._services)
-        return (
-            ratio >= self._rules.min_coverage_ratio - coverage.RATIO_TOLERANCE
+        return coverage.is_enough(
+            count, len(self._services), self._rules.min_coverage_ratio
         )
 
     def _advance(
