--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -7,6 +7,7 @@
 exits when no connection is left or the time for the stop is over.
 """
 
+import functools
 import random
 import typing
 
@@ -236,6 +237,10 @@
                 (adapters.configurations, self.routes),
             )
         }
+        for kind, replica in replicas.items():
+            self.forward_metrics.store_age.labels(kind).set_function(
+                functools.partial(store_age_s, replica)
+            )
         self.relay = storerelay.StoreRelay(
             self.board,
             run_options.data_centre,
@@ -446,6 +451,11 @@
         return policies
 
 
+def store_age_s(replica: storereplica.StoreReplica) -> float:
+    """Return how long ago a copy was confirmed; infinite if it never was."""
+    return trio.current_time() - replica.confirmed_s
+
+
 def capacity_of(forward: options.ForwardOptions) -> int:
     """Return the CPU capacity of the VM in hundredths of a core."""
     return round(100 * forward.cpu_share_ratio * forward.cpu_speed_factor)
--- a/plantainhook/forwardgateway.py
+++ b/plantainhook/forwardgateway.py
@@ -145,6 +145,8 @@
         finally:
             pool.abandon(connection)
         if not answer.misdirected:
+            if answer.leaving:
+                self.instruments.leaving_replies.inc()
             self.limits.observe(
                 send.leaf, answer.limit_per_s, trio.current_time()
             )
--- a/plantainhook/forwardmetrics.py
+++ b/plantainhook/forwardmetrics.py
@@ -38,6 +38,12 @@
             ["event"],
             registry=registry,
         )
+        self.store_age = prometheus_client.Gauge(
+            "plantainhook_forward_store_age_seconds",
+            "Time since the store, or a peer that it answers, replied last.",
+            ["kind"],
+            registry=registry,
+        )
         self._in_flight = prometheus_client.Gauge(
             "plantainhook_forward_in_flight",
             "Requests in flight at the last answer.",
--- a/plantainhook/forwardtypes.py
+++ b/plantainhook/forwardtypes.py
@@ -57,8 +57,9 @@
     ``headers`` are all headers of the reply. ``signature`` proves which leaf
     ran which request. ``encoded`` is set if the body has a content encoding,
     ``refused`` if the leaf states that it has not run the request, and
-    ``misdirected`` if another leaf has the address. ``limit_per_s`` is how
-    many requests a second the leaf accepts from all daemons, or None.
+    ``misdirected`` if another leaf has the address. ``leaving`` is set if the
+    leaf states that it leaves. ``limit_per_s`` is how many requests a second
+    the leaf accepts from all daemons, or None.
     """
 
     status: int
@@ -69,6 +70,7 @@
     encoded: bool
     refused: bool
     misdirected: bool
+    leaving: bool = False
     limit_per_s: float | None = None
 
     def is_success(self) -> bool:
--- a/plantainhook/metrics.py
+++ b/plantainhook/metrics.py
@@ -71,6 +71,11 @@
             "Leafs that limit their requests, as far as this daemon knows.",
             registry=registry,
         )
+        self.leaving_replies = prometheus_client.Counter(
+            "plantainhook_leaf_leaving_replies",
+            "Replies that state that their leaf leaves.",
+            registry=registry,
+        )
         self.connections = prometheus_client.Gauge(
             "plantainhook_leaf_connections",
             "Connections to leafs that are open or being closed.",
--- a/plantainhook/objectsource.py
+++ b/plantainhook/objectsource.py
@@ -134,9 +134,11 @@
     pause_s = RETRY_FIRST_S
     listed = replica.revision > 0
     wait_s = FIRST_WAIT_S
+    answered_s = trio.current_time()
     while True:
         error = await _step(source, replica, options, listed, wait_s)
         if error is None:
+            answered_s = trio.current_time()
             listed = True
             wait_s = options.watch_wait_s
             pause_s = RETRY_FIRST_S
@@ -148,7 +150,12 @@
             )
             listed = False
             continue
-        LOGGER.info("Reading {} failed: {}", source.kind, error)
+        LOGGER.info(
+            "Reading {} failed, {:.1f} s after the last reply: {}",
+            source.kind,
+            trio.current_time() - answered_s,
+            error,
+        )
         replica.on_unavailable(error)
         wait_s = FIRST_WAIT_S
         await trio.sleep(pause_s * rng.uniform(0.7, 1.3))
--- a/plantainhook/platform/dialect.py
+++ b/plantainhook/platform/dialect.py
@@ -92,6 +92,7 @@
             encoded=b"content-encoding" in by_name,
             refused=names.NOT_RUN in by_name or misdirected,
             misdirected=misdirected,
+            leaving=by_name.get(names.LEAVING, b"").strip() == b"1",
             limit_per_s=_parse_limit(by_name.get(names.REQUEST_LIMIT)),
         )
 
--- a/plantainhook/storereplica.py
+++ b/plantainhook/storereplica.py
@@ -31,15 +31,18 @@
     """Store the objects of one kind at a revision.
 
     Implements ``objectsource.Replica``. ``changed`` is set and replaced at
-    each new revision.
+    each new revision. ``confirmed_s`` is when the store, or a peer that it
+    answers, replied last.
     """
 
     kind: str
     revision: int
+    confirmed_s: float
 
     def __init__(self, kind: str, consumer: objectsource.Consumer) -> None:
         self.kind = kind
         self.revision = NO_REVISION
+        self.confirmed_s = float("-inf")
         self.changed = trio.Event()
         self._consumer = consumer
         self._objects: dict[str, objectsource.SourceObject] = {}
@@ -90,6 +93,7 @@
 
     def on_available(self) -> None:
         """Notify the consumer that the store answers."""
+        self.confirmed_s = trio.current_time()
         self._consumer.on_available()
 
     def update_after(self, revision: int) -> storeupdate.StoreUpdate | None:
