--- a/tests/test_storerelay.py
+++ b/tests/test_storerelay.py
@@ -86,13 +86,21 @@
 
 
 class Source:
-    """Read the store for one daemon, which may be disconnected from it."""
+    """Read the store for one daemon, which may be disconnected from it.
+
+    ``silence`` makes the calls in flight wait for ever; later ones work.
+    """
 
     kind = KIND
 
     def __init__(self, store: Store) -> None:
         self.store = store
         self.is_disconnected = False
+        self._silence_count = 0
+
+    def silence(self) -> None:
+        """Lose the replies of the calls in flight without an error."""
+        self._silence_count += 1
 
     def _failure(self) -> result.Err[errors.ObjectApiError]:
         return result.Err(
@@ -120,11 +128,14 @@
     ) -> objectsource.WatchResult:
         """Return the changes after a revision."""
         self.store.calls += 1
+        silence_count = self._silence_count
         await trio.sleep(0.004)
         with trio.move_on_after(wait_s):
             while self.store.revision <= revision and not self.is_disconnected:
                 with trio.move_on_after(0.5):
                     await self.store.changed.wait()
+        if self._silence_count != silence_count:
+            await trio.sleep_forever()
         if self.is_disconnected:
             return self._failure()
         changes = [c for at, c in self.store.history if at > revision]
@@ -244,6 +255,73 @@
         run_scenario(40, scenario)
 
 
+class SilentWatchTest(testtools.TestCase):
+    """Check that a watch without replies is not taken for "no change"."""
+
+    def check(
+        self, count: int, is_silent: typing.Callable[[int], bool]
+    ) -> None:
+        """Silence some daemons' watches and check two later changes.
+
+        The bound is that of configurations on the users' platform.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            await trio.sleep(5.0)
+            for number, source in enumerate(fleet.sources):
+                if is_silent(number):
+                    source.silence()
+            for name in ("a", "b"):
+                fleet.store.put(name)
+                await trio.sleep(3.0)
+                state = fleet.store.state()
+                behind = [
+                    number
+                    for number, consumer in enumerate(fleet.consumers)
+                    if consumer.objects != state
+                ]
+                self.assertEqual([], behind)
+
+        run_scenario(count, scenario)
+
+    def test_daemons_with_silent_watches_learn_of_changes(self) -> None:
+        """Guard against daemons that miss changes which their peers know.
+
+        Pattern: the open connections of four of seven daemons to the store
+        fall silent; new ones work.
+        """
+        self.check(7, lambda number: number % 2 == 0)
+
+    def test_all_but_one_watch_of_a_large_fleet_are_silent(self) -> None:
+        """Guard against followers of watchers with silent watches."""
+        watchers: list[str] = []
+
+        async def scenario(fleet: Fleet) -> None:
+            watchers.extend(fleet.relays[0].watchers())
+
+        run_scenario(20, scenario)
+        self.check(20, lambda number: f"d{number}" in watchers[1:])
+
+    def test_calm_watches_are_not_repeated(self) -> None:
+        """Guard against a check that reads the store all the time.
+
+        Pattern: objects of another kind raise the store's revision, and the
+        watches of the daemons end at different moments.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            for number in range(7):
+                fleet.store.put(f"o{number}")
+                await trio.sleep(0.1)
+            await trio.sleep(4.0)
+            before = fleet.store.calls
+            await trio.sleep(30.0)
+            # Each daemon's watch ends once in this time.
+            self.assertTrue(fleet.store.calls - before <= 2 * 7)
+
+        run_scenario(7, scenario)
+
+
 class RelayTest(testtools.TestCase):
     """Check that all daemons receive changes with few calls to the store."""
 
