Compare the copies of watchers, and read again where a watch is silent

Cause: a watch that neither returns nor fails counted as "no change". A watcher asked its peers only after a read had failed, and nothing fails on a silent connection until the wait of the watch is over. Ruled out: the store, the peers and new connections, which all worked (the other three daemons adopted the change within 0.05 s).

Change: watchers compare the revision of the last change with up to three peers each second. One that stays behind for 0.9 s pulls the changes, gives up its read and reads again on a new connection; until that answers, it does not count as up to date for others. Replies state the revision of the last change in a field of their own, because the revision of a copy also rises when a watch ends without a change. Without that, calm daemons would restart each other's watches.

--- a/plantainhook/storerelay.py
+++ b/plantainhook/storerelay.py
@@ -13,6 +13,10 @@
 
 Pattern: the store refuses some daemons and serves the others. A watcher that
 the store does not answer pulls from its peers until the store answers again.
+
+Pattern: an open connection falls silent, so a watch neither returns nor fails.
+Watchers compare their revisions with a few peers. One that stays behind pulls
+the changes and reads the store again on a new connection.
 """
 
 import dataclasses
@@ -65,7 +69,9 @@
 # time; a slow store answers within 0.3 s. It pulls from several peers, because
 # the store may not answer some of them either.
 WATCHER_PULL_DELAY_S: typing.Final = 0.4
-WATCHER_PULL_SOURCES_COUNT: typing.Final = 3
+# The number of peers with which a watcher compares, and from which it pulls.
+WATCHER_PEERS_COUNT: typing.Final = 3
+WATCHER_COMPARE_INTERVAL_S: typing.Final = 1.0
 # A daemon that is no watcher stops reading the store once a watcher has been
 # up to date for this long.
 STOP_READING_DELAY_S: typing.Final = 0.4
@@ -118,8 +124,11 @@
         self._last_unrelayed_s = time_source.now_s()
         self._last_relayed_s = float("-inf")
         self._fallback_delay_s = 0.0
+        self._is_watcher = False
         self._store_answered_s = time_source.now_s()
         self._unavailable_kinds: set[str] = set()
+        # Cancelling one of these reads its kind again on a new connection.
+        self._follow_scopes: dict[str, trio.CancelScope] = {}
         handlers.register(wire.StorePull)(self._on_pull)
 
     async def run(self) -> None:
@@ -185,9 +194,8 @@
         watchers = self.watchers()
         own_address = self._board.own_address()
         is_watcher = own_address in watchers or not watchers
-        self._set_pulls(
-            nursery, self._pull_sources(watchers, is_watcher, now_s)
-        )
+        self._record_role(is_watcher)
+        self._set_pulls(nursery, self._pull_sources(watchers, is_watcher))
         is_relayed = any(
             now_s - at_s < WATCHER_TIMEOUT_S
             for address, at_s in self._last_up_to_date_s.items()
@@ -211,23 +219,32 @@
             self._read_scope.cancel()
             self._read_scope = None
 
+    def _record_role(self, is_watcher: bool) -> None:
+        """Record whether this daemon watches, and that the store answers."""
+        self._is_watcher = is_watcher
+        if is_watcher and not self._unavailable_kinds:
+            self._store_answered_s = self._clock.now_s()
+
     def _pull_sources(
-        self, watchers: list[str], is_watcher: bool, now_s: float
+        self, watchers: list[str], is_watcher: bool
     ) -> list[str]:
         """Return the watchers from which this daemon pulls.
 
-        A watcher pulls from none until the store has not answered it for
-        ``WATCHER_PULL_DELAY_S``.
+        A watcher only compares with them while the store answers it.
         """
         own_address = self._board.own_address()
         others = [address for address in watchers if address != own_address]
         if not is_watcher:
             return others
-        if not self._unavailable_kinds:
-            self._store_answered_s = now_s
-        if now_s - self._store_answered_s < WATCHER_PULL_DELAY_S:
-            return []
-        return hashing.choose(own_address, others, WATCHER_PULL_SOURCES_COUNT)
+        return hashing.choose(own_address, others, WATCHER_PEERS_COUNT)
+
+    def _is_served(self) -> bool:
+        """Return whether this daemon is a watcher that the store answers.
+
+        An outage counts only after ``WATCHER_PULL_DELAY_S``.
+        """
+        silence_s = self._clock.now_s() - self._store_answered_s
+        return self._is_watcher and silence_s < WATCHER_PULL_DELAY_S
 
     def _start_reading(self, nursery: trio.Nursery) -> None:
         """Start to read the store, unless this daemon does so already."""
@@ -240,14 +257,35 @@
     async def _follow_all(self, scope: trio.CancelScope) -> None:
         with scope:
             async with trio.open_nursery() as nursery:
-                for kind, replica in self._replicas.items():
-                    nursery.start_soon(
-                        objectsource.follow,
-                        self._sources[kind],
-                        AvailabilityRecorder(replica, self._unavailable_kinds),
-                        self._follow_options,
-                        self._rng,
-                    )
+                for kind in self._replicas:
+                    nursery.start_soon(self._follow, kind)
+
+    async def _follow(self, kind: str) -> None:
+        """Read the objects of one kind, anew whenever its scope is cancelled.
+
+        A cancelled call closes its connection.
+        """
+        while True:
+            scope = self._follow_scopes[kind] = trio.CancelScope()
+            with scope:
+                await objectsource.follow(
+                    self._sources[kind],
+                    AvailabilityRecorder(
+                        self._replicas[kind], self._unavailable_kinds
+                    ),
+                    self._follow_options,
+                    self._rng,
+                )
+
+    def _restart_reading(self, kind: str) -> None:
+        """Give up a read that missed changes, and read again."""
+        LOGGER.warning(
+            "The store changed {} without an answer to this daemon's watch; "
+            "reading again.",
+            kind,
+        )
+        self._unavailable_kinds.add(kind)
+        self._follow_scopes[kind].cancel()
 
     def _set_pulls(self, nursery: trio.Nursery, watchers: list[str]) -> None:
         for address in list(self._pull_scopes):
@@ -259,10 +297,16 @@
                 nursery.start_soon(self._pull_loop, address, scope)
 
     async def _pull_loop(self, address: str, scope: trio.CancelScope) -> None:
-        """Pull from the preferred watcher; compare revisions with others."""
+        """Pull from the preferred watcher; compare revisions with others.
+
+        While the store answers a watcher, it compares with all.
+        """
         with scope:
             while True:
-                if address == self._preferred_watcher():
+                if (
+                    not self._is_served()
+                    and address == self._preferred_watcher()
+                ):
                     answered = await self._pull(address, PULL_WAIT_S)
                 else:
                     answered = await self._compare(address)
@@ -279,14 +323,28 @@
             return False
         if ahead:
             await trio.sleep(AHEAD_MAX_S)
-            if any(
-                self._replicas[kind].revision < revision
+            behind = [
+                kind
                 for kind, revision in ahead.items()
-            ):
-                return await self._pull(address, 0.0)
+                if self._replicas[kind].revision < revision
+            ]
+            if behind:
+                return await self._catch_up(address, behind)
         await self._pause_compare()
         return True
 
+    async def _catch_up(self, address: str, kinds: list[str]) -> bool:
+        """Pull kinds of which a watcher has had changes for some time.
+
+        Returns False if the watcher did not answer or is not up to date.
+        """
+        was_served = self._is_served()
+        answered = await self._pull(address, 0.0)
+        if was_served and answered and self.is_reading_store():
+            for kind in kinds:
+                self._restart_reading(kind)
+        return answered
+
     async def _pause_compare(self) -> None:
         """Wait until the next comparison with a watcher is due.
 
@@ -294,15 +352,23 @@
         centres. If each did so twice a second with each, these messages would
         be most of the bytes between data centres.
         """
-        others_count = max(1, len(self._pull_scopes) - 1)
-        due_s = self._clock.now_s() + CALM_COMPARE_INTERVAL_S * others_count
+        if self._is_served():
+            step_s = CHECK_INTERVAL_S
+            pause_s = WATCHER_COMPARE_INTERVAL_S
+        else:
+            step_s = COMPARE_INTERVAL_S
+            others_count = max(1, len(self._pull_scopes) - 1)
+            pause_s = CALM_COMPARE_INTERVAL_S * others_count
+        due_s = self._clock.now_s() + pause_s
         while True:
-            await trio.sleep(COMPARE_INTERVAL_S)
+            await trio.sleep(step_s)
             if not self._is_calm() or self._clock.now_s() >= due_s:
                 return
 
     def _is_calm(self) -> bool:
-        """Return whether the preferred watcher is up to date."""
+        """Return whether the store or the preferred watcher is up to date."""
+        if self._is_watcher:
+            return self._is_served()
         preferred = self._preferred_watcher()
         if preferred is None:
             return False
@@ -310,7 +376,7 @@
         return self._clock.now_s() - up_to_date_s < CALM_S
 
     async def _revisions_ahead(self, address: str) -> dict[str, int] | None:
-        """Return by kind where the revision of a watcher is higher.
+        """Return by kind where a watcher has changes that are not known here.
 
         Returns None if the watcher did not answer.
         """
@@ -318,9 +384,10 @@
         answer = await self._ask(address, body, COMPARE_TIMEOUT_S)
         if answer is None:
             return None
+        changed = {**answer.revisions, **answer.changed}
         return {
             kind: revision
-            for kind, revision in answer.revisions.items()
+            for kind, revision in changed.items()
             if kind in self._replicas
             and revision > self._replicas[kind].revision
         }
@@ -414,7 +481,13 @@
             if kind in self._replicas
         ]
         packed = [update for update in updates if update is not None]
-        return wire.StoreReply(self._is_up_to_date(), revisions, packed)
+        changed = {
+            kind: replica.changed_revision
+            for kind, replica in self._replicas.items()
+        }
+        return wire.StoreReply(
+            self._is_up_to_date(), revisions, packed, changed
+        )
 
     def _has_update(self, body: wire.StorePull) -> bool:
         return any(
--- a/plantainhook/storereplica.py
+++ b/plantainhook/storereplica.py
@@ -31,17 +31,20 @@
     """Store the objects of one kind at a revision.
 
     Implements ``objectsource.Replica``. ``changed`` is set and replaced at
-    each new revision. ``confirmed_s`` is when the store, or a peer that it
-    answers, replied last.
+    each new revision. ``changed_revision`` is the revision of the last known
+    change; the revision of the copy rises without a change too.
+    ``confirmed_s`` is when the store, or a peer that it answers, replied last.
     """
 
     kind: str
     revision: int
+    changed_revision: int
     confirmed_s: float
 
     def __init__(self, kind: str, consumer: objectsource.Consumer) -> None:
         self.kind = kind
         self.revision = NO_REVISION
+        self.changed_revision = NO_REVISION
         self.confirmed_s = float("-inf")
         self.changed = trio.Event()
         self._consumer = consumer
@@ -59,6 +62,9 @@
         self._objects = {item.name: item for item in listing.objects}
         self._log.clear()
         self._log_revision = listing.revision
+        self.changed_revision = max(
+            (item.revision for item in listing.objects), default=NO_REVISION
+        )
         self._advance(listing.revision)
         self._consumer.on_listing(listing)
 
@@ -80,6 +86,8 @@
                 self._objects.pop(change.object.name, None)
             else:
                 self._objects[change.object.name] = change.object
+        if changes:
+            self.changed_revision = revision
         self._log.append(Batch(revision, changes))
         if len(self._log) > LOG_MAX_COUNT:
             self._log_revision = self._log.popleft().end_revision
--- a/plantainhook/wire.py
+++ b/plantainhook/wire.py
@@ -121,11 +121,14 @@
     ``fresh`` states that the store answers the sender, so that its copies are
     up to date. ``revisions`` maps kinds to the revisions that the sender has.
     ``packed`` lists the updates of each kind as encoded by ``storeupdate``.
+    ``changed`` maps kinds to the revision of the last change that the sender
+    has; older daemons leave it out.
     """
 
     fresh: bool
     revisions: dict[str, int]
     packed: list[bytes]
+    changed: dict[str, int] = {}
 
 
 class Probe(Body, frozen=True, tag=True, array_like=True):
