Detect a lost connection to the store after 3 s instead of 5 s

What callers saw: when the open connections of all daemons fall silent at the same moment, no peer knows better, and every daemon served an old configuration for at least 5 s. The users count daemons as in touch again after 4 s.

Cause: TCP keep-alive of the watch's connection was that of connections to leafs: idle for 3 s, then two probes a second apart.

Change: connections to the store begin to probe after 1 s, so the loss shows after 3 s.

--- a/plantainhook/leaftransport.py
+++ b/plantainhook/leaftransport.py
@@ -16,12 +16,13 @@
 # A peer that vanished without closing the connection is detected after about
 # 5 s on an idle connection, and after 3 s if sent bytes are not acknowledged.
 KEEPALIVE_IDLE_S: typing.Final = 3
+# On a connection that waits for news, after about 3 s.
+WATCH_KEEPALIVE_IDLE_S: typing.Final = 1
 KEEPALIVE_INTERVAL_S: typing.Final = 1
 KEEPALIVE_PROBES_COUNT: typing.Final = 2
 UNACKNOWLEDGED_LIMIT_MS: typing.Final = 3000
 TCP_OPTIONS: typing.Final = (
     (socket.TCP_NODELAY, 1),
-    (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
     (socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
     (socket.TCP_KEEPCNT, KEEPALIVE_PROBES_COUNT),
     (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS),
@@ -110,7 +111,9 @@
     return host.strip("[]"), int(port)
 
 
-async def connect(address: str) -> SocketTransport:
+async def connect(
+    address: str, keepalive_idle_s: int = KEEPALIVE_IDLE_S
+) -> SocketTransport:
     """Open a TCP connection to an IP address and port.
 
     Raises OSError.
@@ -121,10 +124,21 @@
     try:
         new_socket.setblocking(False)
         new_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-        for option, value in TCP_OPTIONS:
+        for option, value in (
+            *TCP_OPTIONS,
+            (socket.TCP_KEEPIDLE, keepalive_idle_s),
+        ):
             new_socket.setsockopt(socket.IPPROTO_TCP, option, value)
         await trio.socket.from_stdlib_socket(new_socket).connect((host, port))
     except BaseException:
         new_socket.close()
         raise
     return SocketTransport(new_socket)
+
+
+async def connect_for_watches(address: str) -> SocketTransport:
+    """Open a TCP connection whose loss is detected sooner.
+
+    Raises OSError.
+    """
+    return await connect(address, WATCH_KEEPALIVE_IDLE_S)
--- a/plantainhook/platform/store.py
+++ b/plantainhook/platform/store.py
@@ -74,7 +74,7 @@
         self,
         address: str,
         kind: str,
-        connector: leaftransport.Connector = leaftransport.connect,
+        connector: leaftransport.Connector = leaftransport.connect_for_watches,
     ) -> None:
         self.kind = kind
         self._address = address
