Stop sending requests to a leaf that states in a reply that it leaves

What callers saw: requests went to a leaf for as long as the store listed it as ready for this daemon, although each of its answers said that it leaves (Server-Leaving). It ends some seconds after its drain, and requests that it holds then are lost.

Cause: the only source of a drain was the store's entry. The word of the leaf itself was not read, so a daemon that the store did not reach could not learn of it.

Change: leafnotices passes the word on, from successes and refusals but not from another leaf at the same address (421), and leafdirectory, the owner of the leaf states, takes the leaf out of all plans. An entry of a later start undoes it; one of the same start doesn't. Each daemon acts on its own replies: one that calls the leaf learns the same from its first reply, so nothing has to be told to peers.

--- a/plantainhook/branchworker.py
+++ b/plantainhook/branchworker.py
@@ -20,6 +20,7 @@
     forwardtypes,
     gathertypes,
     leaflimits,
+    leafnotices,
     leafpools,
     limitsync,
     logs,
@@ -204,6 +205,7 @@
         planner: forwardplanner.ForwardPlanner,
         pools: leafpools.LeafPools,
         limits: leaflimits.LeafLimits,
+        notices: leafnotices.LeafNotices,
         tokens: limitsync.LimitSync,
         dialect: forwardtypes.Dialect,
         instruments: metrics.LeafMetrics,
@@ -213,6 +215,7 @@
         self._planner = planner
         self._pools = pools
         self.limits = limits
+        self._notices = notices
         self._tokens = tokens
         self._dialect = dialect
         self._instruments = instruments
@@ -284,6 +287,7 @@
             self._dialect,
             self._pools,
             self.limits,
+            self._notices,
             self._instruments,
             self._failure_log,
         )
--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -33,6 +33,7 @@
     leafconnect,
     leafdirectory,
     leaflimits,
+    leafnotices,
     leafpools,
     limitsync,
     logs,
@@ -158,6 +159,7 @@
             options=POOL_OPTIONS,
         )
         self.limits = leaflimits.LeafLimits()
+        self.notices = leafnotices.LeafNotices(self.instruments)
         self.instruments.limited_leafs.set_function(
             lambda: len(self.limits.leafs)
         )
@@ -188,6 +190,7 @@
             self.planner,
             self.pools,
             self.limits,
+            self.notices,
             self.tokens,
             adapters.dialect,
             self.instruments,
@@ -211,6 +214,7 @@
                 self.planner,
                 self.pools,
                 self.limits,
+                self.notices,
                 self.tokens,
                 adapters.dialect,
                 self.instruments,
@@ -224,6 +228,7 @@
         self.directory = leafdirectory.LeafDirectory(
             self.board, adapters.documents.read_leaf
         )
+        self.notices.on_leaving = self.directory.on_leaving
         self.routes = routecontroller.RouteController(
             self.board,
             adapters.configuration_name,
--- a/plantainhook/forwardgateway.py
+++ b/plantainhook/forwardgateway.py
@@ -21,6 +21,7 @@
     leafclient,
     leafconnect,
     leaflimits,
+    leafnotices,
     leafpools,
     logs,
     metrics,
@@ -54,6 +55,7 @@
     dialect: forwardtypes.Dialect
     pools: leafpools.LeafPools
     limits: leaflimits.LeafLimits
+    notices: leafnotices.LeafNotices
     instruments: metrics.LeafMetrics
     failure_log: logs.DecisionLog
 
@@ -145,8 +147,7 @@
         finally:
             pool.abandon(connection)
         if not answer.misdirected:
-            if answer.leaving:
-                self.instruments.leaving_replies.inc()
+            self.notices.observe(send.leaf, answer)
             self.limits.observe(
                 send.leaf, answer.limit_per_s, trio.current_time()
             )
--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -29,6 +29,7 @@
     forwardtypes,
     gatherers,
     leaflimits,
+    leafnotices,
     leafpools,
     limitsync,
     logs,
@@ -66,6 +67,7 @@
     planner: forwardplanner.ForwardPlanner
     pools: leafpools.LeafPools
     limits: leaflimits.LeafLimits
+    notices: leafnotices.LeafNotices
     tokens: limitsync.LimitSync
     dialect: forwardtypes.Dialect
     instruments: metrics.LeafMetrics
@@ -186,6 +188,7 @@
             dependencies.dialect,
             dependencies.pools,
             dependencies.limits,
+            dependencies.notices,
             dependencies.instruments,
             dependencies.failure_log,
         )
--- a/plantainhook/leafdirectory.py
+++ b/plantainhook/leafdirectory.py
@@ -5,10 +5,10 @@
 ``Blackboard.leafs`` and of the leafs in the settings view.
 
 An entry that cannot be decoded, or that is older than the latest one of the
-same leaf, is ignored. A leaf that drains or whose entry is removed gets no
-new work from then on. Entries expire in the store while it is unavailable,
-and their leafs register again shortly after it has recovered; until then
-those leafs stay in use.
+same leaf, is ignored. A leaf that drains, that states in a reply that it
+leaves, or whose entry is removed gets no new work from then on. Entries
+expire in the store while it is unavailable, and their leafs register again
+shortly after it has recovered; until then those leafs stay in use.
 """
 
 import dataclasses
@@ -42,15 +42,21 @@
 
     ``seen_s`` is when the entry arrived, and ``removal_due_s`` when the leaf
     is removed unless it registers again; both are on the trio clock.
+    ``states_leaving`` is set if the leaf has stated in a reply that it leaves.
     """
 
     entry: forwardtypes.LeafEntry
     seen_s: float
     removal_due_s: float | None = None
+    states_leaving: bool = False
+
+    def is_leaving(self) -> bool:
+        """Return whether the leaf leaves, by its entry or by its word."""
+        return self.entry.draining or self.states_leaving
 
     def state(self, now_s: float) -> blackboard.LeafState:
         """Return the state that follows from the entry at a time."""
-        if self.entry.draining:
+        if self.is_leaving():
             return blackboard.LeafState.DRAINING
         if now_s < self.seen_s + self.entry.cold_left_s:
             return blackboard.LeafState.COLD
@@ -73,6 +79,8 @@
         # The order of the latest entry by leaf, kept after a leaf is removed
         # so that a late entry does not bring it back.
         self._latest_order: dict[str, tuple[int, int]] = {}
+        # The start of each leaf that stated in a reply that it leaves.
+        self._left_born_ms: dict[str, int] = {}
         self._store_unavailable = False
         self._store_recovered_s = float("-inf")
         self._wake = trio.Event()
@@ -115,6 +123,16 @@
             self._store_recovered_s = trio.current_time()
             self._store_unavailable = False
 
+    def on_leaving(self, name: str) -> None:
+        """Record that a leaf stated that it leaves, until its next start."""
+        known = self._known.get(name)
+        if known is None or known.states_leaving:
+            return
+        LOGGER.info("Leaf {} states that it leaves.", name)
+        self._left_born_ms[name] = known.entry.born_ms
+        known.states_leaving = True
+        self._publish()
+
     def _apply(self, item: objectsource.SourceObject) -> None:
         try:
             entry = self._read_leaf(item.name, item.spec)
@@ -138,7 +156,12 @@
                 entry.info.address,
                 "drains" if entry.draining else "is ready",
             )
-        self._known[item.name] = KnownLeaf(entry, trio.current_time())
+        left_born_ms = self._left_born_ms.get(item.name, float("-inf"))
+        self._known[item.name] = KnownLeaf(
+            entry,
+            trio.current_time(),
+            states_leaving=entry.born_ms <= left_born_ms,
+        )
 
     def _remove(self, name: str) -> None:
         known = self._known.get(name)
--- a/tests/test_branchworker.py
+++ b/tests/test_branchworker.py
@@ -135,7 +135,7 @@
 
             machine.start = fail  # type: ignore[attr-defined]
             machine.plan = typing.cast(typing.Any, mock.MagicMock())  # type: ignore[attr-defined]
-            worker = branchworker.BranchWorker(*[mock.MagicMock()] * 8)
+            worker = branchworker.BranchWorker(*[mock.MagicMock()] * 9)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(worker._run, branch, branch.observed)
                 batch: gathertypes.Batch = await branch.next_batch(5.0, False)
--- a/tests/test_damaged_peers.py
+++ b/tests/test_damaged_peers.py
@@ -27,6 +27,7 @@
     httpserver,
     leafconnect,
     leaflimits,
+    leafnotices,
     leafpools,
     leaftransport,
     logs,
@@ -117,6 +118,7 @@
             dialect.PlatformDialect(),
             self.pools,
             leaflimits.LeafLimits(),
+            leafnotices.LeafNotices(self.instruments),
             self.instruments,
             logs.DecisionLog(
                 logs.part_logger("attempt"), clock.TrioClock(), 50.0
--- a/tests/test_httpconnection.py
+++ b/tests/test_httpconnection.py
@@ -19,6 +19,7 @@
     httpconnection,
     leafconnect,
     leaflimits,
+    leafnotices,
     leafpools,
     logs,
     metrics,
@@ -155,6 +156,7 @@
             dialect.PlatformDialect(),
             pools,
             leaflimits.LeafLimits(),
+            leafnotices.LeafNotices(instruments),
             instruments,
             logs.DecisionLog(
                 logs.part_logger("attempt"), clock.TrioClock(), 50.0
