Don't send a request that waited for a connection while its leaf left

What callers saw: with all connections to a leaf in use, a request waited, the leaf began to drain, and seconds later the request was sent to it all the same. A leaf that has ended by then loses it.

Cause: whether a leaf may be called is decided when an attempt is planned and was not checked again when it is sent, up to several seconds later.

Change: a leaf view tells since when its leaf leaves. After one second the gateway gives the connection back, and the attempt fails as not run, so the query calls another leaf of the shard. Within that second it is sent, because the leaf still serves and may be the only one.

--- a/plantainhook/blackboard.py
+++ b/plantainhook/blackboard.py
@@ -88,12 +88,14 @@
 
     The owner is ``leafhealth``, or ``leafdirectory`` in a forwarding daemon.
     ``versions`` maps an index version to the names of the shards served.
-    ``seen_s`` is when the state was last read.
+    ``seen_s`` is when the state was last read. ``leaving_since_s`` is when a
+    forwarding daemon learned that the leaf leaves, if it does.
     """
 
     state: LeafState
     versions: dict[int, frozenset[str]]
     seen_s: float
+    leaving_since_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/plantainhook/forwardgateway.py
+++ b/plantainhook/forwardgateway.py
@@ -114,6 +114,12 @@
             return acquired
         connection = acquired.ok_value
         try:
+            if not self.pools.may_send(send.leaf):
+                return result.Err(
+                    leafconnect.no_connection_error(
+                        send.leaf, "the leaf left before a connection was free"
+                    )
+                )
             left_ms = int((send.deadline_s - trio.current_time()) * 1000)
             if left_ms <= 0:
                 return result.Err(
--- a/plantainhook/leafdirectory.py
+++ b/plantainhook/leafdirectory.py
@@ -42,21 +42,18 @@
 
     ``seen_s`` is when the entry arrived, and ``removal_due_s`` when the leaf
     is removed unless it registers again; both are on the trio clock.
-    ``states_leaving`` is set if the leaf has stated in a reply that it leaves.
+    ``leaving_since_s`` is when its entry or one of its replies first stated
+    that it leaves.
     """
 
     entry: forwardtypes.LeafEntry
     seen_s: float
     removal_due_s: float | None = None
-    states_leaving: bool = False
-
-    def is_leaving(self) -> bool:
-        """Return whether the leaf leaves, by its entry or by its word."""
-        return self.entry.draining or self.states_leaving
+    leaving_since_s: float | None = None
 
     def state(self, now_s: float) -> blackboard.LeafState:
         """Return the state that follows from the entry at a time."""
-        if self.is_leaving():
+        if self.leaving_since_s is not None:
             return blackboard.LeafState.DRAINING
         if now_s < self.seen_s + self.entry.cold_left_s:
             return blackboard.LeafState.COLD
@@ -126,12 +123,13 @@
     def on_leaving(self, name: str) -> None:
         """Record that a leaf stated that it leaves, until its next start."""
         known = self._known.get(name)
-        if known is None or known.states_leaving:
+        if known is None or name in self._left_born_ms:
             return
         LOGGER.info("Leaf {} states that it leaves.", name)
         self._left_born_ms[name] = known.entry.born_ms
-        known.states_leaving = True
-        self._publish()
+        if known.leaving_since_s is None:
+            known.leaving_since_s = trio.current_time()
+            self._publish()
 
     def _apply(self, item: objectsource.SourceObject) -> None:
         try:
@@ -156,13 +154,25 @@
                 entry.info.address,
                 "drains" if entry.draining else "is ready",
             )
-        left_born_ms = self._left_born_ms.get(item.name, float("-inf"))
         self._known[item.name] = KnownLeaf(
             entry,
             trio.current_time(),
-            states_leaving=entry.born_ms <= left_born_ms,
+            leaving_since_s=self._leaving_since_s(known, entry),
         )
 
+    def _leaving_since_s(
+        self, known: KnownLeaf | None, entry: forwardtypes.LeafEntry
+    ) -> float | None:
+        """Return since when a leaf leaves, by its new entry or by its word."""
+        name = entry.info.name
+        if entry.born_ms > self._left_born_ms.get(name, entry.born_ms):
+            del self._left_born_ms[name]
+        if not entry.draining and name not in self._left_born_ms:
+            return None
+        if known is None or known.leaving_since_s is None:
+            return trio.current_time()
+        return known.leaving_since_s
+
     def _remove(self, name: str) -> None:
         known = self._known.get(name)
         if known is None or known.removal_due_s is not None:
@@ -210,7 +220,9 @@
             self._board.settings, leafs=self._leaf_infos()
         )
         self._board.leafs = {
-            name: blackboard.LeafView(known.state(now_s), {}, known.seen_s)
+            name: blackboard.LeafView(
+                known.state(now_s), {}, known.seen_s, known.leaving_since_s
+            )
             for name, known in self._known.items()
         }
         self._board.notify(blackboard.Topic.SETTINGS)
--- a/plantainhook/leafpools.py
+++ b/plantainhook/leafpools.py
@@ -27,6 +27,10 @@
 LOGGER: typing.Final = logs.part_logger("leafpool")
 
 CONCURRENT_CONNECTS_COUNT: typing.Final = 16
+# A request that waited for a connection is still sent for this long after its
+# leaf began to leave: the leaf serves for at least 3 s more, and the shard may
+# have no other.
+SEND_AFTER_LEAVING_S: typing.Final = 1.0
 TOPICS: typing.Final = (blackboard.Topic.SETTINGS, blackboard.Topic.SHARES)
 
 AllotmentOf = abc.Callable[[shardmap.LeafInfo], int]
@@ -77,6 +81,18 @@
                 return pool
             await self._pool_added.wait()
 
+    def may_send(self, leaf: str) -> bool:
+        """Return whether a leaf may still be sent a request.
+
+        Pattern: a request waits for a connection, and its leaf drains
+        meanwhile.
+        """
+        view = self._board.leafs.get(leaf)
+        if view is None or view.leaving_since_s is None:
+            return True
+        leaving_s = trio.current_time() - view.leaving_since_s
+        return leaving_s < SEND_AFTER_LEAVING_S
+
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
