--- a/plantainhook/platform/store.py
+++ b/plantainhook/platform/store.py
@@ -17,15 +17,19 @@
     errors,
     httpconnection,
     leaftransport,
+    logs,
     objectsource,
     steps,
 )
 from plantainhook.platform import names
 
+LOGGER: typing.Final = logs.part_logger("store")
 CALL_TIMEOUT_S: typing.Final = 2.0
 CONNECT_TIMEOUT_S: typing.Final = 1.0
 STATUS_OK: typing.Final = 200
 STATUS_HISTORY_EXPIRED: typing.Final = 410
+# A number of so many digits is no era; it would not fit the messages to peers.
+ERA_DIGITS: typing.Final = 19
 
 
 class Meta(msgspec.Struct):
@@ -80,6 +84,7 @@
         self._address = address
         self._connector = connector
         self._connection: httpconnection.HttpConnection | None = None
+        self._era = 0
 
     async def list(self) -> objectsource.ListResult:
         """Return all objects and the revision at which they were read."""
@@ -145,6 +150,7 @@
         if isinstance(read, result.Err):
             return result.Err(self._unavailable(str(read.err_value)))
         raw = read.ok_value
+        self._record_era(_parse_era(raw))
         if raw.status == STATUS_HISTORY_EXPIRED:
             return result.Err(self._history_expired())
         if raw.status != STATUS_OK:
@@ -179,6 +185,18 @@
             return result.Ok(self._connection)
         return result.Err(self._unavailable("connecting timed out"))
 
+    def _record_era(self, era: int) -> None:
+        """Log that the store came back from a copy since the last reply."""
+        if self._era not in (0, era):
+            LOGGER.warning(
+                "The store of {} came back from an older copy: era {}, "
+                "was {}.",
+                self.kind,
+                era,
+                self._era,
+            )
+        self._era = era
+
     def _close(self) -> None:
         if self._connection is not None:
             self._connection.close()
@@ -197,6 +215,15 @@
         )
 
 
+def _parse_era(raw: httpconnection.RawReply) -> int:
+    """Return the era that a reply states; 0 if there is none or it is invalid.
+
+    A store that does not come back from copies does not state an era.
+    """
+    value = raw.header(names.ERA) or b""
+    return int(value) if value.isdigit() and len(value) < ERA_DIGITS else 0
+
+
 def _to_source_object(stored: StoredDocument) -> objectsource.SourceObject:
     return objectsource.SourceObject(
         stored.meta.name, stored.meta.revision, stored.spec
--- a/plantainhook/storereplica.py
+++ b/plantainhook/storereplica.py
@@ -13,8 +13,9 @@
 import msgspec
 import trio
 
-from plantainhook import errors, objectsource, storeupdate
+from plantainhook import errors, logs, objectsource, storeupdate
 
+LOGGER: typing.Final = logs.part_logger("store")
 # Number of recent batches; a peer whose revision is older gets all objects.
 LOG_MAX_COUNT: typing.Final = 500
 NO_REVISION: typing.Final = 0
@@ -58,6 +59,12 @@
     def on_listing(self, listing: objectsource.Listing) -> None:
         """Replace all objects, unless the listing has a lower revision."""
         if self.revision > listing.revision:
+            LOGGER.warning(
+                "Ignored a listing of {} at revision {}: the copy is at {}.",
+                self.kind,
+                listing.revision,
+                self.revision,
+            )
             return
         self._objects = {item.name: item for item in listing.objects}
         self._log.clear()
