Order copies of the store by era and revision

Cause: revisions go back and are given out again, and everything that orders the history of the store compared revisions alone: the copies, their logs of batches, the pulls and the comparisons between daemons, and watches. A copy ignored the listing after the return, and once the store had counted past its revision, it missed all that was written in between. Ruled out: the order of versions of the configuration, which is the operator's own and does not go back.

Change: a position is a pair of era (Store-Era) and revision, in all these places. A watch from another era is answered as lost history. Messages between daemons carry the era in new fields; a daemon that leaves them out is taken to be in the receiver's era. - The listing after a return becomes a batch of what differs, so followers that were up to date get the difference. A leaf that had left and whose entry is back is used only if the entry has not expired after 5 s: daemons do not see renewals, so its sequence proves nothing.

--- a/plantainhook/leafdirectory.py
+++ b/plantainhook/leafdirectory.py
@@ -9,6 +9,11 @@
 leaves, or whose entry is removed gets no new work from then on. Entries
 expire in the store while it is unavailable, and their leafs register again
 shortly after it has recovered; until then those leafs stay in use.
+
+Pattern: the store comes back from an older copy. Entries that were written
+since are missing until they are written again. Entries of leafs that have left
+since are back until they expire, so such a leaf is used again only if its
+entry is still there after that time.
 """
 
 import dataclasses
@@ -32,6 +37,8 @@
 REREGISTRATION_GRACE_S: typing.Final = 2.2
 # A removal this soon after an outage may be an entry that expired in it.
 AFTER_OUTAGE_S: typing.Final = 1.0
+# An entry that nobody renews expires this long after the store came back.
+RESTORED_EXPIRY_S: typing.Final = 5.0
 
 ReadLeaf = abc.Callable[[str, object], forwardtypes.LeafEntry]
 
@@ -80,6 +87,11 @@
         self._left_born_ms: dict[str, int] = {}
         self._store_unavailable = False
         self._store_recovered_s = float("-inf")
+        # Entries of leafs that had left before the store came back, and when
+        # they are used if they are still there.
+        self._doubtful: dict[str, objectsource.SourceObject] = {}
+        self._doubtful_due_s = float("inf")
+        self._is_restoring = False
         self._wake = trio.Event()
 
     async def run(self) -> None:
@@ -92,13 +104,23 @@
             if trio.current_time() >= change_s:
                 self._publish()
 
+    def on_restored(self) -> None:
+        """Record that the next entries are those of an older copy."""
+        LOGGER.info("The store came back from an older copy.")
+        self._is_restoring = True
+        self._store_unavailable = False
+        self._store_recovered_s = trio.current_time()
+        self._doubtful.clear()
+        self._doubtful_due_s = self._store_recovered_s + RESTORED_EXPIRY_S
+
     def on_listing(self, listing: objectsource.Listing) -> None:
         """Apply a complete list of entries; remove leafs that are absent."""
-        for item in listing.objects:
-            self._apply(item)
         present = {item.name for item in listing.objects}
-        for name in self._known.keys() - present:
+        for name in (self._known.keys() | self._doubtful.keys()) - present:
             self._remove(name)
+        for item in listing.objects:
+            self._accept(item)
+        self._is_restoring = False
         self._publish()
 
     def on_changes(self, changes: list[objectsource.Change]) -> None:
@@ -107,9 +129,27 @@
             if change.deleted:
                 self._remove(change.object.name)
             else:
-                self._apply(change.object)
+                self._accept(change.object)
+        self._is_restoring = False
         self._publish()
 
+    def _accept(self, item: objectsource.SourceObject) -> None:
+        """Apply an entry, unless its leaf had left and may not be back."""
+        if self._doubtful.get(item.name) == item:
+            return
+        has_left = (
+            item.name in self._latest_order and item.name not in self._known
+        )
+        if self._is_restoring and has_left:
+            LOGGER.info(
+                "Leaf {} had left; its entry is used if it does not expire.",
+                item.name,
+            )
+            self._doubtful[item.name] = item
+            return
+        self._doubtful.pop(item.name, None)
+        self._apply(item)
+
     def on_unavailable(self, error: errors.ObjectApiError) -> None:
         """Record that the store is unavailable; known leafs stay in use."""
         self._store_unavailable = True
@@ -174,6 +214,7 @@
         return known.leaving_since_s
 
     def _remove(self, name: str) -> None:
+        self._doubtful.pop(name, None)
         known = self._known.get(name)
         if known is None or known.removal_due_s is not None:
             return
@@ -199,6 +240,8 @@
             for known in self._known.values()
             if known.removal_due_s is not None
         ]
+        if self._doubtful:
+            times.append(self._doubtful_due_s)
         times += [
             known.seen_s + known.entry.cold_left_s
             for known in self._known.values()
@@ -209,6 +252,11 @@
     def _publish(self) -> None:
         """Remove leafs whose removal is due and publish all others."""
         now_s = trio.current_time()
+        if now_s >= self._doubtful_due_s:
+            for item in self._doubtful.values():
+                self._apply(item)
+            self._doubtful.clear()
+            self._doubtful_due_s = float("inf")
         for name, known in list(self._known.items()):
             removal_s = known.removal_due_s
             if removal_s is not None and removal_s <= now_s:
--- a/plantainhook/objectsource.py
+++ b/plantainhook/objectsource.py
@@ -5,6 +5,10 @@
 revision, and changes otherwise. Failed calls are repeated with increasing
 pauses. Meanwhile the replica keeps its objects; it is notified when the store
 fails and when it answers again.
+
+A store may come back from a copy that is some seconds old. Its revisions then
+go back and are given out again, and its era rises. All orders over the history
+of a store therefore compare positions, which are pairs of era and revision.
 """
 
 import dataclasses
@@ -24,6 +28,20 @@
 FIRST_WAIT_S: typing.Final = 0.05
 
 
+class Position(typing.NamedTuple):
+    """Represent a point in the history of a store.
+
+    ``era`` counts how often the store came back from a copy; it is 0 if the
+    store does not tell.
+    """
+
+    era: int
+    revision: int
+
+
+NO_POSITION: typing.Final = Position(0, 0)
+
+
 class SourceObject(typing.NamedTuple):
     """Represent an object of a store; ``spec`` is not validated yet."""
 
@@ -33,10 +51,10 @@
 
 
 class Listing(typing.NamedTuple):
-    """Represent all objects of one kind at a revision."""
+    """Represent all objects of one kind at a position."""
 
     objects: list[SourceObject]
-    revision: int
+    position: Position
 
 
 class Change(typing.NamedTuple):
@@ -47,10 +65,10 @@
 
 
 class Changes(typing.NamedTuple):
-    """Represent the changes up to a revision, in their order."""
+    """Represent the changes up to a position, in their order."""
 
     changes: list[Change]
-    revision: int
+    position: Position
 
 
 ListResult = result.Result[Listing, errors.ObjectApiError]
@@ -63,19 +81,26 @@
     kind: str
 
     async def list(self) -> ListResult:
-        """Return all objects and the revision at which they were read."""
+        """Return all objects and the position at which they were read."""
 
-    async def watch(self, revision: int, wait_s: float) -> WatchResult:
-        """Return the changes after a revision.
+    async def watch(self, position: Position, wait_s: float) -> WatchResult:
+        """Return the changes after a position.
 
         Waits up to ``wait_s`` for the first change. Returns
         ObjectNotFoundError if the store no longer has the history after the
-        revision.
+        position, or is in another era.
         """
 
 
 class Consumer(typing.Protocol):
-    """Receive the objects and changes that reach a replica."""
+    """Receive the objects and changes that reach a replica.
+
+    After ``on_restored``, the next listing or changes lead to the state of
+    the copy from which the store came back.
+    """
+
+    def on_restored(self) -> None:
+        """Record that the store came back from an older copy."""
 
     def on_listing(self, listing: Listing) -> None:
         """Accept all objects; those that are absent do not exist."""
@@ -91,19 +116,22 @@
 
 
 class Replica(typing.Protocol):
-    """Store a copy of the objects at a revision; 0 before the first one."""
+    """Store a copy of the objects at a position.
+
+    The position is ``NO_POSITION`` before the first listing.
+    """
 
     @property
-    def revision(self) -> int:
-        """Return the revision of the copy."""
+    def position(self) -> Position:
+        """Return the position of the copy."""
 
     def on_listing(self, listing: Listing) -> None:
         """Replace all objects by those of a listing."""
 
     def on_changes(
-        self, changes: list[Change], revision: int, after_revision: int
+        self, changes: list[Change], position: Position, after: Position
     ) -> None:
-        """Apply the changes after one revision up to another."""
+        """Apply the changes after one position up to another."""
 
     def on_unavailable(self, error: errors.ObjectApiError) -> None:
         """Record that the store does not answer."""
@@ -132,7 +160,7 @@
 ) -> None:
     """Keep a copy up to date until cancelled."""
     pause_s = RETRY_FIRST_S
-    listed = replica.revision > 0
+    listed = replica.position > NO_POSITION
     wait_s = FIRST_WAIT_S
     answered_s = trio.current_time()
     while True:
@@ -145,9 +173,7 @@
             replica.on_available()
             continue
         if isinstance(error, errors.ObjectNotFoundError):
-            LOGGER.info(
-                "The store lost the history of {}; listing all.", source.kind
-            )
+            LOGGER.info("Listing all {} again: {}", source.kind, error)
             listed = False
             continue
         LOGGER.info(
@@ -178,13 +204,13 @@
         replica.on_listing(listing.ok_value)
         await trio.sleep(options.coalesce_s)
         return None
-    after_revision = replica.revision
-    watched = await source.watch(after_revision, wait_s)
+    after = replica.position
+    watched = await source.watch(after, wait_s)
     if isinstance(watched, result.Err):
         return watched.err_value
-    changes, revision = watched.ok_value
+    changes, position = watched.ok_value
     replica.on_available()
-    replica.on_changes(changes, revision, after_revision)
+    replica.on_changes(changes, position, after)
     if changes:
         await trio.sleep(options.coalesce_s)
     return None
--- a/plantainhook/platform/store.py
+++ b/plantainhook/platform/store.py
@@ -87,37 +87,47 @@
         self._era = 0
 
     async def list(self) -> objectsource.ListResult:
-        """Return all objects and the revision at which they were read."""
+        """Return all objects and the position at which they were read."""
         objects: list[objectsource.SourceObject] = []
         query: dict[str, str] = {}
-        revision: int | None = None
+        position: objectsource.Position | None = None
         while True:
             read = await self._get(query, CALL_TIMEOUT_S, ListReply)
             if isinstance(read, result.Err):
                 return read
-            page = read.ok_value
+            page, era = read.ok_value
             objects += [_to_source_object(item) for item in page.items]
-            # The revision of the first page: a watch from there also returns
+            # The position of the first page: a watch from there also returns
             # the changes made between two pages.
-            revision = page.store_revision if revision is None else revision
+            if position is None:
+                position = objectsource.Position(era, page.store_revision)
+            if era != position.era:
+                detail = "the store was restored between two pages"
+                return result.Err(self._unavailable(detail))
             if not page.more or not page.items:
-                return result.Ok(objectsource.Listing(objects, revision))
+                return result.Ok(objectsource.Listing(objects, position))
             query = {"after": page.items[-1].meta.name}
 
     async def watch(
-        self, revision: int, wait_s: float
+        self, position: objectsource.Position, wait_s: float
     ) -> objectsource.WatchResult:
-        """Return the changes after a revision, waiting for the first.
+        """Return the changes after a position, waiting for the first.
 
         ObjectNotFoundError means that the store no longer has the history
-        after that revision.
+        after that position, or is in another era.
         """
-        query = {"watch": str(revision), "wait-ms": str(int(wait_s * 1000))}
+        query = {
+            "watch": str(position.revision),
+            "wait-ms": str(int(wait_s * 1000)),
+        }
         read = await self._get(query, wait_s + CALL_TIMEOUT_S, WatchReply)
         if isinstance(read, result.Err):
             return read
-        reply = read.ok_value
-        if reply.store_revision < revision:
+        reply, era = read.ok_value
+        if era != position.era:
+            detail = f"the store is in era {era}, not in era {position.era}"
+            return result.Err(self._history_expired(detail))
+        if reply.store_revision < position.revision:
             self._close()
             return result.Err(
                 self._unavailable("the reply belongs to an earlier call")
@@ -126,11 +136,16 @@
             objectsource.Change(_to_source_object(event.object), event.deleted)
             for event in reply.events
         ]
-        return result.Ok(objectsource.Changes(changes, reply.store_revision))
+        return result.Ok(
+            objectsource.Changes(
+                changes, objectsource.Position(era, reply.store_revision)
+            )
+        )
 
     async def _get(
         self, query: dict[str, str], timeout_s: float, reply_type: type[T]
-    ) -> result.Result[T, errors.ObjectApiError]:
+    ) -> result.Result[tuple[T, int], errors.ObjectApiError]:
+        """Call the store; return the decoded reply and the store's era."""
         path = f"{names.OBJECTS_PATH}/{self.kind}"
         if query:
             path += "?" + urllib.parse.urlencode(query)
@@ -152,7 +167,8 @@
         raw = read.ok_value
         self._record_era(_parse_era(raw))
         if raw.status == STATUS_HISTORY_EXPIRED:
-            return result.Err(self._history_expired())
+            detail = "the store has no history after the revision"
+            return result.Err(self._history_expired(detail))
         if raw.status != STATUS_OK:
             return result.Err(
                 self._unavailable(
@@ -161,7 +177,9 @@
             )
         try:
             decoded = json.loads(raw.body.decode("utf-8", "replace"))
-            return result.Ok(msgspec.convert(decoded, reply_type))
+            return result.Ok(
+                (msgspec.convert(decoded, reply_type), _parse_era(raw))
+            )
         except (ValueError, RecursionError, msgspec.ValidationError) as error:
             return result.Err(
                 self._unavailable(f"the reply cannot be decoded: {error}")
@@ -207,11 +225,9 @@
             steps.Step.SETTINGS_SPREAD, self._address, f"{self.kind}: {detail}"
         )
 
-    def _history_expired(self) -> errors.ObjectApiError:
+    def _history_expired(self, detail: str) -> errors.ObjectApiError:
         return errors.ObjectNotFoundError(
-            steps.Step.SETTINGS_SPREAD,
-            self._address,
-            f"{self.kind}: the store has no history after the revision",
+            steps.Step.SETTINGS_SPREAD, self._address, f"{self.kind}: {detail}"
         )
 
 
--- a/plantainhook/storerelay.py
+++ b/plantainhook/storerelay.py
@@ -318,15 +318,15 @@
 
         Returns False if the watcher did not answer or is not up to date.
         """
-        ahead = await self._revisions_ahead(address)
+        ahead = await self._changes_ahead(address)
         if ahead is None:
             return False
         if ahead:
             await trio.sleep(AHEAD_MAX_S)
             behind = [
                 kind
-                for kind, revision in ahead.items()
-                if self._replicas[kind].revision < revision
+                for kind, position in ahead.items()
+                if self._replicas[kind].position < position
             ]
             if behind:
                 return await self._catch_up(address, behind)
@@ -375,7 +375,9 @@
         up_to_date_s = self._last_up_to_date_s.get(preferred, float("-inf"))
         return self._clock.now_s() - up_to_date_s < CALM_S
 
-    async def _revisions_ahead(self, address: str) -> dict[str, int] | None:
+    async def _changes_ahead(
+        self, address: str
+    ) -> dict[str, objectsource.Position] | None:
         """Return by kind where a watcher has changes that are not known here.
 
         Returns None if the watcher did not answer.
@@ -385,19 +387,40 @@
         if answer is None:
             return None
         changed = {**answer.revisions, **answer.changed}
-        return {
-            kind: revision
-            for kind, revision in changed.items()
+        positions = {
+            kind: self._position_of(kind, changed, answer.eras)
+            for kind in changed
             if kind in self._replicas
-            and revision > self._replicas[kind].revision
         }
+        return {
+            kind: position
+            for kind, position in positions.items()
+            if position > self._replicas[kind].position
+        }
+
+    def _position_of(
+        self,
+        kind: str,
+        revisions: dict[str, int],
+        eras: dict[str, int],
+    ) -> objectsource.Position:
+        """Return the position that a message states for a kind.
+
+        A daemon that states no era is taken to be in that of the own copy.
+        """
+        own_era = self._replicas[kind].position.era
+        return objectsource.Position(eras.get(kind, own_era), revisions[kind])
 
     async def _pull(self, address: str, wait_s: float) -> bool:
         """Pull once; return whether a valid, up-to-date reply came."""
         have = {
-            kind: replica.revision for kind, replica in self._replicas.items()
+            kind: replica.position for kind, replica in self._replicas.items()
         }
-        body = wire.StorePull(have, int(wait_s * 1000))
+        body = wire.StorePull(
+            {kind: position.revision for kind, position in have.items()},
+            int(wait_s * 1000),
+            {kind: position.era for kind, position in have.items()},
+        )
         answer = await self._ask(address, body, PULL_TIMEOUT_S)
         if answer is None:
             return False
@@ -472,30 +495,38 @@
                 await leafpools.wait_any(
                     [replica.changed for replica in self._replicas.values()]
                 )
-        revisions = {
-            kind: replica.revision for kind, replica in self._replicas.items()
-        }
+        replicas = self._replicas
         updates = [
-            self._replicas[kind].packed_update_after(revision)
-            for kind, revision in body.have.items()
-            if kind in self._replicas
+            replicas[kind].packed_update_after(position)
+            for kind, position in self._positions_in(body).items()
         ]
-        packed = [update for update in updates if update is not None]
-        changed = {
-            kind: replica.changed_revision
-            for kind, replica in self._replicas.items()
-        }
         return wire.StoreReply(
-            self._is_up_to_date(), revisions, packed, changed
+            self._is_up_to_date(),
+            {kind: copy.position.revision for kind, copy in replicas.items()},
+            [update for update in updates if update is not None],
+            {
+                kind: copy.last_change.revision
+                for kind, copy in replicas.items()
+            },
+            {kind: copy.position.era for kind, copy in replicas.items()},
         )
 
     def _has_update(self, body: wire.StorePull) -> bool:
         return any(
-            self._replicas[kind].revision > revision
-            for kind, revision in body.have.items()
-            if kind in self._replicas
+            self._replicas[kind].position > position
+            for kind, position in self._positions_in(body).items()
         )
 
+    def _positions_in(
+        self, body: wire.StorePull
+    ) -> dict[str, objectsource.Position]:
+        """Return the positions that a pull states, by known kind."""
+        return {
+            kind: self._position_of(kind, body.have, body.eras)
+            for kind in body.have
+            if kind in self._replicas
+        }
+
     def _is_up_to_date(self) -> bool:
         """Return whether the store answers this daemon."""
         return self._read_scope is not None and not self._unavailable_kinds
@@ -515,9 +546,9 @@
         self._unavailable_kinds = unavailable_kinds
 
     @property
-    def revision(self) -> int:
-        """Return the revision of the copy."""
-        return self._replica.revision
+    def position(self) -> objectsource.Position:
+        """Return the position of the copy."""
+        return self._replica.position
 
     def on_listing(self, listing: objectsource.Listing) -> None:
         """Replace all objects by those of a listing."""
@@ -526,11 +557,11 @@
     def on_changes(
         self,
         changes: list[objectsource.Change],
-        revision: int,
-        after_revision: int,
+        position: objectsource.Position,
+        after: objectsource.Position,
     ) -> None:
-        """Apply the changes after one revision up to another."""
-        self._replica.on_changes(changes, revision, after_revision)
+        """Apply the changes after one position up to another."""
+        self._replica.on_changes(changes, position, after)
 
     def on_unavailable(self, error: typing.Any) -> None:
         """Record that the store does not answer."""
--- a/plantainhook/storereplica.py
+++ b/plantainhook/storereplica.py
@@ -1,10 +1,14 @@
 """Copy of the store's objects of one kind, updated by the store and by peers.
 
 Batches of changes arrive from several sources, each in the order of the
-store's revisions. A batch is applied if it begins at or before the revision
+store's positions. A batch is applied if it begins at or before the position
 of the copy and ends after it. It is applied as a whole, so that a change that
 the copy already has cannot undo a later one. The copy passes every batch to
 its consumer and keeps the recent ones for peers.
+
+Pattern: the store comes back from an older copy. The next listing has a higher
+era and leads to the state of that copy. What differs is kept as a batch, so
+that peers which were up to date before get the difference and not all objects.
 """
 
 import collections
@@ -16,89 +20,104 @@
 from plantainhook import errors, logs, objectsource, storeupdate
 
 LOGGER: typing.Final = logs.part_logger("store")
-# Number of recent batches; a peer whose revision is older gets all objects.
+# Number of recent batches; a peer whose position is older gets all objects.
 LOG_MAX_COUNT: typing.Final = 500
-NO_REVISION: typing.Final = 0
 
 
 class Batch(typing.NamedTuple):
-    """Represent the changes after the previous batch up to a revision."""
+    """Represent the changes after the previous batch up to a position."""
 
-    end_revision: int
+    end: objectsource.Position
     changes: list[objectsource.Change]
 
 
 class StoreReplica:
-    """Store the objects of one kind at a revision.
+    """Store the objects of one kind at a position.
 
     Implements ``objectsource.Replica``. ``changed`` is set and replaced at
-    each new revision. ``changed_revision`` is the revision of the last known
-    change; the revision of the copy rises without a change too.
+    each new position. ``last_change`` is the position of the last known
+    change; the position of the copy rises without a change too.
     ``confirmed_s`` is when the store, or a peer that it answers, replied last.
     """
 
     kind: str
-    revision: int
-    changed_revision: int
+    position: objectsource.Position
+    last_change: objectsource.Position
     confirmed_s: float
 
     def __init__(self, kind: str, consumer: objectsource.Consumer) -> None:
         self.kind = kind
-        self.revision = NO_REVISION
-        self.changed_revision = NO_REVISION
+        self.position = objectsource.NO_POSITION
+        self.last_change = objectsource.NO_POSITION
         self.confirmed_s = float("-inf")
         self.changed = trio.Event()
         self._consumer = consumer
         self._objects: dict[str, objectsource.SourceObject] = {}
         self._log: collections.deque[Batch] = collections.deque()
-        # The revision after which the log is complete.
-        self._log_revision = NO_REVISION
-        # Packed updates to the current revision, by the revision of the peer.
-        self._packed: dict[int, bytes] = {}
+        # The position after which the log is complete.
+        self._log_start = objectsource.NO_POSITION
+        # Packed updates to the current position, by the position of the peer.
+        self._packed: dict[objectsource.Position, bytes] = {}
 
     def on_listing(self, listing: objectsource.Listing) -> None:
-        """Replace all objects, unless the listing has a lower revision."""
-        if self.revision > listing.revision:
+        """Replace all objects, unless the listing has a lower position."""
+        if self.position > listing.position:
             LOGGER.warning(
-                "Ignored a listing of {} at revision {}: the copy is at {}.",
+                "Ignored a listing of {} at {}: the copy is at {}.",
                 self.kind,
-                listing.revision,
-                self.revision,
+                listing.position,
+                self.position,
             )
             return
+        is_restored = self._is_restored_at(listing.position)
+        if is_restored:
+            self._append(
+                Batch(listing.position, self._changes_to(listing.objects))
+            )
+        else:
+            self._log.clear()
+            self._log_start = listing.position
         self._objects = {item.name: item for item in listing.objects}
-        self._log.clear()
-        self._log_revision = listing.revision
-        self.changed_revision = max(
-            (item.revision for item in listing.objects), default=NO_REVISION
+        last_revision = max(
+            (item.revision for item in listing.objects), default=0
+        )
+        self.last_change = objectsource.Position(
+            listing.position.era, last_revision
         )
-        self._advance(listing.revision)
+        self._advance(listing.position)
+        if is_restored:
+            self._consumer.on_restored()
         self._consumer.on_listing(listing)
 
     def on_changes(
         self,
         changes: list[objectsource.Change],
-        revision: int,
-        after_revision: int,
+        position: objectsource.Position,
+        after: objectsource.Position,
     ) -> None:
-        """Apply the changes after one revision up to another.
+        """Apply the changes after one position up to another.
 
         Changes that the copy already has are ignored, and so are changes that
-        begin after its revision, because those in between would be missing.
+        begin after its position, because those in between would be missing.
+        Changes that lead to another era must begin exactly at the position:
+        they don't undo what came after the one at which they begin.
         """
-        if not after_revision <= self.revision < revision:
+        if not after <= self.position < position:
+            return
+        is_restored = self._is_restored_at(position)
+        if is_restored and after != self.position:
             return
         for change in changes:
             if change.deleted:
                 self._objects.pop(change.object.name, None)
             else:
                 self._objects[change.object.name] = change.object
-        if changes:
-            self.changed_revision = revision
-        self._log.append(Batch(revision, changes))
-        if len(self._log) > LOG_MAX_COUNT:
-            self._log_revision = self._log.popleft().end_revision
-        self._advance(revision)
+        if changes or is_restored:
+            self.last_change = position
+        self._append(Batch(position, changes))
+        self._advance(position)
+        if is_restored:
+            self._consumer.on_restored()
         if changes:
             self._consumer.on_changes(changes)
 
@@ -111,14 +130,16 @@
         self.confirmed_s = trio.current_time()
         self._consumer.on_available()
 
-    def update_after(self, revision: int) -> storeupdate.StoreUpdate | None:
-        """Return the update for a peer at a revision.
+    def update_after(
+        self, position: objectsource.Position
+    ) -> storeupdate.StoreUpdate | None:
+        """Return the update for a peer at a position.
 
-        Returns None if the peer's revision is not lower than the copy's.
+        Returns None if the peer's position is not lower than the copy's.
         """
-        if revision >= self.revision:
+        if position >= self.position:
             return None
-        whole = revision < self._log_revision
+        whole = not self._is_in_log(position)
         if whole:
             items = [
                 storeupdate.build_item(item, deleted=False)
@@ -128,35 +149,38 @@
             last = {
                 change.object.name: change
                 for batch in self._log
-                if batch.end_revision > revision
+                if batch.end > position
                 for change in batch.changes
             }
             items = [
                 storeupdate.build_item(change.object, change.deleted)
                 for change in last.values()
             ]
-        return storeupdate.StoreUpdate(self.kind, self.revision, whole, items)
+        era, revision = self.position
+        return storeupdate.StoreUpdate(self.kind, revision, whole, items, era)
 
-    def packed_update_after(self, revision: int) -> bytes | None:
-        """Return the packed update for a peer at a revision, or None.
+    def packed_update_after(
+        self, position: objectsource.Position
+    ) -> bytes | None:
+        """Return the packed update for a peer at a position, or None.
 
-        Most peers are at the same few revisions, so packed updates are cached
+        Most peers are at the same few positions, so packed updates are cached
         until the copy changes.
         """
-        packed = self._packed.get(revision)
+        packed = self._packed.get(position)
         if packed is None:
-            update = self.update_after(revision)
+            update = self.update_after(position)
             if update is None:
                 return None
-            packed = self._packed[revision] = storeupdate.pack_update(update)
+            packed = self._packed[position] = storeupdate.pack_update(update)
         return packed
 
     def apply_update(
-        self, update: storeupdate.StoreUpdate, after_revision: int
+        self, update: storeupdate.StoreUpdate, after: objectsource.Position
     ) -> None:
         """Apply the reply of a peer to a pull.
 
-        ``after_revision`` is the revision that the pull stated. Raises
+        ``after`` is the position that the pull stated. Raises
         msgspec.DecodeError if the spec of an item is not JSON.
         """
         objects = [
@@ -165,18 +189,58 @@
             )
             for item in update.items
         ]
+        era = after.era if update.era is None else update.era
+        position = objectsource.Position(era, update.revision)
         if update.whole:
-            self.on_listing(objectsource.Listing(objects, update.revision))
+            self.on_listing(objectsource.Listing(objects, position))
             return
         changes = [
             objectsource.Change(source_object, item.deleted)
             for source_object, item in zip(objects, update.items, strict=True)
         ]
-        self.on_changes(changes, update.revision, after_revision)
+        self.on_changes(changes, position, after)
+
+    def _is_restored_at(self, position: objectsource.Position) -> bool:
+        """Return whether the store came back before a position."""
+        has_objects = self.position > objectsource.NO_POSITION
+        return has_objects and self.position.era < position.era
+
+    def _changes_to(
+        self, objects: list[objectsource.SourceObject]
+    ) -> list[objectsource.Change]:
+        """Return the changes that lead from the copy to other objects."""
+        names = {item.name for item in objects}
+        changes = [
+            objectsource.Change(item, True)
+            for name, item in self._objects.items()
+            if name not in names
+        ]
+        for item in objects:
+            known = self._objects.get(item.name)
+            if known is None or known.spec != item.spec:
+                changes.append(objectsource.Change(item, False))
+        return changes
+
+    def _append(self, batch: Batch) -> None:
+        self._log.append(batch)
+        if len(self._log) > LOG_MAX_COUNT:
+            self._log_start = self._log.popleft().end
+
+    def _is_in_log(self, position: objectsource.Position) -> bool:
+        """Return whether the log has all that came after a position.
+
+        A peer may have seen more of an era than this copy, before the store
+        came back. The log does not undo that.
+        """
+        ends = [self._log_start, *(batch.end for batch in self._log)]
+        seen = [end for end in ends if end.era == position.era]
+        return self._log_start <= position and bool(
+            seen and position <= seen[-1]
+        )
 
-    def _advance(self, revision: int) -> None:
-        """Set the revision and wake those who wait for a change."""
-        self.revision = revision
+    def _advance(self, position: objectsource.Position) -> None:
+        """Set the position and wake those who wait for a change."""
+        self.position = position
         self._packed.clear()
         self.changed.set()
         self.changed = trio.Event()
--- a/plantainhook/storeupdate.py
+++ b/plantainhook/storeupdate.py
@@ -29,15 +29,17 @@
 
 
 class StoreUpdate(msgspec.Struct, frozen=True, array_like=True):
-    """Represent the changes to objects of one kind, up to a revision.
+    """Represent the changes to objects of one kind, up to a position.
 
-    If ``whole`` is true, the items are all objects and not changes.
+    If ``whole`` is true, the items are all objects and not changes. Older
+    daemons leave out the era of the position.
     """
 
     kind: str
     revision: int
     whole: bool
     items: list[StoreItem]
+    era: int | None = None
 
 
 _ENCODER: typing.Final = msgspec.msgpack.Encoder()
--- a/plantainhook/wire.py
+++ b/plantainhook/wire.py
@@ -106,13 +106,14 @@
 class StorePull(Body, frozen=True, tag=True, array_like=True):
     """Request the changes of objects in the platform's store.
 
-    ``have`` maps kinds of objects to the revision that the sender has. The
-    receiver replies at once if it has a newer one, and otherwise after
-    ``wait_ms`` at the latest.
+    ``have`` maps kinds of objects to the revision that the sender has, and
+    ``eras`` to its era, which older daemons leave out. The receiver replies at
+    once if it has a newer one, and otherwise after ``wait_ms`` at the latest.
     """
 
     have: dict[str, int]
     wait_ms: int
+    eras: dict[str, int] = {}
 
 
 class StoreReply(Body, frozen=True, tag=True, array_like=True):
@@ -122,13 +123,14 @@
     up to date. ``revisions`` maps kinds to the revisions that the sender has.
     ``packed`` lists the updates of each kind as encoded by ``storeupdate``.
     ``changed`` maps kinds to the revision of the last change that the sender
-    has; older daemons leave it out.
+    has, and ``eras`` to the era of both; older daemons leave these out.
     """
 
     fresh: bool
     revisions: dict[str, int]
     packed: list[bytes]
     changed: dict[str, int] = {}
+    eras: dict[str, int] = {}
 
 
 class Probe(Body, frozen=True, tag=True, array_like=True):
--- a/tests/forwardrig.py
+++ b/tests/forwardrig.py
@@ -18,7 +18,7 @@
     options,
 )
 from plantainhook.platform import adapters
-from tests import virtualtime
+from tests import storebuilders, virtualtime
 
 HOST: typing.Final = "h.example"
 SERVICE: typing.Final = "s"
@@ -134,9 +134,13 @@
         service = {"name": SERVICE, "max-conns": self._max_conns}
         spec = {"version": 1, "routes": [route], "services": [service]}
         item = objectsource.SourceObject("main", 1, spec)
-        self.daemon.routes.on_listing(objectsource.Listing([item], 1))
+        self.daemon.routes.on_listing(
+            objectsource.Listing([item], storebuilders.at(1))
+        )
         entries = [self.entry(name) for name in self.leafs]
-        self.daemon.directory.on_listing(objectsource.Listing(entries, 1))
+        self.daemon.directory.on_listing(
+            objectsource.Listing(entries, storebuilders.at(1))
+        )
 
     def entry(
         self, name: str, **fields: typing.Any
--- a/tests/storebuilders.py
+++ b/tests/storebuilders.py
@@ -8,6 +8,11 @@
 Spec = dict[str, typing.Any]
 
 
+def at(revision: int, era: int = 0) -> objectsource.Position:
+    """Return a position in the history of a store."""
+    return objectsource.Position(era, revision)
+
+
 def item(
     name: str, revision: int, **spec: typing.Any
 ) -> objectsource.SourceObject:
--- a/tests/test_damaged_peers.py
+++ b/tests/test_damaged_peers.py
@@ -45,7 +45,7 @@
     wire,
 )
 from plantainhook.platform import dialect, documents, store
-from tests import virtualtime, wiretransport
+from tests import storebuilders, virtualtime, wiretransport
 
 KINDS: typing.Final = errors.LeafFailureKind
 ENTRY: typing.Final = {
@@ -199,7 +199,7 @@
 
         async def main() -> typing.Any:
             source = store.PlatformStore("a:1", "servers", connect)
-            return await source.watch(9, 0.1)
+            return await source.watch(storebuilders.at(9), 0.1)
 
         self.assertTrue(virtualtime.run(main).is_err())
 
@@ -417,6 +417,9 @@
 class _NoConsumer:
     """Ignore the objects of a replica."""
 
+    def on_restored(self) -> None:
+        """Do nothing."""
+
     def on_listing(self, listing: object) -> None:
         """Ignore a listing."""
 
--- a/tests/test_leafdirectory.py
+++ b/tests/test_leafdirectory.py
@@ -145,7 +145,7 @@
         """Let the store fail, recover and no longer contain the entry."""
         directory.on_unavailable(STORE_ERROR)
         directory.on_available()
-        directory.on_listing(objectsource.Listing([], 5))
+        directory.on_listing(objectsource.Listing([], storebuilders.at(5)))
         return 1.0
 
     def test_entry_that_expired_in_an_outage_may_return(self) -> None:
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -9,7 +9,7 @@
 
 from plantainhook import errors, objectsource
 from plantainhook.platform import store
-from tests import virtualtime
+from tests import storebuilders, virtualtime
 
 Reply = tuple[int, object]
 
@@ -94,7 +94,7 @@
     def watch(self, stand_in: StoreStandIn) -> objectsource.WatchResult:
         """Watch from revision 7 for one second."""
         source = store.PlatformStore("a:1", "servers", stand_in.connect)
-        return virtualtime.run(lambda: source.watch(7, 1.0))
+        return virtualtime.run(lambda: source.watch(storebuilders.at(7), 1.0))
 
     def test_pages(self) -> None:
         """Guard against leafs that are missed beyond the first page."""
@@ -103,7 +103,7 @@
         self.assertEqual(list("abc"), [item.name for item in listed.objects])
         # A watch from the revision of the first page also returns the
         # changes made between the pages.
-        self.assertEqual(5, listed.revision)
+        self.assertEqual(storebuilders.at(5), listed.position)
         self.assertIn("after=b", stand_in.paths[1])
 
     def test_watch(self) -> None:
@@ -114,9 +114,9 @@
         ]
         reply = (200, {"events": events, "store-revision": 9})
         stand_in = StoreStandIn(reply)
-        changes, revision = self.watch(stand_in).unwrap()
+        changes, position = self.watch(stand_in).unwrap()
         self.assertEqual([False, True], [c.deleted for c in changes])
-        self.assertEqual(9, revision)
+        self.assertEqual(storebuilders.at(9), position)
         self.assertIn("watch=7", stand_in.paths[0])
 
     def test_history_expired(self) -> None:
@@ -147,5 +147,6 @@
             await source.list()
             return await source.list()
 
-        self.assertEqual(5, virtualtime.run(main).unwrap().revision)
+        listed = virtualtime.run(main).unwrap()
+        self.assertEqual(storebuilders.at(5), listed.position)
         self.assertEqual(2, stand_in.connects_count)
--- a/tests/test_restoredstore.py
+++ b/tests/test_restoredstore.py
@@ -7,10 +7,13 @@
 
 import typing
 
+import hypothesis
 import testtools
 import trio
+from hypothesis import strategies as st
 
-from tests import platformfleet
+from plantainhook import errors, objectsource, storereplica, storeupdate
+from tests import platformfleet, storebuilders, virtualtime
 
 # The bound of configurations on the users' platform.
 APPLY_S: typing.Final = 3.0
@@ -239,3 +242,219 @@
         # most; of a large fleet, three daemons and those that fell back.
         self.assertTrue(calls[7] <= 7 * 2 * 6, str(calls))
         self.assertTrue(calls[40] <= 40 * 6, str(calls))
+
+
+class Objects:
+    """Consume listings and changes; hold the specs of the objects."""
+
+    def __init__(self) -> None:
+        self.specs: dict[str, object] = {}
+
+    def on_restored(self) -> None:
+        """Do nothing."""
+
+    def on_listing(self, listing: objectsource.Listing) -> None:
+        """Replace all objects."""
+        self.specs = {item.name: item.spec for item in listing.objects}
+
+    def on_changes(self, changes: list[objectsource.Change]) -> None:
+        """Apply changes."""
+        for change in changes:
+            if change.deleted:
+                self.specs.pop(change.object.name, None)
+            else:
+                self.specs[change.object.name] = change.object.spec
+
+    def on_unavailable(self, error: errors.ObjectApiError) -> None:
+        """Do nothing."""
+
+    def on_available(self) -> None:
+        """Do nothing."""
+
+
+class History:
+    """All states of a store, by position, and two copies of it."""
+
+    def __init__(self) -> None:
+        self.position = storebuilders.at(1, era=1)
+        self.states: dict[objectsource.Position, dict[str, object]] = {
+            self.position: {}
+        }
+        self.consumers = [Objects(), Objects()]
+        self.copies = [
+            storereplica.StoreReplica("things", consumer)
+            for consumer in self.consumers
+        ]
+
+    def step(self, action: str, name: str, number: int) -> None:
+        """Change the store or update a copy from the store or its peer."""
+        replica = self.copies[number % 2]
+        era, revision = self.position
+        state = self.states[self.position]
+        if action == "put":
+            self.position = objectsource.Position(era, revision + 1)
+            written = {**state, name: [era, revision + 1]}
+            if number == 0:
+                written.pop(name)
+            self.states[self.position] = written
+        elif action == "restore":
+            back = max(1, revision - number)
+            restored = objectsource.Position(era + 1, back)
+            for earlier in range(1, back + 1):
+                copied = objectsource.Position(era, earlier)
+                self.states[objectsource.Position(era + 1, earlier)] = (
+                    self.states[copied]
+                )
+            self.position = restored
+        elif action == "list":
+            replica.on_listing(
+                objectsource.Listing(_items(state, revision), self.position)
+            )
+        elif action == "watch":
+            after = replica.position
+            if after.era == era and after <= self.position:
+                before = self.states[after]
+                changes = [
+                    storebuilders.deleted(gone, revision)
+                    for gone in before.keys() - state.keys()
+                ] + [
+                    objectsource.Change(item, False)
+                    for item in _items(state, revision)
+                    if before.get(item.name) != item.spec
+                ]
+                replica.on_changes(changes, self.position, after)
+        else:
+            update = self.copies[1 - number % 2].update_after(replica.position)
+            if update is not None:
+                replica.apply_update(update, replica.position)
+
+    def check(self) -> None:
+        """Check that each copy is that of its position."""
+        for replica, consumer in zip(self.copies, self.consumers, strict=True):
+            if replica.position > objectsource.NO_POSITION:
+                wanted = self.states[replica.position]
+                if consumer.specs != wanted:
+                    raise AssertionError(
+                        f"at {replica.position}: {consumer.specs}, "
+                        f"not {wanted}"
+                    )
+
+
+def _items(
+    state: dict[str, object], revision: int
+) -> list[objectsource.SourceObject]:
+    return [
+        objectsource.SourceObject(name, revision, spec)
+        for name, spec in sorted(state.items())
+    ]
+
+
+class RestoredCopyTest(testtools.TestCase):
+    """Check copies that exchange updates across returns of the store."""
+
+    @hypothesis.settings(max_examples=400)
+    @hypothesis.given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(("put", "restore", "list", "watch", "pull")),
+                st.sampled_from("abc"),
+                st.integers(0, 4),
+            ),
+            min_size=5,
+            max_size=40,
+        )
+    )
+    def test_copy_has_the_objects_of_its_position(
+        self, actions: list[tuple[str, str, int]]
+    ) -> None:
+        """Guard against a copy that mixes the objects of two eras."""
+
+        async def main() -> None:
+            history = History()
+            for action in actions:
+                history.step(*action)
+                history.check()
+
+        virtualtime.run(main)
+
+    def build_copies(
+        self,
+    ) -> tuple[storereplica.StoreReplica, storereplica.StoreReplica, Objects]:
+        """Return a copy after the store came back, and one before."""
+        consumer = Objects()
+        first = storereplica.StoreReplica("things", Objects())
+        second = storereplica.StoreReplica("things", consumer)
+        before = [
+            storebuilders.item("a", 5, x=2),
+            storebuilders.item("b", 4, x=1),
+            storebuilders.item("d", 2, x=1),
+        ]
+        for replica in (first, second):
+            replica.on_listing(
+                objectsource.Listing(before, storebuilders.at(5, era=1))
+            )
+        after = [
+            storebuilders.item("a", 1, x=1),
+            storebuilders.item("c", 3, x=1),
+            storebuilders.item("d", 2, x=1),
+        ]
+        first.on_listing(
+            objectsource.Listing(after, storebuilders.at(3, era=2))
+        )
+        return first, second, consumer
+
+    def test_peers_get_the_difference(self) -> None:
+        """Guard against all objects for each follower after a return.
+
+        Pattern: a watcher serves hundreds of followers that were up to date.
+        """
+
+        async def main() -> None:
+            first, second, consumer = self.build_copies()
+            update = first.update_after(second.position)
+            assert update is not None
+            self.assertFalse(update.whole)
+            self.assertEqual(3, len(update.items))
+            second.apply_update(update, second.position)
+            self.assertEqual(
+                {"a": {"x": 1}, "c": {"x": 1}, "d": {"x": 1}}, consumer.specs
+            )
+
+        virtualtime.run(main)
+
+    def test_late_difference_is_ignored(self) -> None:
+        """Guard against a lost change that a difference does not undo.
+
+        Pattern: a change arrives between a pull and its reply.
+        """
+
+        async def main() -> None:
+            first, second, _ = self.build_copies()
+            pulled = second.position
+            update = first.update_after(pulled)
+            assert update is not None
+            lost = [storebuilders.changed("e", 6, x=1)]
+            second.on_changes(lost, storebuilders.at(6, era=1), pulled)
+            second.apply_update(update, pulled)
+            self.assertEqual(storebuilders.at(6, era=1), second.position)
+            whole = first.update_after(second.position)
+            assert whole is not None
+            self.assertTrue(whole.whole)
+
+        virtualtime.run(main)
+
+    def test_update_of_an_older_daemon_is_applied(self) -> None:
+        """Guard against a fleet that falls behind while it is replaced.
+
+        Older daemons state no era.
+        """
+
+        async def main() -> None:
+            replica = storereplica.StoreReplica("things", Objects())
+            position = storebuilders.at(5, era=2)
+            replica.on_listing(objectsource.Listing([], position))
+            update = storeupdate.StoreUpdate("things", 8, False, [])
+            replica.apply_update(update, position)
+            self.assertEqual(storebuilders.at(8, era=2), replica.position)
+
+        virtualtime.run(main)
--- a/tests/test_storerelay.py
+++ b/tests/test_storerelay.py
@@ -48,6 +48,9 @@
             else:
                 self.objects[change.object.name] = change.object.spec
 
+    def on_restored(self) -> None:
+        """Do nothing: the store of these tests keeps its history."""
+
     def on_unavailable(self, error: errors.ObjectApiError) -> None:
         """Record that the store does not answer."""
         self.is_unavailable = True
@@ -121,12 +124,17 @@
             storebuilders.item(name, 1, **typing.cast(dict[str, int], spec))
             for name, spec in self.store.state().items()
         ]
-        return result.Ok(objectsource.Listing(objects, self.store.revision))
+        return result.Ok(
+            objectsource.Listing(
+                objects, storebuilders.at(self.store.revision)
+            )
+        )
 
     async def watch(
-        self, revision: int, wait_s: float
+        self, position: objectsource.Position, wait_s: float
     ) -> objectsource.WatchResult:
-        """Return the changes after a revision."""
+        """Return the changes after a position."""
+        revision = position.revision
         self.store.calls += 1
         silence_count = self._silence_count
         await trio.sleep(0.004)
@@ -139,7 +147,11 @@
         if self.is_disconnected:
             return self._failure()
         changes = [c for at, c in self.store.history if at > revision]
-        return result.Ok(objectsource.Changes(changes, self.store.revision))
+        return result.Ok(
+            objectsource.Changes(
+                changes, storebuilders.at(self.store.revision)
+            )
+        )
 
 
 class Fleet:
@@ -378,10 +390,10 @@
             def count_items(
                 replica: storereplica.StoreReplica,
                 update: storeupdate.StoreUpdate,
-                after_revision: int,
+                after: objectsource.Position,
             ) -> None:
                 counts[0] += len(update.items)
-                original(replica, update, after_revision)
+                original(replica, update, after)
 
             with mock.patch.object(
                 storereplica.StoreReplica, "apply_update", count_items
@@ -494,7 +506,7 @@
 
         async def main() -> None:
             replica = storereplica.StoreReplica(KIND, RecordingConsumer())
-            replica.on_listing(objectsource.Listing([], 1))
+            replica.on_listing(objectsource.Listing([], storebuilders.at(1)))
             rng = random.Random(1)
             changes = [
                 storebuilders.changed(
@@ -508,13 +520,17 @@
                 )
                 for revision in range(2, 402)
             ]
-            replica.on_changes(changes, 401, 1)
-            packed = replica.packed_update_after(1)
-            update = replica.update_after(1)
+            replica.on_changes(
+                changes, storebuilders.at(401), storebuilders.at(1)
+            )
+            packed = replica.packed_update_after(storebuilders.at(1))
+            update = replica.update_after(storebuilders.at(1))
             assert packed is not None and update is not None
             plain = sum(len(item.spec) for item in update.items)
             self.assertLess(len(packed), 0.4 * plain)
-            self.assertIs(packed, replica.packed_update_after(1))
+            self.assertIs(
+                packed, replica.packed_update_after(storebuilders.at(1))
+            )
             read = storeupdate.unpack_update(packed, "peer")
             self.assertEqual(update, read.unwrap())
 
@@ -575,19 +591,21 @@
                 store.put(name, is_deleted)
             consumer = RecordingConsumer()
             replica = storereplica.StoreReplica(KIND, consumer)
-            replica.on_listing(objectsource.Listing([], 1))
-            for first, last in [*batches, (replica.revision, 99)]:
+            replica.on_listing(objectsource.Listing([], storebuilders.at(1)))
+            for first, last in [*batches, (replica.position.revision, 99)]:
                 after, end = 1 + first, min(1 + last, store.revision)
                 changes = [
                     change for at, change in store.history if after < at <= end
                 ]
-                replica.on_changes(changes, end, after)
+                replica.on_changes(
+                    changes, storebuilders.at(end), storebuilders.at(after)
+                )
                 wanted = RecordingConsumer()
                 wanted.on_changes(
                     [
                         change
                         for at, change in store.history
-                        if at <= replica.revision
+                        if at <= replica.position.revision
                     ]
                 )
                 self.assertEqual(wanted.objects, consumer.objects)
@@ -600,18 +618,24 @@
         async def main() -> None:
             replica = storereplica.StoreReplica(KIND, RecordingConsumer())
             replica.on_listing(
-                objectsource.Listing([storebuilders.item("a", 5, x=1)], 9)
+                objectsource.Listing(
+                    [storebuilders.item("a", 5, x=1)], storebuilders.at(9)
+                )
+            )
+            replica.on_changes(
+                [storebuilders.changed("b", 10, x=2)],
+                storebuilders.at(10),
+                storebuilders.at(9),
             )
-            replica.on_changes([storebuilders.changed("b", 10, x=2)], 10, 9)
-            update = replica.update_after(3)
+            update = replica.update_after(storebuilders.at(3))
             assert update is not None
             self.assertTrue(update.whole)
             other = storereplica.StoreReplica(KIND, RecordingConsumer())
-            other.apply_update(update, 3)
-            self.assertEqual(10, other.revision)
-            recent = replica.update_after(9)
+            other.apply_update(update, storebuilders.at(3))
+            self.assertEqual(storebuilders.at(10), other.position)
+            recent = replica.update_after(storebuilders.at(9))
             assert recent is not None
             self.assertFalse(recent.whole)
-            self.assertIs(None, replica.update_after(10))
+            self.assertIs(None, replica.update_after(storebuilders.at(10)))
 
         virtualtime.run(main)
