Tell the leaf directory of a return that changed nothing

What callers saw: after a return of the store that lost nothing, a leaf that registered again was not used for 5 s.

Cause: the directory takes the first entries after a return for those of the older copy, but an empty difference was not passed to it, so the next registration was taken for one.

Change: a difference is passed on also if it is empty.

--- a/plantainhook/storereplica.py
+++ b/plantainhook/storereplica.py
@@ -118,7 +118,7 @@
         self._advance(position)
         if is_restored:
             self._consumer.on_restored()
-        if changes:
+        if changes or is_restored:
             self._consumer.on_changes(changes)
 
     def on_unavailable(self, error: errors.ObjectApiError) -> None:
--- a/tests/test_restoredstore.py
+++ b/tests/test_restoredstore.py
@@ -192,6 +192,26 @@
 
         platformfleet.run(7, scenario)
 
+    def test_leaf_that_registers_after_a_return_is_used(self) -> None:
+        """Guard against a return that delays what is written after it.
+
+        Pattern: the store lost nothing, so the difference is empty.
+        """
+
+        async def scenario(fleet: platformfleet.Fleet) -> None:
+            await start(fleet)
+            fleet.remove(LEAFS[0])
+            await trio.sleep(2.0)
+            await come_back(fleet, lambda: None)
+            await trio.sleep(2.0)
+            fleet.register(LEAFS[0], 20)
+            await trio.sleep(2.0)
+            count = len(fleet.daemons)
+            self.assertEqual(count, len(fleet.users_of(LEAFS[0])))
+
+        for count in (7, 40):
+            platformfleet.run(count, scenario)
+
     def test_draining_leaf_stays_out_of_use(self) -> None:
         """Guard against an old entry that undoes a drain."""
 
