Send nothing to a leaf that asked this daemon for a pause

What callers saw: a leaf that refused requests with 503 and Retry-After got the next ones at once, which it refused too. Each cost a caller the time of a call.

Cause: the header was not read. A refusal makes a leaf less preferred for some time, but the only leaf of a shard, hedges and retries went to it all the same.

Change: leafnotices keeps until when each leaf wants nothing from this daemon. The replica selection skips it, for first calls, hedges, retries and the shards of branches, and the gateway checks again when a connection is free. If too few services have a leaf that wants requests, callers are refused at once as not run, with the end of the pauses as Retry-After. Only 503 counts: leafs that shed some requests with 429 still serve others.

--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -159,7 +159,7 @@
             options=POOL_OPTIONS,
         )
         self.limits = leaflimits.LeafLimits()
-        self.notices = leafnotices.LeafNotices(self.instruments)
+        self.notices = leafnotices.LeafNotices()
         self.instruments.limited_leafs.set_function(
             lambda: len(self.limits.leafs)
         )
@@ -229,6 +229,7 @@
             self.board, adapters.documents.read_leaf
         )
         self.notices.on_leaving = self.directory.on_leaving
+        self.directory.on_restart = self.notices.forget
         self.routes = routecontroller.RouteController(
             self.board,
             adapters.configuration_name,
@@ -453,6 +454,7 @@
         policies.latencies = goalhedging.PooledLatencies()
         policies.budgets = self.budgets
         policies.replicas.limits = self.limits
+        policies.replicas.notices = self.notices
         return policies
 
 
--- a/plantainhook/forwardgateway.py
+++ b/plantainhook/forwardgateway.py
@@ -114,11 +114,10 @@
             return acquired
         connection = acquired.ok_value
         try:
-            if not self.pools.may_send(send.leaf):
+            if not self._may_send(send.leaf):
+                detail = "the leaf left or paused before a connection was free"
                 return result.Err(
-                    leafconnect.no_connection_error(
-                        send.leaf, "the leaf left before a connection was free"
-                    )
+                    leafconnect.no_connection_error(send.leaf, detail)
                 )
             left_ms = int((send.deadline_s - trio.current_time()) * 1000)
             if left_ms <= 0:
@@ -153,12 +152,28 @@
         finally:
             pool.abandon(connection)
         if not answer.misdirected:
-            self.notices.observe(send.leaf, answer)
+            self._apply_notices(send.leaf, answer)
             self.limits.observe(
                 send.leaf, answer.limit_per_s, trio.current_time()
             )
         return self._check_answer(send.leaf, answer)
 
+    def _may_send(self, leaf: str) -> bool:
+        """Return whether a leaf still wants a request that had to wait."""
+        now_s = trio.current_time()
+        return self.pools.may_send(leaf) and self.notices.may_call(leaf, now_s)
+
+    def _apply_notices(
+        self, leaf: str, answer: forwardtypes.LeafAnswer
+    ) -> None:
+        if answer.leaving:
+            self.instruments.leaving_replies.inc()
+        if answer.pause_s is not None:
+            self.instruments.pauses.inc()
+        self.notices.observe(
+            leaf, answer.leaving, answer.pause_s, trio.current_time()
+        )
+
     def _is_own(
         self,
         answer: forwardtypes.LeafAnswer,
--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -160,14 +160,16 @@
         refusal = self._check_limits(forwarded, route, services)
         if refusal is not None:
             self._record(forwarded, route, refusal, arrived_s)
-            return self._build_refusal(refusal)
+            return self._build_refusal(refusal, route, services)
         gathered = None
         if self.dependencies.branches is not None:
             gathered = await self.dependencies.branches.gather(
                 forwarded, route, arrived_s
             )
         if gathered is not None:
-            return self._answer_gathered(forwarded, route, gathered, arrived_s)
+            return self._answer_gathered(
+                forwarded, route, services, gathered, arrived_s
+            )
         dependencies = self.dependencies
         started_s = trio.current_time()
         request = forwardplanner.build_query_request(
@@ -197,7 +199,7 @@
         )
         self._record(forwarded, route, outcome, arrived_s)
         if isinstance(outcome, errors.RefusalError):
-            return self._build_refusal(outcome)
+            return self._build_refusal(outcome, route, services)
         return self._build_response(route, outcome)
 
     def _choose_services(self, route: routetable.Route) -> tuple[str, ...]:
@@ -226,10 +228,8 @@
         excluded = [
             service for service in services if not limits.admits(service, rank)
         ]
-        gather = route.gather
-        minimum_ratio = gather.min_coverage_ratio if gather else 1.0
         if coverage.is_enough(
-            len(services) - len(excluded), len(services), minimum_ratio
+            len(services) - len(excluded), len(services), _minimum_of(route)
         ):
             return None
         return answers.over_limit_refusal(excluded)
@@ -255,13 +255,14 @@
         self,
         forwarded: forwardtypes.ForwardRequest,
         route: routetable.Route,
+        services: tuple[str, ...],
         gathered: branchgather.Outcome,
         arrived_s: float,
     ) -> forwardtypes.Response:
         """Build the response to a request that was gathered in branches."""
         if isinstance(gathered, errors.RefusalError):
             self._record(forwarded, route, gathered, arrived_s)
-            return self._build_refusal(gathered)
+            return self._build_refusal(gathered, route, services)
         missing = gathered.missing
         merged_count = gathered.total_count - len(missing)
         answer = querytypes.Answer(
@@ -350,17 +351,47 @@
         )
 
     def _build_refusal(
-        self, refusal: errors.RefusalError
+        self,
+        refusal: errors.RefusalError,
+        route: routetable.Route,
+        services: tuple[str, ...],
     ) -> forwardtypes.Response:
         if refusal.ran is errors.Ran.NO:
             if refusal.retry_after_ms:
                 return self._build_unavailable(refusal.retry_after_ms / 1e3)
             delay_s = self.dependencies.rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
+            delay_s += self._pause_left_s(route, services)
             return self._build_unavailable(delay_s)
         if refusal.kind is errors.RefusalKind.DEADLINE:
             return forwardtypes.Response(forwardtypes.STATUS_TIMEOUT, [], b"")
         return forwardtypes.Response(forwardtypes.STATUS_BAD_GATEWAY, [], b"")
 
+    def _pause_left_s(
+        self, route: routetable.Route, services: tuple[str, ...]
+    ) -> float:
+        """Return when enough services have a leaf that wants requests.
+
+        Pattern: all leafs of a service ask for a pause. Callers that return
+        sooner are refused again.
+        """
+        notices = self.dependencies.notices
+        if not notices.paused_until_s:
+            return 0.0
+        now_s = trio.current_time()
+        view = self.dependencies.planner.version_view(services)
+        waits_s = sorted(
+            min(
+                notices.pause_left_s(status.info.name, now_s)
+                for status in (*replica_route.near, *replica_route.far)
+            )
+            for replica_route in view.route_of.values()
+            if replica_route.has_replica()
+        )
+        for count, wait_s in enumerate(waits_s, 1):
+            if coverage.is_enough(count, len(services), _minimum_of(route)):
+                return wait_s
+        return 0.0
+
     def _build_unavailable(
         self, retry_after_s: float
     ) -> forwardtypes.Response:
@@ -372,6 +403,11 @@
         )
 
 
+def _minimum_of(route: routetable.Route) -> float:
+    """Return the share of its services that a route's answer needs."""
+    return route.gather.min_coverage_ratio if route.gather else 1.0
+
+
 def describe_outcome(
     request_id: str,
     route: routetable.Route,
--- a/plantainhook/forwardtypes.py
+++ b/plantainhook/forwardtypes.py
@@ -58,8 +58,9 @@
     ran which request. ``encoded`` is set if the body has a content encoding,
     ``refused`` if the leaf states that it has not run the request, and
     ``misdirected`` if another leaf has the address. ``leaving`` is set if the
-    leaf states that it leaves. ``limit_per_s`` is how many requests a second
-    the leaf accepts from all daemons, or None.
+    leaf states that it leaves. ``pause_s`` is how long the leaf wants no
+    request from this daemon, or None. ``limit_per_s`` is how many requests a
+    second the leaf accepts from all daemons, or None.
     """
 
     status: int
@@ -71,6 +72,7 @@
     refused: bool
     misdirected: bool
     leaving: bool = False
+    pause_s: float | None = None
     limit_per_s: float | None = None
 
     def is_success(self) -> bool:
--- a/plantainhook/leafdirectory.py
+++ b/plantainhook/leafdirectory.py
@@ -71,14 +71,18 @@
     """Publish the leafs that are registered in the store.
 
     ``read_leaf`` decodes an entry from its name and content; it raises
-    ValueError if the entry is invalid.
+    ValueError if the entry is invalid. ``on_restart`` is called with the name
+    of a leaf that has started again under its name.
     """
 
+    on_restart: abc.Callable[[str], None]
+
     def __init__(
         self, board: blackboard.Blackboard, read_leaf: ReadLeaf
     ) -> None:
         self._board = board
         self._read_leaf = read_leaf
+        self.on_restart = lambda name: None
         self._known: dict[str, KnownLeaf] = {}
         # The order of the latest entry by leaf, kept after a leaf is removed
         # so that a late entry does not bring it back.
@@ -184,6 +188,9 @@
                 item.name,
             )
             return
+        latest_born_ms, _ = self._latest_order.get(item.name, order)
+        if entry.born_ms > latest_born_ms:
+            self.on_restart(item.name)
         self._latest_order[item.name] = order
         known = self._known.get(item.name)
         if known is None or known.entry.draining != entry.draining:
--- a/plantainhook/metrics.py
+++ b/plantainhook/metrics.py
@@ -76,6 +76,11 @@
             "Replies that state that their leaf leaves.",
             registry=registry,
         )
+        self.pauses = prometheus_client.Counter(
+            "plantainhook_leaf_pauses",
+            "Refusals in which a leaf asked this daemon for a pause.",
+            registry=registry,
+        )
         self.connections = prometheus_client.Gauge(
             "plantainhook_leaf_connections",
             "Connections to leafs that are open or being closed.",
--- a/plantainhook/platform/dialect.py
+++ b/plantainhook/platform/dialect.py
@@ -92,8 +92,9 @@
             encoded=b"content-encoding" in by_name,
             refused=names.NOT_RUN in by_name or misdirected,
             misdirected=misdirected,
+            pause_s=_parse_pause(raw.status, by_name),
             leaving=by_name.get(names.LEAVING, b"").strip() == b"1",
-            limit_per_s=_parse_limit(by_name.get(names.REQUEST_LIMIT)),
+            limit_per_s=_parse_number(by_name.get(names.REQUEST_LIMIT)),
         )
 
     def answer_headers(
@@ -131,11 +132,18 @@
     return float(value)
 
 
-def _parse_limit(value: bytes | None) -> float | None:
-    """Parse a number of requests a second; None if absent or invalid."""
+def _parse_pause(status: int, by_name: dict[bytes, bytes]) -> float | None:
+    """Return the pause in seconds that a refusal asks for, or None."""
+    if status != forwardtypes.STATUS_UNAVAILABLE:
+        return None
+    return _parse_number(by_name.get(names.RETRY_AFTER))
+
+
+def _parse_number(value: bytes | None) -> float | None:
+    """Parse a number that is not negative; None if absent or invalid."""
     try:
-        limit_per_s = float(value) if value is not None else math.nan
+        number = float(value) if value is not None else math.nan
     except ValueError:
         return None
-    valid = math.isfinite(limit_per_s) and limit_per_s >= 0.0
-    return limit_per_s if valid else None
+    valid = math.isfinite(number) and number >= 0.0
+    return number if valid else None
--- a/plantainhook/replicas.py
+++ b/plantainhook/replicas.py
@@ -15,6 +15,7 @@
     concurrency,
     errors,
     leaflimits,
+    leafnotices,
     querytypes,
     replicastate,
     zones,
@@ -91,6 +92,9 @@
     limits: leaflimits.LeafLimits = dataclasses.field(
         default_factory=leaflimits.LeafLimits
     )
+    notices: leafnotices.LeafNotices = dataclasses.field(
+        default_factory=leafnotices.LeafNotices
+    )
 
     def state(
         self, status: querytypes.LeafStatus
@@ -109,8 +113,9 @@
     ) -> querytypes.LeafStatus | None:
         """Return the leaf for the next attempt, or None.
 
-        Leafs in ``avoid``, leafs without a token for their limit, and leafs
-        that recently answered 409 for the version are skipped. A leaf in
+        Leafs in ``avoid``, leafs without a token for their limit, leafs that
+        asked for a pause, and leafs that recently answered 409 for the version
+        are skipped. A leaf in
         another zone is selected if no near leaf is usable or the near leaf is
         failing, and, within the limit on optional cross-zone calls, if the
         near leaf costs more.
@@ -286,6 +291,7 @@
             or self.penalised
             or self.not_served_until_s
             or self.limits.leafs
+            or self.notices.paused_until_s
         ):
             statuses = self._usable(statuses, avoid, version, now_s)
             healthy = self._healthy(statuses, now_s)
@@ -328,6 +334,7 @@
             for status in statuses
             if status.info.name not in avoid
             and not_served.get((status.info.name, version), 0.0) <= now_s
+            and self.notices.may_call(status.info.name, now_s)
             and self._has_token(status.info.name, now_s)
         ]
 
--- a/tests/test_damaged_peers.py
+++ b/tests/test_damaged_peers.py
@@ -118,7 +118,7 @@
             dialect.PlatformDialect(),
             self.pools,
             leaflimits.LeafLimits(),
-            leafnotices.LeafNotices(self.instruments),
+            leafnotices.LeafNotices(),
             self.instruments,
             logs.DecisionLog(
                 logs.part_logger("attempt"), clock.TrioClock(), 50.0
--- a/tests/test_httpconnection.py
+++ b/tests/test_httpconnection.py
@@ -156,7 +156,7 @@
             dialect.PlatformDialect(),
             pools,
             leaflimits.LeafLimits(),
-            leafnotices.LeafNotices(instruments),
+            leafnotices.LeafNotices(),
             instruments,
             logs.DecisionLog(
                 logs.part_logger("attempt"), clock.TrioClock(), 50.0
