Keep a starting daemon alive when it is asked to reload

What callers saw: a daemon that had just been started was gone again, and started once more.

Cause: SIGHUP ends a process that does not handle it. A daemon installs its handler after its imports, half a second after its start.

Change: the command line ignores SIGHUP before it imports the modules of forward, which handles it once it runs. It reads its options after that, so no change is missed. Other commands still end with their terminal. Not covered: the start of the interpreter itself, and the unpacking of the one-file build.

--- a/plantainhook/cli.py
+++ b/plantainhook/cli.py
@@ -8,6 +8,7 @@
 
 import argparse
 import importlib
+import signal
 import sys
 import typing
 from collections import abc
@@ -23,6 +24,8 @@
     "settings": "commands_settings",
     "report": "commands_report",
 }
+# Commands that handle SIGHUP once they run.
+RELOADING_COMMANDS: typing.Final = ("forward",)
 OTHER_MODULES: typing.Final = (
     "capacitytables",
     "commands_client",
@@ -34,7 +37,13 @@
 
 
 def import_commands(argv: abc.Sequence[str]) -> None:
-    """Import the module of the given command, or those of all commands."""
+    """Import the module of the given command, or those of all commands.
+
+    The imports of a daemon take half a second. SIGHUP, which asks it to read
+    its options again, must not end it before it can handle the signal.
+    """
+    if argv and argv[0] in RELOADING_COMMANDS:
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
     chosen = COMMAND_MODULES.get(argv[0]) if argv else None
     modules = (
         [chosen] if chosen else [*COMMAND_MODULES.values(), *OTHER_MODULES]
