Keep the word of a leaf that leaves until a later start

What callers saw: requests went again to a leaf that had said that it leaves, when the store's entry of its start arrived after that word.

Cause: an entry with a later start than the known one ended the word, although the leaf that spoke may have been that very start.

Change: the word keeps the time of day at which it was heard. A start after that time ends it at once. One before it ends it 30 s after the word, because clocks differ and the leaf may have started again since.

test_word_of_a_start_whose_entry_comes_later_counts failed before and passes. The test of a restarted leaf now states a start after the word, as real leafs do; it had one in 1970.

--- a/plantainhook/leafdirectory.py
+++ b/plantainhook/leafdirectory.py
@@ -17,6 +17,7 @@
 """
 
 import dataclasses
+import time
 import typing
 from collections import abc
 
@@ -39,10 +40,36 @@
 AFTER_OUTAGE_S: typing.Final = 1.0
 # An entry that nobody renews expires this long after the store came back.
 RESTORED_EXPIRY_S: typing.Final = 5.0
+# A leaf that leaves has ended this long after it said so.
+WORD_MAX_S: typing.Final = 30.0
 
 ReadLeaf = abc.Callable[[str, object], forwardtypes.LeafEntry]
 
 
+class LeavingWord(typing.NamedTuple):
+    """Represent the statement of a leaf that it leaves.
+
+    ``born_ms`` is the start of the leaf as it was known then, ``heard_ms`` the
+    time of day and ``heard_s`` the time on the trio clock.
+    """
+
+    born_ms: int
+    heard_ms: float
+    heard_s: float
+
+    def ends_at(self, born_ms: int) -> float:
+        """Return when the word ends for a leaf that started at a time.
+
+        A start that became known later may have been running already when
+        the leaf spoke. Clocks differ, so it is used again after some time.
+        """
+        if born_ms <= self.born_ms:
+            return float("inf")
+        if born_ms > self.heard_ms:
+            return self.heard_s
+        return self.heard_s + WORD_MAX_S
+
+
 @dataclasses.dataclass(slots=True)
 class KnownLeaf:
     """Represent a registered leaf by its latest entry.
@@ -71,24 +98,29 @@
     """Publish the leafs that are registered in the store.
 
     ``read_leaf`` decodes an entry from its name and content; it raises
-    ValueError if the entry is invalid. ``on_restart`` is called with the name
+    ValueError if the entry is invalid. ``wall_s`` returns the time of day, by
+    which leafs state when they started. ``on_restart`` is called with the name
     of a leaf that has started again under its name.
     """
 
     on_restart: abc.Callable[[str], None]
 
     def __init__(
-        self, board: blackboard.Blackboard, read_leaf: ReadLeaf
+        self,
+        board: blackboard.Blackboard,
+        read_leaf: ReadLeaf,
+        wall_s: abc.Callable[[], float] = time.time,
     ) -> None:
         self._board = board
+        self._wall_s = wall_s
         self._read_leaf = read_leaf
         self.on_restart = lambda name: None
         self._known: dict[str, KnownLeaf] = {}
         # The order of the latest entry by leaf, kept after a leaf is removed
         # so that a late entry does not bring it back.
         self._latest_order: dict[str, tuple[int, int]] = {}
-        # The start of each leaf that stated in a reply that it leaves.
-        self._left_born_ms: dict[str, int] = {}
+        # The leafs that stated in a reply that they leave.
+        self._words: dict[str, LeavingWord] = {}
         self._store_unavailable = False
         self._store_recovered_s = float("-inf")
         # Entries of leafs that had left before the store came back, and when
@@ -167,10 +199,12 @@
     def on_leaving(self, name: str) -> None:
         """Record that a leaf stated that it leaves, until its next start."""
         known = self._known.get(name)
-        if known is None or name in self._left_born_ms:
+        if known is None or name in self._words:
             return
         LOGGER.info("Leaf {} states that it leaves.", name)
-        self._left_born_ms[name] = known.entry.born_ms
+        self._words[name] = LeavingWord(
+            known.entry.born_ms, self._wall_s() * 1000, trio.current_time()
+        )
         if known.leaving_since_s is None:
             known.leaving_since_s = trio.current_time()
             self._publish()
@@ -211,15 +245,27 @@
         self, known: KnownLeaf | None, entry: forwardtypes.LeafEntry
     ) -> float | None:
         """Return since when a leaf leaves, by its new entry or by its word."""
-        name = entry.info.name
-        if entry.born_ms > self._left_born_ms.get(name, entry.born_ms):
-            del self._left_born_ms[name]
-        if not entry.draining and name not in self._left_born_ms:
+        now_s = trio.current_time()
+        word = self._words.get(entry.info.name)
+        if word is not None and word.ends_at(entry.born_ms) <= now_s:
+            del self._words[entry.info.name]
+            word = None
+        if not entry.draining and word is None:
             return None
         if known is None or known.leaving_since_s is None:
-            return trio.current_time()
+            return now_s
         return known.leaving_since_s
 
+    def _end_words(self, now_s: float) -> None:
+        """Use leafs again whose word may be that of an earlier start."""
+        for name, word in list(self._words.items()):
+            known = self._known.get(name)
+            if known is None or word.ends_at(known.entry.born_ms) > now_s:
+                continue
+            del self._words[name]
+            if not known.entry.draining:
+                known.leaving_since_s = None
+
     def _remove(self, name: str) -> None:
         self._doubtful.pop(name, None)
         known = self._known.get(name)
@@ -247,6 +293,11 @@
             for known in self._known.values()
             if known.removal_due_s is not None
         ]
+        times += [
+            word.ends_at(self._known[name].entry.born_ms)
+            for name, word in self._words.items()
+            if name in self._known
+        ]
         if self._doubtful:
             times.append(self._doubtful_due_s)
         times += [
@@ -259,6 +310,7 @@
     def _publish(self) -> None:
         """Remove leafs whose removal is due and publish all others."""
         now_s = trio.current_time()
+        self._end_words(now_s)
         if now_s >= self._doubtful_due_s:
             for item in self._doubtful.values():
                 self._apply(item)
--- a/tests/test_leavingleafs.py
+++ b/tests/test_leavingleafs.py
@@ -1,5 +1,6 @@
 """Tests of leafs that state in their replies that they leave."""
 
+import time
 import typing
 
 import testtools
@@ -10,6 +11,11 @@
 DRAIN_S: typing.Final = 3.0
 
 
+def wall_ms() -> int:
+    """Return the time of day, by which leafs state when they started."""
+    return int(time.time() * 1000)
+
+
 class LeavingLeafTest(testtools.TestCase):
     """Check the requests of a daemon that the store does not tell."""
 
@@ -77,9 +83,31 @@
         async def scenario() -> None:
             await self.rig.send_many(20)
             self.leafs["a"].reply = forwardrig.OK
-            self.rig.write_entry("a", born=2)
+            self.rig.write_entry("a", born=wall_ms() + 1)
+            before = self.leafs["a"].requests_count
+            await self.rig.send_many(20)
+            self.assertTrue(self.leafs["a"].requests_count > before)
+
+        forwardrig.run(self.rig, scenario)
+
+    def test_word_of_a_start_whose_entry_comes_later_counts(self) -> None:
+        """Guard against a new entry that undoes the word of the same start.
+
+        Pattern: a leaf starts again and soon leaves. This daemon hears that
+        before the store tells it of the start.
+        """
+
+        async def scenario() -> None:
+            born_ms = wall_ms() - 1000
+            await self.rig.send_many(20)
+            self.rig.write_entry("a", born=born_ms)
             before = self.leafs["a"].requests_count
             await self.rig.send_many(20)
+            self.assertEqual(before, self.leafs["a"].requests_count)
+            # The word may have been that of the start before.
+            self.leafs["a"].reply = forwardrig.OK
+            await trio.sleep(35.0)
+            await self.rig.send_many(20)
             self.assertTrue(self.leafs["a"].requests_count > before)
 
         forwardrig.run(self.rig, scenario)
