--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,11 @@
 STAMP := $(VENV)/.installed
 SEED ?= 0
 CASES ?= 0
+SEEDS ?= 1
+MINUTES ?= 0.5
+DAEMONS ?= 4
 
-.PHONY: capacity demo test matrix lint format typecheck dist check clean
+.PHONY: capacity demo test soak matrix lint format typecheck dist check clean
 
 $(STAMP): pyproject.toml constraints.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -28,6 +31,12 @@
 matrix: $(STAMP)
 	SEED=$(SEED) CASES=$(CASES) $(BIN)/python -m tests.matrixdriver
 
+# Daemons as processes under faults; SEED= is the first of SEEDS= seeds, with
+# faults for MINUTES= each.
+soak: $(STAMP)
+	$(BIN)/python -m tests.soak --seed $(SEED) --seeds $(SEEDS) \
+		--minutes $(MINUTES) --daemons $(DAEMONS)
+
 lint: $(STAMP)
 	$(BIN)/python -m ruff format --check plantainhook tests
 	$(BIN)/python -m ruff check plantainhook tests
