Split the reads of the store from their relay

Code was moved, no decision changed: the tests of relay, copies and damaged peers pass as before, one of them building the reader where it set the old attribute.

--- a/plantainhook/storerelay.py
+++ b/plantainhook/storerelay.py
@@ -16,14 +16,10 @@
 
 Pattern: an open connection falls silent, so a watch neither returns nor fails.
 Watchers compare their revisions with a few peers. One that stays behind pulls
-the changes and reads the store again on a new connection. All connections of
-a fleet may fall silent at once, so each watcher also makes a cheap call each
-second. It reads again if that gets no reply, or tells of changes that the
-watch has not returned.
+the changes and reads the store again on a new connection (``storereader``).
 """
 
 import dataclasses
-import itertools
 import random
 import typing
 
@@ -42,6 +38,7 @@
     objectsource,
     peers,
     steps,
+    storereader,
     storereplica,
     storeupdate,
     wire,
@@ -76,11 +73,6 @@
 # The number of peers with which a watcher compares, and from which it pulls.
 WATCHER_PEERS_COUNT: typing.Final = 3
 WATCHER_COMPARE_INTERVAL_S: typing.Final = 1.0
-# How often a watcher probes the store. The pause doubles each time that a
-# watch is silent, so that a slow store is not asked more and more.
-PROBE_INTERVAL_S: typing.Final = 1.0
-PROBE_INTERVAL_MAX_S: typing.Final = 8.0
-PROBE_TIMEOUT_S: typing.Final = 1.0
 # A daemon that is no watcher stops reading the store once a watcher has been
 # up to date for this long.
 STOP_READING_DELAY_S: typing.Final = 0.4
@@ -120,13 +112,13 @@
         self._board = board
         self._data_centre = data_centre
         self._replicas = replicas
-        self._sources = sources
+        self._reader = storereader.StoreReader(
+            replicas, sources, follow_options, rng
+        )
         self._transport = transport
         self._options = options
-        self._follow_options = follow_options
         self._clock = time_source
         self._rng = rng
-        self._read_scope: trio.CancelScope | None = None
         self._pull_scopes: dict[str, trio.CancelScope] = {}
         self._last_up_to_date_s: dict[str, float] = {}
         # A daemon is relayed while it pulls from a watcher that is up to date.
@@ -135,9 +127,6 @@
         self._fallback_delay_s = 0.0
         self._is_watcher = False
         self._store_answered_s = time_source.now_s()
-        self._unavailable_kinds: set[str] = set()
-        # Cancelling one of these reads its kind again on a new connection.
-        self._follow_scopes: dict[str, trio.CancelScope] = {}
         handlers.register(wire.StorePull)(self._on_pull)
 
     async def run(self) -> None:
@@ -195,7 +184,7 @@
 
     def is_reading_store(self) -> bool:
         """Return whether this daemon reads the store itself."""
-        return self._read_scope is not None
+        return self._reader.is_reading()
 
     def _step(self, nursery: trio.Nursery) -> None:
         """Start and stop pulls and the own reads of the store."""
@@ -216,22 +205,20 @@
                 is_watcher
                 or now_s - self._last_relayed_s >= self._fallback_delay_s
             ):
-                self._start_reading(nursery)
+                self._reader.start(nursery)
             return
         self._last_relayed_s = now_s
         self._fallback_delay_s = self._rng.uniform(0.0, FALLBACK_DELAY_MAX_S)
         if (
-            self._read_scope is not None
+            self._reader.is_reading()
             and now_s - self._last_unrelayed_s > STOP_READING_DELAY_S
         ):
-            LOGGER.info("Stopped reading the store; pulling from watchers.")
-            self._read_scope.cancel()
-            self._read_scope = None
+            self._reader.stop()
 
     def _record_role(self, is_watcher: bool) -> None:
         """Record whether this daemon watches, and that the store answers."""
         self._is_watcher = is_watcher
-        if is_watcher and not self._unavailable_kinds:
+        if is_watcher and not self._reader.unavailable_kinds:
             self._store_answered_s = self._clock.now_s()
 
     def _pull_sources(
@@ -255,72 +242,6 @@
         silence_s = self._clock.now_s() - self._store_answered_s
         return self._is_watcher and silence_s < WATCHER_PULL_DELAY_S
 
-    def _start_reading(self, nursery: trio.Nursery) -> None:
-        """Start to read the store, unless this daemon does so already."""
-        if self._read_scope is None:
-            LOGGER.info("Started reading the store.")
-            self._read_scope = trio.CancelScope()
-            self._unavailable_kinds = set(self._replicas)
-            nursery.start_soon(self._follow_all, self._read_scope)
-
-    async def _follow_all(self, scope: trio.CancelScope) -> None:
-        with scope:
-            async with trio.open_nursery() as nursery:
-                for kind in self._replicas:
-                    nursery.start_soon(self._follow, kind)
-                nursery.start_soon(self._probe_loop)
-
-    async def _follow(self, kind: str) -> None:
-        """Read the objects of one kind, anew whenever its scope is cancelled.
-
-        A cancelled call closes its connection.
-        """
-        while True:
-            scope = self._follow_scopes[kind] = trio.CancelScope()
-            with scope:
-                await objectsource.follow(
-                    self._sources[kind],
-                    AvailabilityRecorder(
-                        self._replicas[kind], self._unavailable_kinds
-                    ),
-                    self._follow_options,
-                    self._rng,
-                )
-
-    async def _probe_loop(self) -> None:
-        """Read again whenever a watch has lost its connection or changes."""
-        pause_s = PROBE_INTERVAL_S
-        for kind in itertools.cycle(self._replicas):
-            await trio.sleep(pause_s)
-            if self._unavailable_kinds:
-                continue
-            silent = await self._find_silent_watches(kind)
-            if not silent:
-                pause_s = PROBE_INTERVAL_S
-                continue
-            pause_s = min(PROBE_INTERVAL_MAX_S, 2 * pause_s)
-            for silent_kind in silent:
-                self._restart_reading(silent_kind, "its watch is silent")
-
-    async def _find_silent_watches(self, kind: str) -> list[str]:
-        """Return the kinds whose watches are silent, as a probe shows."""
-        replica = self._replicas[kind]
-        position = replica.position
-        outcome = await self._sources[kind].probe(position, PROBE_TIMEOUT_S)
-        if outcome is objectsource.ProbeOutcome.SILENT:
-            return list(self._replicas)
-        if outcome is objectsource.ProbeOutcome.CHANGED:
-            await trio.sleep(AHEAD_MAX_S)
-            if replica.position == position:
-                return [kind]
-        return []
-
-    def _restart_reading(self, kind: str, reason: str) -> None:
-        """Give up a read, and read again on a new connection."""
-        LOGGER.warning("Reading {} again: {}.", kind, reason)
-        self._unavailable_kinds.add(kind)
-        self._follow_scopes[kind].cancel()
-
     def _set_pulls(self, nursery: trio.Nursery, watchers: list[str]) -> None:
         for address in list(self._pull_scopes):
             if address not in watchers:
@@ -376,7 +297,7 @@
         answered = await self._pull(address, 0.0)
         if was_served and answered and self.is_reading_store():
             for kind in kinds:
-                self._restart_reading(kind, "the watch missed changes")
+                self._reader.restart(kind, "the watch missed changes")
         return answered
 
     async def _pause_compare(self) -> None:
@@ -489,7 +410,7 @@
         such removals alike, so the followers of a watcher learn of the outage
         too. A daemon that reads the store itself learns of it there.
         """
-        if self._read_scope is not None:
+        if self._reader.is_reading():
             return
         for kind, replica in self._replicas.items():
             if available:
@@ -563,46 +484,4 @@
 
     def _is_up_to_date(self) -> bool:
         """Return whether the store answers this daemon."""
-        return self._read_scope is not None and not self._unavailable_kinds
-
-
-class AvailabilityRecorder:
-    """Pass reads of the store on to a copy; record whether it answers.
-
-    While the store does not answer, the kind of the copy is in
-    ``unavailable_kinds``, which all copies of a relay share.
-    """
-
-    def __init__(
-        self, replica: storereplica.StoreReplica, unavailable_kinds: set[str]
-    ) -> None:
-        self._replica = replica
-        self._unavailable_kinds = unavailable_kinds
-
-    @property
-    def position(self) -> objectsource.Position:
-        """Return the position of the copy."""
-        return self._replica.position
-
-    def on_listing(self, listing: objectsource.Listing) -> None:
-        """Replace all objects by those of a listing."""
-        self._replica.on_listing(listing)
-
-    def on_changes(
-        self,
-        changes: list[objectsource.Change],
-        position: objectsource.Position,
-        after: objectsource.Position,
-    ) -> None:
-        """Apply the changes after one position up to another."""
-        self._replica.on_changes(changes, position, after)
-
-    def on_unavailable(self, error: typing.Any) -> None:
-        """Record that the store does not answer."""
-        self._unavailable_kinds.add(self._replica.kind)
-        self._replica.on_unavailable(error)
-
-    def on_available(self) -> None:
-        """Record that the store answers."""
-        self._unavailable_kinds.discard(self._replica.kind)
-        self._replica.on_available()
+        return self._reader.is_up_to_date()
--- a/tests/test_damaged_peers.py
+++ b/tests/test_damaged_peers.py
@@ -33,12 +33,14 @@
     logs,
     memberentry,
     metrics,
+    objectsource,
     peerframes,
     peerlinks,
     peers,
     querytypes,
     routetable,
     shardmap,
+    storereader,
     storerelay,
     storereplica,
     storeupdate,
@@ -342,7 +344,13 @@
             relay._transport = Peer()
             relay._clock = clock.TrioClock()
             relay._last_up_to_date_s = {}
-            relay._read_scope = trio.CancelScope()
+            relay._reader = storereader.StoreReader(
+                relay._replicas,
+                {},
+                objectsource.FollowOptions(),
+                random.Random(1),
+            )
+            relay._reader._scope = trio.CancelScope()
             return await relay._pull("d1:1", 0.0)
 
         self.assertFalse(virtualtime.run(main))
