Count the word of a leaf in the soak only where it was passed on

The check took the answer for heard when the leaf sent it. A daemon that has cancelled the call, because another leaf was faster, never reads it; the rule counts answers that the daemon passed on to a caller, and so does the check now.

--- a/tests/soakcallers.py
+++ b/tests/soakcallers.py
@@ -125,6 +125,10 @@
                     f"{self._daemon.number}, {sent_s - added_s:.1f} s late"
                 )
         if reply.status == 200:
+            for leaf in leafs_of(reply):
+                self._world.record_passed_on(
+                    self._daemon.number, request_id, leaf
+                )
             check = check_gathered if prefix == "/all/" else check_single
             wrong = check(self._world, request_id, reply)
             if wrong is not None:
@@ -155,6 +159,16 @@
             )
 
 
+def leafs_of(reply: httpconnection.RawReply) -> list[str]:
+    """Return the leafs whose answers a reply contains."""
+    stamps = reply.header(names.PART_SIGNATURES)
+    if stamps is None:
+        stamps = reply.header(names.SIGNATURE) or b""
+    return [
+        stamp.strip().partition(".")[0] for stamp in stamps.decode().split(",")
+    ]
+
+
 def check_single(
     world: soakworld.World, request_id: str, reply: httpconnection.RawReply
 ) -> str | None:
--- a/tests/soakworld.py
+++ b/tests/soakworld.py
@@ -77,7 +77,9 @@
     disturbed_s: dict[int | str, float] = dataclasses.field(
         default_factory=dict
     )
-    # When a leaf's answer first told a daemon that the leaf leaves.
+    # The answers in which a leaf said that it leaves, by request and leaf, and
+    # when a daemon first passed on such an answer.
+    words: set[tuple[str, str]] = dataclasses.field(default_factory=set)
     told_s: dict[tuple[int, str], float] = dataclasses.field(
         default_factory=dict
     )
@@ -267,7 +269,6 @@
         if left_s > 0.0:
             notices.append((names.RETRY_AFTER, b"%.3f" % left_s))
         if left_s > 0.0 or self.fault == "shed":
-            self._world.record_told(self, request_id)
             return forwardtypes.Response(503, [*refused, *notices], b"")
         self._world.ledger.runs.setdefault(request_id, []).append(self.leaf)
         rng = self._world.rng
@@ -276,7 +277,8 @@
             await trio.sleep_forever()
         if self.fault == "lose":
             raise NoAnswerError
-        self._world.record_told(self, request_id)
+        if self.tells_leaving:
+            self._world.ledger.words.add((request_id, self.leaf))
         stamp = f"{self.leaf}.{request_id}".encode()
         return forwardtypes.Response(
             200,
@@ -457,11 +459,12 @@
                 f"DRAIN: {request_id} reaches {leaf.leaf}, which drains"
             )
 
-    def record_told(self, leaf: SoakLeaf, request_id: str) -> None:
-        """Record that a daemon was told that a leaf leaves, if it does."""
-        sent = self.ledger.sent.get(request_id)
-        if sent is not None and leaf.tells_leaving:
-            key = (sent.daemon, leaf.leaf)
+    def record_passed_on(
+        self, daemon: int, request_id: str, leaf: str
+    ) -> None:
+        """Record that a daemon passed on the answer of a leaf to a request."""
+        if (request_id, leaf) in self.ledger.words:
+            key = (daemon, leaf)
             self.ledger.told_s.setdefault(key, trio.current_time())
 
     def forget_told(self, what: int | str) -> None:
