Record the word of a leaf in the soak only if its answer has it

The log of daemon 0 has no such word: the leaf began to tell while that request ran, so its header was not in the answer. The check now uses the header that was sent.

--- a/tests/soakworld.py
+++ b/tests/soakworld.py
@@ -263,7 +263,8 @@
             return forwardtypes.Response(421, refused, b"")
         self._world.check_arrival(self, request_id, target.decode())
         notices = []
-        if self.tells_leaving:
+        tells_leaving = self.tells_leaving
+        if tells_leaving:
             notices.append((names.LEAVING, b"1"))
         left_s = self.paused_until_s - trio.current_time()
         if left_s > 0.0:
@@ -277,7 +278,7 @@
             await trio.sleep_forever()
         if self.fault == "lose":
             raise NoAnswerError
-        if self.tells_leaving:
+        if tells_leaving:
             self._world.ledger.words.add((request_id, self.leaf))
         stamp = f"{self.leaf}.{request_id}".encode()
         return forwardtypes.Response(
