--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -27,7 +27,7 @@
     wire,
 )
 from plantainhook.platform import documents, names, store
-from tests import virtualtime
+from tests import storebuilders, virtualtime
 
 Spec = dict[str, typing.Any]
 REPLY_DELAY_S: typing.Final = 0.004
@@ -256,19 +256,7 @@
     def __init__(self, count: int, nursery: trio.Nursery) -> None:
         self.model = PlatformStoreModel()
         self.network = memorynet.MemoryNetwork(nursery, random.Random(1))
-        members = {
-            number: blackboard.MemberInfo(
-                number,
-                f"d{number}",
-                "",
-                f"dc-{number % 3}",
-                f"d{number}",
-                "",
-                True,
-                False,
-            )
-            for number in range(count)
-        }
+        members = storebuilders.members(count)
         self.daemons = [
             Daemon(number, members, self.model, self.network)
             for number in range(count)
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -16,7 +16,7 @@
 import loguru
 import trio
 
-from tests import soakcallers, soakdaemons, soakfaults, soakworld
+from tests import soakcallers, soakdaemons, soakfaults, soakledger, soakworld
 
 CALLERS_PER_DAEMON_COUNT: typing.Final = 3
 START_LIMIT_S: typing.Final = 30.0
@@ -27,7 +27,7 @@
 
 async def soak(
     seed: int, fault_s: float, daemons_count: int, directory: pathlib.Path
-) -> soakworld.Ledger:
+) -> soakledger.Ledger:
     """Run one seed and return what was recorded."""
     rng = random.Random(seed)
     world = soakworld.World(random.Random(rng.random()))
@@ -124,7 +124,7 @@
     return 1 if failed_count else 0
 
 
-def describe(seed: int, ledger: soakworld.Ledger) -> str:
+def describe(seed: int, ledger: soakledger.Ledger) -> str:
     """Return a summary of a run with its violations."""
     statuses: dict[str, int] = {}
     for sent in ledger.sent.values():
--- a/tests/soakcallers.py
+++ b/tests/soakcallers.py
@@ -18,7 +18,7 @@
     toprecords,
 )
 from plantainhook.platform import names
-from tests import soakdaemons, soakworld
+from tests import soakdaemons, soakledger, soakworld
 
 DEADLINE_MS: typing.Final = 2000
 # Half a second after the deadline every request has its answer.
@@ -81,7 +81,7 @@
         path = f"{prefix}{self._count % 50}"
         ledger = self._world.ledger
         now_s = trio.current_time()
-        sent = soakworld.Sent(self._daemon.number, path, now_s)
+        sent = soakledger.Sent(self._daemon.number, path, now_s)
         ledger.sent[request_id] = sent
         incarnation = self._daemon.incarnation
         calm_s = ledger.calm_s(self._daemon.number)
@@ -205,7 +205,7 @@
     return None if reply.body == merged else "the records are not the highest"
 
 
-def check_runs(ledger: soakworld.Ledger) -> None:
+def check_runs(ledger: soakledger.Ledger) -> None:
     """Check at the end how often each request ran."""
     for request_id, sent in ledger.sent.items():
         runs = ledger.runs.get(request_id, [])
--- a/tests/soakdaemons.py
+++ b/tests/soakdaemons.py
@@ -9,7 +9,7 @@
 import trio
 
 from plantainhook import httpconnection, leaftransport
-from tests import soakworld
+from tests import soakstore, soakworld
 
 STOP_S: typing.Final = 6.0
 # The users' platform kills a process this long after SIGTERM.
@@ -47,9 +47,9 @@
         directory: pathlib.Path,
     ) -> None:
         self.number = number
-        self.front = f"127.0.0.1:{soakworld.free_port()}"
-        self.ready = f"127.0.0.1:{soakworld.free_port()}"
-        self.peer = f"127.0.0.1:{soakworld.free_port()}"
+        self.front = f"127.0.0.1:{soakstore.free_port()}"
+        self.ready = f"127.0.0.1:{soakstore.free_port()}"
+        self.peer = f"127.0.0.1:{soakstore.free_port()}"
         self.incarnation = 0
         self.is_stopping = False
         self.is_up = False
--- a/tests/soakworld.py
+++ b/tests/soakworld.py
@@ -1,19 +1,12 @@
-"""Stand-ins for the soak: the platform's store, leafs and the operator.
+"""Stand-ins for the soak: leafs that register themselves, and the operator.
 
 They run in the process of the soak and serve real connections of the daemons
-on loopback. ``Ledger`` records what leafs ran and what callers were told.
+on loopback.
 """
 
-import dataclasses
-import functools
-import itertools
-import json
-import os
 import random
-import socket
 import time
 import typing
-import urllib.parse
 
 import h11
 import trio
@@ -22,24 +15,19 @@
 from plantainhook import (
     forwardtypes,
     httpserver,
-    leaftransport,
     routetable,
 )
 from plantainhook.platform import names
-from tests import platformfleet
+from tests import platformfleet, soakledger, soakstore
 
 HOST: typing.Final = "soak.example"
 SHARDS: typing.Final = ("shard-0", "shard-1", "shard-2", "shard-3")
 SINGLE: typing.Final = "single"
 ADDED: typing.Final = "added"
-# Several soaks may run at once.
-FIRST_PORT: typing.Final = 10_000 + os.getpid() * 97 % 12_000
-PORTS: typing.Final = itertools.cycle(range(FIRST_PORT, FIRST_PORT + 8_000))
 TOP_COUNT: typing.Final = 6
 RECORDS_COUNT: typing.Final = 5
 ADDED_ROUTES_COUNT: typing.Final = 3
 SERVICE_TIME_MEAN_S: typing.Final = 0.01
-NOTED_S: typing.Final = 6.0
 HEARTBEAT_S: typing.Final = 1.2
 EXPIRY_S: typing.Final = 3.6
 # Bounds of the users' platform.
@@ -47,153 +35,6 @@
 IN_TOUCH_S: typing.Final = 4.0
 
 
-class NoAnswerError(OSError):
-    """Close a connection without an answer."""
-
-
-@dataclasses.dataclass(slots=True)
-class Sent:
-    """Record a request of a caller, and its answer if there is one."""
-
-    daemon: int
-    path: str
-    sent_s: float
-    status: int | None = None
-
-
-@dataclasses.dataclass(slots=True)
-class Ledger:
-    """Record requests, runs and violations, and when things were disturbed.
-
-    ``runs`` maps a request to the leafs that began to run it. ``disturbed_s``
-    holds when a daemon, or the store under "store", was disturbed last.
-    """
-
-    sent: dict[str, Sent] = dataclasses.field(default_factory=dict)
-    runs: dict[str, list[str]] = dataclasses.field(default_factory=dict)
-    violations: list[str] = dataclasses.field(default_factory=list)
-    faults: dict[str, int] = dataclasses.field(default_factory=dict)
-    events: list[tuple[float, str]] = dataclasses.field(default_factory=list)
-    disturbed_s: dict[int | str, float] = dataclasses.field(
-        default_factory=dict
-    )
-    # The answers in which a leaf said that it leaves, by request and leaf, and
-    # when a daemon first passed on such an answer.
-    words: set[tuple[str, str]] = dataclasses.field(default_factory=set)
-    told_s: dict[tuple[int, str], float] = dataclasses.field(
-        default_factory=dict
-    )
-
-    def report(self, text: str) -> None:
-        """Record a violation, with the events shortly before it."""
-        now_s = trio.current_time()
-        recent = [
-            f"{at_s - now_s:.2f} s {event}"
-            for at_s, event in self.events
-            if now_s - at_s < NOTED_S
-        ]
-        self.violations.append(f"{text} [{'; '.join(recent)}]")
-
-    def note(self, event: str) -> None:
-        """Record an event, for the reports of violations."""
-        self.events.append((trio.current_time(), event))
-
-    def disturb(self, what: int | str, for_s: float = 0.0) -> None:
-        """Record that a daemon or the store is disturbed for some time."""
-        until_s = trio.current_time() + for_s
-        self.disturbed_s[what] = max(
-            until_s, self.disturbed_s.get(what, float("-inf"))
-        )
-
-    def calm_s(self, daemon: int) -> float:
-        """Return for how long a daemon and the store were undisturbed."""
-        last_s = max(
-            self.disturbed_s.get(daemon, float("-inf")),
-            self.disturbed_s.get("store", float("-inf")),
-        )
-        return trio.current_time() - last_s
-
-
-def free_port() -> int:
-    """Return a port on loopback that is free now.
-
-    It lies below the range from which outgoing connections get theirs, so it
-    is still free when a server that has ended starts again.
-    """
-    for port in PORTS:
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
-    raise RuntimeError("no port on loopback is free")
-
-
-class SoakStore:
-    """Serve the model of the platform's store on real connections.
-
-    ``delay_s`` slows replies. Connections that were opened before
-    ``silent_before_s`` are never answered, and neither are the calls that
-    began before ``lost_before_s``.
-    """
-
-    def __init__(self) -> None:
-        self.model = platformfleet.PlatformStoreModel()
-        self.address = f"127.0.0.1:{free_port()}"
-        self.delay_s = 0.0
-        self.silent_before_s = float("-inf")
-        self.lost_before_s = float("-inf")
-
-    async def run(self) -> None:
-        """Serve until cancelled."""
-        with httpserver.listen(self.address) as listener:
-            async with trio.open_nursery() as nursery:
-                while True:
-                    await trio.lowlevel.wait_readable(listener)
-                    accepted, _ = listener.accept()
-                    nursery.start_soon(self._serve, accepted)
-
-    async def _serve(self, accepted: socket.socket) -> None:
-        server = httpserver.HttpServer(
-            functools.partial(self._answer, trio.current_time()),
-            routetable.ClientLimits,
-        )
-        await server.serve_transport(leaftransport.SocketTransport(accepted))
-
-    async def _answer(
-        self,
-        opened_s: float,
-        method: bytes,
-        target: bytes,
-        headers: forwardtypes.Headers,
-        body: bytes,
-    ) -> forwardtypes.Response:
-        began_s = trio.current_time()
-        era = self.model.era
-        url = urllib.parse.urlsplit(target.decode())
-        kind = url.path.rpartition("/")[2]
-        query = dict(urllib.parse.parse_qsl(url.query))
-        with trio.move_on_after(int(query.get("wait-ms", 0)) / 1000):
-            while not (
-                self.model.is_down
-                or era != self.model.era
-                or self.model.has_events(kind, query)
-            ):
-                with trio.move_on_after(0.2):
-                    await self.model.changed.wait()
-        await trio.sleep(self.delay_s)
-        if opened_s < self.silent_before_s or began_s < self.lost_before_s:
-            await trio.sleep_forever()
-        if self.model.is_down or era != self.model.era:
-            raise NoAnswerError
-        status, value = self.model.answer(kind, query)
-        era_header = (names.ERA, b"%d" % self.model.era)
-        return forwardtypes.Response(
-            status, [era_header], json.dumps(value).encode()
-        )
-
-
 class SoakLeaf:
     """One leaf, which registers itself and answers requests.
 
@@ -277,7 +118,7 @@
         if self.fault == "hang":
             await trio.sleep_forever()
         if self.fault == "lose":
-            raise NoAnswerError
+            raise soakstore.NoAnswerError
         if tells_leaving:
             self._world.ledger.words.add((request_id, self.leaf))
         stamp = f"{self.leaf}.{request_id}".encode()
@@ -297,8 +138,8 @@
 
     def __init__(self, rng: random.Random) -> None:
         self.rng = rng
-        self.ledger = Ledger()
-        self.store = SoakStore()
+        self.ledger = soakledger.Ledger()
+        self.store = soakstore.SoakStore()
         self.leafs: dict[str, SoakLeaf] = {}
         self.version = 1
         # The time of the acknowledgement, by added route.
@@ -335,7 +176,7 @@
         """Start a leaf at a new address under a new name."""
         self._leafs_count += 1
         leaf = f"{service}-{self._leafs_count}"
-        address = f"127.0.0.1:{free_port()}"
+        address = f"127.0.0.1:{soakstore.free_port()}"
         return self._start(SoakLeaf(self, leaf, service, address))
 
     def restart_leaf(self, old: SoakLeaf) -> SoakLeaf:
--- a/tests/storebuilders.py
+++ b/tests/storebuilders.py
@@ -3,11 +3,28 @@
 import typing
 from collections import abc
 
-from plantainhook import forwardtypes, objectsource, shardmap
+from plantainhook import blackboard, forwardtypes, objectsource, shardmap
 
 Spec = dict[str, typing.Any]
 
 
+def members(count: int) -> dict[int, blackboard.MemberInfo]:
+    """Return members d0, d1... of three data centres, by incarnation."""
+    return {
+        number: blackboard.MemberInfo(
+            number,
+            f"d{number}",
+            "",
+            f"dc-{number % 3}",
+            f"d{number}",
+            "",
+            True,
+            False,
+        )
+        for number in range(count)
+    }
+
+
 def at(revision: int, era: int = 0) -> objectsource.Position:
     """Return a position in the history of a store."""
     return objectsource.Position(era, revision)
--- a/tests/test_storerelay.py
+++ b/tests/test_storerelay.py
@@ -174,19 +174,7 @@
     def __init__(self, count: int, nursery: trio.Nursery) -> None:
         self.store = Store()
         self.network = memorynet.MemoryNetwork(nursery, random.Random(1))
-        members = {
-            number: blackboard.MemberInfo(
-                number,
-                f"d{number}",
-                "",
-                f"dc-{number % 3}",
-                f"d{number}",
-                "",
-                True,
-                False,
-            )
-            for number in range(count)
-        }
+        members = storebuilders.members(count)
         self.sources = [Source(self.store) for _ in range(count)]
         self.consumers = [RecordingConsumer() for _ in range(count)]
         self.relays = [self._build(number, members) for number in range(count)]
