--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -19,7 +19,8 @@
         def record(module: str) -> None:
             handlers.append(signal.getsignal(signal.SIGHUP))
 
-        before = signal.getsignal(signal.SIGHUP)
+        # The process of the tests may ignore the signal, below nohup.
+        before = signal.signal(signal.SIGHUP, signal.SIG_DFL)
         try:
             with mock.patch("importlib.import_module", record):
                 cli.import_commands([command])
