--- a/plantainhook/storerelay.py
+++ b/plantainhook/storerelay.py
@@ -7,7 +7,7 @@
 so in a large fleet only one daemon of each data centre watches. The others
 pull from the nearest watcher: it replies as soon as it has an update, and
 states whether the store answers it. The other watchers are asked for their
-revisions only, and a daemon pulls from one that stays ahead. While no watcher
+positions only, and a daemon pulls from one that stays ahead. While no watcher
 is up to date, a daemon reads the store itself. A small fleet needs no relay:
 every daemon watches.
 
@@ -15,7 +15,7 @@
 the store does not answer pulls from its peers until the store answers again.
 
 Pattern: an open connection falls silent, so a watch neither returns nor fails.
-Watchers compare their revisions with a few peers. One that stays behind pulls
+Watchers compare their positions with a few peers. One that stays behind pulls
 the changes and reads the store again on a new connection (``storereader``).
 """
 
@@ -47,7 +47,7 @@
 LOGGER: typing.Final = logs.part_logger("relay")
 PULL_WAIT_S: typing.Final = 1.0
 PULL_TIMEOUT_S: typing.Final = 1.6
-# How often the revisions of the other watchers are compared, and how long one
+# How often the positions of the other watchers are compared, and how long one
 # may be ahead before this daemon pulls from it. Watchers read bursts of
 # changes at different moments, so each is ahead at times.
 COMPARE_INTERVAL_S: typing.Final = 0.5
@@ -252,7 +252,7 @@
                 nursery.start_soon(self._pull_loop, address, scope)
 
     async def _pull_loop(self, address: str, scope: trio.CancelScope) -> None:
-        """Pull from the preferred watcher; compare revisions with others.
+        """Pull from the preferred watcher; compare positions with others.
 
         While the store answers a watcher, it compares with all.
         """
