--- a/review/standins.py
+++ b/review/standins.py
@@ -308,6 +308,9 @@
         # The share of its answers that it sends once more, and how much later.
         self.extra_ratio = 0.0
         self.extra_after_s = 0.0
+        # The share of its answers that have a body without end, in chunks.
+        self.endless_ratio = 0.0
+        self.endless_chunk = b"1\r\nz\r\n"
         # When the store acknowledged that the leaf is draining.
         self.leaving_s = None
         self._writers = set()
@@ -372,6 +375,8 @@
                 reply = await self._answer(first, headers, body)
                 if reply is None:
                     return
+                if random.random() < self.endless_ratio:
+                    await self._send_endless(writer, headers)
                 writer.write(reply)
                 if random.random() < self.extra_ratio:
                     asyncio.get_running_loop().call_later(
@@ -384,6 +389,21 @@
             self._writers.discard(writer)
             writer.close()
 
+    async def _send_endless(self, writer, headers):
+        """Send a body without end, until the caller closes."""
+        request_id = headers.get("request-id", "")
+        self.record(f"endless body from {self.id} for {request_id}")
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Stamp: %s\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+            % (request_id.encode(), f"{self.id}.{request_id}".encode())
+        )
+        while True:
+            writer.write(self.endless_chunk * 1000)
+            await writer.drain()
+            # The other stand-ins run in this process too.
+            await asyncio.sleep(0.001)
+
     def _send_extra(self, writer, reply):
         """Send an answer once more if its connection is still open."""
         if writer in self._writers and not writer.is_closing():
