Send a request at most once on a connection to a leaf

Cause: a reply is matched to its request by id. All attempts of a request have the same id, and after a refusal the connection went back to the pool, from which the next attempt took it. A late copy of the refusal then counted as the reply to the new attempt: "has not run", although the leaf ran it. That the leaf ran what it had refused, and that a lost reply was taken for a refusal, were ruled out by the same record.

Change: a connection remembers the ids it has sent until their deadlines, and the pool doesn't lend it for the same id again. If all connections that may be open have sent it, an idle one is closed to make room for a new one.

Tests: test_copy_of_a_refusal_of_the_same_request and test_copy_after_another_request failed before the change.

--- a/plantainhook/forwardgateway.py
+++ b/plantainhook/forwardgateway.py
@@ -3,7 +3,8 @@
 The gateway takes a connection from the leaf's pool, sends the request in the
 dialect of the platform and checks the reply: it must be complete and signed,
 and it must not have the id of another request. A reply that fails a check is
-returned as an error.
+returned as an error. A request is sent at most once on a connection, so that
+its id also distinguishes a late copy of the reply to an earlier attempt.
 """
 
 import dataclasses
@@ -109,7 +110,9 @@
                 leafconnect.no_connection_error(send.leaf, detail)
             )
         max_idle_s = math.inf if self.idempotent else NON_IDEMPOTENT_IDLE_MAX_S
-        acquired = await pool.acquire(send.deadline_s, max_idle_s)
+        acquired = await pool.acquire(
+            send.deadline_s, max_idle_s, request.request_id
+        )
         if isinstance(acquired, result.Err):
             return acquired
         connection = acquired.ok_value
@@ -137,6 +140,7 @@
                 send.leaf, send.reason, trio.current_time()
             ):
                 self.instruments.limited_calls.labels(send.reason).inc()
+            connection.record_request(request.request_id, send.deadline_s)
             # No deadline here: the query machine cancels late attempts.
             exchanged = await connection.exchange(
                 head, self.forwarded.body, math.inf
--- a/plantainhook/leafclient.py
+++ b/plantainhook/leafclient.py
@@ -20,6 +20,7 @@
     errors,
     httpconnection,
     leafprotocol,
+    leaftransport,
     querytypes,
     steps,
 )
@@ -101,6 +102,37 @@
     echoes_ids: bool = False
     reply_limit_bytes = LEAF_REPLY_LIMIT_BYTES
 
+    def __init__(
+        self, transport: leaftransport.Transport, peer: str, address: str
+    ) -> None:
+        super().__init__(transport, peer, address)
+        # The deadlines of the requests that were sent, by request id; the
+        # oldest request comes first.
+        self._deadlines_s: dict[str, float] = {}
+
+    def record_request(self, request_id: str, deadline_s: float) -> None:
+        """Record that a request is sent on this connection.
+
+        No attempt of it is sent after ``deadline_s``, so it is forgotten
+        then.
+        """
+        now_s = trio.current_time()
+        for sent_id, sent_deadline_s in list(self._deadlines_s.items()):
+            if sent_deadline_s >= now_s:
+                break
+            del self._deadlines_s[sent_id]
+        if request_id:
+            self._deadlines_s[request_id] = deadline_s
+
+    def has_sent(self, request_id: str) -> bool:
+        """Return whether a request was sent on this connection.
+
+        A leaf may send a late copy of a reply. If the same request is sent
+        again on the same connection, its id does not distinguish the copy
+        from the reply to the new attempt.
+        """
+        return request_id in self._deadlines_s
+
     async def search(
         self, call: LeafCall
     ) -> httpconnection.LeafResult[querytypes.LeafReply]:
--- a/plantainhook/leafconnect.py
+++ b/plantainhook/leafconnect.py
@@ -49,9 +49,11 @@
 class Waiter:
     """Represent a caller that waits for a connection.
 
+    ``request_id`` names the request that it will send; empty if it has none.
     ``outcome`` is set before the event.
     """
 
+    request_id: str = ""
     event: trio.Event = dataclasses.field(default_factory=trio.Event)
     outcome: httpconnection.LeafResult[leafclient.LeafClient] | None = None
 
--- a/plantainhook/leafpool.py
+++ b/plantainhook/leafpool.py
@@ -157,18 +157,22 @@
         self._open_more()
 
     async def acquire(
-        self, deadline_s: float, max_idle_s: float = math.inf
+        self,
+        deadline_s: float,
+        max_idle_s: float = math.inf,
+        request_id: str = "",
     ) -> httpconnection.LeafResult[leafclient.LeafClient]:
         """Lend a connection, or wait for one until the deadline.
 
         The waiting caller with the earliest deadline is served first. A
         connection that was idle for longer than ``max_idle_s`` is closed and
-        not lent. The caller returns the connection with ``release`` or
-        ``abandon``. The error is NO_CONNECTION or CONNECT, with ``ran`` NO.
+        not lent, and one that has already sent ``request_id`` is not lent.
+        The caller returns the connection with ``release`` or ``abandon``. The
+        error is NO_CONNECTION or CONNECT, with ``ran`` NO.
         """
         if max_idle_s < math.inf:
             self._close_idle_longer_than(max_idle_s)
-        client = self._take_idle()
+        client = self._take_idle(request_id)
         if client is not None:
             if not self._idle:
                 self._open_more()
@@ -176,9 +180,10 @@
         refusal = self._refusal_without_wait()
         if refusal is not None:
             return result.Err(refusal)
-        waiter = leafconnect.Waiter()
+        waiter = leafconnect.Waiter(request_id)
         entry = (deadline_s, next(self._sequence), waiter)
         heapq.heappush(self._waiters, entry)
+        self._make_room()
         self._open_more()
         return await self._wait(waiter, deadline_s)
 
@@ -191,6 +196,7 @@
         elif not self._serve_waiter(client):
             self.busy_count -= 1
             self._idle.append(client)
+            self._make_room()
 
     def abandon(
         self, client: leafclient.LeafClient, cancel_id: str = ""
@@ -275,10 +281,15 @@
         for client in closed:
             self._close(client)
 
-    def _take_idle(self) -> leafclient.LeafClient | None:
-        """Take the idle connection that was used last; close stale ones."""
-        while self._idle:
-            client = self._idle.pop()
+    def _take_idle(self, request_id: str = "") -> leafclient.LeafClient | None:
+        """Take the idle connection that was used last; close stale ones.
+
+        Those that have already sent ``request_id`` stay idle.
+        """
+        for client in self._idle[::-1]:
+            if client.has_sent(request_id):
+                continue
+            self._idle.remove(client)
             if not client.is_stale():
                 self.busy_count += 1
                 self._record_busy_peak()
@@ -302,12 +313,34 @@
         return self.open_count - self.allotment_count
 
     def _serve_waiter(self, client: leafclient.LeafClient) -> bool:
-        """Lend a busy connection to the waiter with the earliest deadline."""
-        if not self._waiters:
-            return False
-        _, _, waiter = heapq.heappop(self._waiters)
-        waiter.resolve(result.Ok(client))
-        return True
+        """Lend a busy connection to the waiter with the earliest deadline.
+
+        Waiters whose request was already sent on it are skipped.
+        """
+        skipped = []
+        served = False
+        while self._waiters and not served:
+            entry = heapq.heappop(self._waiters)
+            if client.has_sent(entry[2].request_id):
+                skipped.append(entry)
+            else:
+                entry[2].resolve(result.Ok(client))
+                served = True
+        for entry in skipped:
+            heapq.heappush(self._waiters, entry)
+        return served
+
+    def _make_room(self) -> None:
+        """Close idle connections that prevent new ones for the waiters.
+
+        While callers wait, the idle connections are those that have already
+        sent the requests of these callers.
+        """
+        free_count = self.closing_count - self._excess_count()
+        needed_count = len(self._waiters) - self.connecting_count - free_count
+        while self._idle and needed_count > 0:
+            self._close(self._idle.pop(0))
+            needed_count -= 1
 
     def _fail_waiters(self, error: errors.LeafError) -> None:
         for _, _, waiter in self._waiters:
--- a/tests/test_damaged_peers.py
+++ b/tests/test_damaged_peers.py
@@ -173,6 +173,28 @@
         self.assertIs(errors.Ran.NO, first.unwrap_err().ran)
         self.assertIs(errors.Ran.MAYBE, second.unwrap_err().ran)
 
+    def test_copy_of_a_refusal_of_the_same_request(self) -> None:
+        """Guard against work that runs twice after a copy of a refusal.
+
+        The copy arrives while the next attempt of the request waits for its
+        reply, so both have the same id.
+        """
+        copy = answer_to("one", NOT_RUN)
+        case = LeafCase([copy, copy], [answer_to("one")])
+        first, second = case.run("one", "one", idempotent=False)
+        self.assertIs(errors.Ran.NO, first.unwrap_err().ran)
+        self.assertTrue(second.is_ok())
+        self.assertEqual(1, case.connected[0].sent.count(b"GET /"))
+
+    def test_copy_after_another_request(self) -> None:
+        """Guard against a copy that arrives some requests later."""
+        copy = answer_to("one", NOT_RUN)
+        case = LeafCase([copy, answer_to("two"), copy], [answer_to("one")])
+        outcomes = case.run("one", "two", "one", idempotent=False)
+        self.assertTrue(outcomes[1].is_ok())
+        self.assertTrue(outcomes[2].is_ok())
+        self.assertEqual(2, case.connected[0].sent.count(b"GET /"))
+
     def test_copy_without_an_id(self) -> None:
         """Guard against a copy that lost the header with its request id."""
         copy = answer_to("one").replace(b"Request-Id: one\r\n", b"")
--- a/tests/test_leafpool.py
+++ b/tests/test_leafpool.py
@@ -138,6 +138,68 @@
 
         self.run_virtual(case)
 
+    def test_request_on_a_connection_that_sent_it(self) -> None:
+        """Guard against two replies with one id on a connection.
+
+        Pattern: a leaf refuses a request, which is sent to it again, and no
+        connection beyond those that are open may be opened.
+        """
+
+        async def case() -> None:
+            async with leafhelp.running_rig(allotment_count=2) as rig:
+                pool = self.pool(rig)
+                used = []
+                for _ in range(4):
+                    with trio.fail_after(1.0):
+                        client = (
+                            await pool.acquire(math.inf, request_id="one")
+                        ).unwrap()
+                    client.record_request("one", trio.current_time() + 9.0)
+                    pool.release(client)
+                    used.append(client)
+                self.assertEqual(4, len(set(used)))
+                self.assertEqual(2, rig.leafs[0].open_max_count)
+                # Other requests use the connections that are left.
+                connects_count = len(rig.network.connects)
+                client = (
+                    await pool.acquire(math.inf, request_id="two")
+                ).unwrap()
+                pool.release(client)
+                self.assertEqual(connects_count, len(rig.network.connects))
+
+        self.run_virtual(case)
+
+    def test_waiter_for_another_connection(self) -> None:
+        """Guard against a wait that a released connection can't end.
+
+        The only connection that may be open has sent the waiting request.
+        """
+
+        async def case() -> None:
+            async with leafhelp.running_rig(allotment_count=1) as rig:
+                pool = self.pool(rig)
+                busy = (await pool.acquire(math.inf)).unwrap()
+                busy.record_request("one", trio.current_time() + 9.0)
+                got = []
+
+                async def wait(request_id: str) -> None:
+                    client = (
+                        await pool.acquire(math.inf, request_id=request_id)
+                    ).unwrap()
+                    got.append((request_id, client is busy))
+                    pool.release(client)
+
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(wait, "one")
+                    await trio.sleep(0.01)
+                    nursery.start_soon(wait, "two")
+                    await trio.sleep(0.01)
+                    pool.release(busy)
+                    nursery.cancel_scope.deadline = trio.current_time() + 1.0
+                self.assertEqual([("two", True), ("one", False)], got)
+
+        self.run_virtual(case)
+
     def test_late_reply(self) -> None:
         """Guard against a late reply that is given to the next request."""
 
