Bound the work for bodies that come in short chunks

Cause: the body was limited in bytes, but each chunk is an event of h11 that takes 11 us, whatever its length (a probe with 1 to 4,096 bytes a chunk, in the postmortem). A body of one byte a chunk could take 11 s of processor time, in steps of 0.1 s a read during which no other task ran. Memory and a lack of connections were ruled out: resident memory stays small, and readiness checks, which need no leaf, are late too.

Tests: test_endless_body_of_short_chunks and test_body_of_short_chunks failed before the change.

--- a/plantainhook/httpconnection.py
+++ b/plantainhook/httpconnection.py
@@ -16,11 +16,14 @@
 import result
 import trio
 
-from plantainhook import errors, leaftransport, steps
+from plantainhook import errors, eventturns, leaftransport, steps
 
 RECEIVE_BYTES: typing.Final = 65_536
 REPLY_LIMIT_BYTES: typing.Final = 4_194_304
 HEAD_LIMIT_BYTES: typing.Final = 16_384
+# Each chunk of a body counts towards the size limit like so many bytes more:
+# the work that a body takes depends on the number of its chunks.
+CHUNK_COST_BYTES: typing.Final = 256
 # A peer closes an idle connection at the timeout that it announces. A request
 # sent this long before still arrives in time, also from another data centre.
 IDLE_MARGIN_S: typing.Final = 0.5
@@ -162,9 +165,12 @@
         reply = RawReply(0, (), b"")
         # One buffer, because a body may arrive in chunks of one byte each.
         body = bytearray()
+        cost_bytes = 0
         interim_count = 0
+        turns = eventturns.EventTurns()
         while True:
             event = await self._next_event()
+            await turns.count()
             if isinstance(event, h11.Response):
                 reply.status = event.status_code
                 reply.headers = event.headers
@@ -175,7 +181,10 @@
                     raise self._error(Failure.MALFORMED, detail)
             elif isinstance(event, h11.Data):
                 body += event.data
-                self._check_size(len(body))
+                cost_bytes += len(event.data)
+                if event.chunk_start:
+                    cost_bytes += CHUNK_COST_BYTES
+                self._check_cost(cost_bytes)
             elif isinstance(event, h11.EndOfMessage):
                 reply.body = bytes(body)
                 self._end_exchange(reply)
@@ -261,10 +270,13 @@
             ):
                 self.idle_limit_s = int(digits) - IDLE_MARGIN_S
 
-    def _check_size(self, size_bytes: int) -> None:
+    def _check_cost(self, cost_bytes: int) -> None:
         limit_bytes = self.reply_limit_bytes
-        if size_bytes > limit_bytes:
-            detail = f"the reply is larger than {limit_bytes} bytes"
+        if cost_bytes > limit_bytes:
+            detail = (
+                f"the reply is larger than {limit_bytes} bytes, with "
+                f"{CHUNK_COST_BYTES} for each chunk"
+            )
             raise self._error(Failure.MALFORMED, detail)
 
     def _closed_error(self) -> errors.LeafError:
--- a/plantainhook/httpserver.py
+++ b/plantainhook/httpserver.py
@@ -14,7 +14,13 @@
 import h11
 import trio
 
-from plantainhook import forwardtypes, leaftransport, logs, routetable
+from plantainhook import (
+    eventturns,
+    forwardtypes,
+    leaftransport,
+    logs,
+    routetable,
+)
 
 LOGGER: typing.Final = logs.part_logger("front")
 RECEIVE_BYTES: typing.Final = 65_536
@@ -232,8 +238,10 @@
             await self._send(self._http.send(proceed))
         # One buffer, because a body may arrive in chunks of one byte each.
         body = bytearray()
+        turns = eventturns.EventTurns()
         while True:
             event = self._http.next_event()
+            await turns.count()
             if event is h11.NEED_DATA:
                 with trio.fail_after(self._limits.idle_timeout_s):
                     await self._receive()
--- a/tests/test_damaged_peers.py
+++ b/tests/test_damaged_peers.py
@@ -47,7 +47,7 @@
     wire,
 )
 from plantainhook.platform import dialect, documents, store
-from tests import storebuilders, virtualtime, wiretransport
+from tests import eventcount, storebuilders, virtualtime, wiretransport
 
 KINDS: typing.Final = errors.LeafFailureKind
 ENTRY: typing.Final = {
@@ -135,14 +135,22 @@
         return await gateway.call(request, send)
 
     def run(
-        self, *request_ids: str, idempotent: bool = True
+        self,
+        *request_ids: str,
+        idempotent: bool = True,
+        beside: typing.Callable[[], typing.Awaitable[None]] | None = None,
     ) -> list[forwardgateway.ReplyResult]:
-        """Send requests one after the other; return their results."""
+        """Send requests one after the other; return their results.
+
+        ``beside`` is another task of the process.
+        """
         outcomes = []
 
         async def main() -> None:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.pools.run)
+                if beside is not None:
+                    nursery.start_soon(beside)
                 for request_id in request_ids:
                     outcomes.append(await self.call(request_id, idempotent))
                 nursery.cancel_scope.cancel()
@@ -231,8 +239,8 @@
 class EndlessTest(testtools.TestCase):
     """Check peers that send bytes without end."""
 
-    def exchange_bytes(self, first: bytes, repeated: bytes) -> int:
-        """Return the peak memory of a call to a leaf that never stops."""
+    def build_case(self, first: bytes, repeated: bytes) -> LeafCase:
+        """Return a case with a leaf that never stops."""
         case = LeafCase([])
 
         class Endless(wiretransport.ScriptedTransport):
@@ -248,6 +256,11 @@
 
         case.connect = connect  # type: ignore[method-assign]
         case.pools._connector = connect
+        return case
+
+    def exchange_bytes(self, first: bytes, repeated: bytes) -> int:
+        """Return the peak memory of a call to a leaf that never stops."""
+        case = self.build_case(first, repeated)
         tracemalloc.start()
         try:
             (outcome,) = case.run("one")
@@ -273,6 +286,33 @@
         )
         self.assertTrue(peak < 10_000_000)
 
+    def test_endless_body_of_short_chunks(self) -> None:
+        """Guard against a body that keeps all other tasks waiting.
+
+        Each chunk of one byte takes as much work as a long one, so a limit
+        on bytes allows a million of them, and one read has ten thousand.
+        """
+        case = self.build_case(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            b"1\r\nz\r\n" * 10_000,
+        )
+        with eventcount.counting() as counter:
+            (outcome,) = case.run("one", beside=counter.watch)
+        self.assertIs(KINDS.MALFORMED, outcome.unwrap_err().kind)
+        self.assertTrue(counter.longest_turn_count < 200)
+        self.assertTrue(counter.total_count < 10_000)
+
+    def test_long_body_of_short_chunks(self) -> None:
+        """Guard against a sound answer that counts as a body without end."""
+        chunks = b"10\r\n" + b"x" * 16 + b"\r\n"
+        reply = (
+            b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: one\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+        case = LeafCase([reply + chunks * 3000 + b"0\r\n\r\n"])
+        (outcome,) = case.run("one")
+        self.assertTrue(outcome.is_ok())
+
     def test_endless_interim_replies(self) -> None:
         """Guard against a call that ends only at its deadline."""
         self.exchange_bytes(b"", b"HTTP/1.1 100 Continue\r\n\r\n")
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -1,5 +1,6 @@
 """Tests of the HTTP server for callers, over a socket pair."""
 
+import dataclasses
 import socket
 import typing
 
@@ -7,6 +8,7 @@
 import trio
 
 from plantainhook import forwardtypes, httpserver, leaftransport, routetable
+from tests import eventcount
 
 GET: typing.Final = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
 LIMITS: typing.Final = routetable.ClientLimits(
@@ -20,11 +22,11 @@
     ``caller_end`` and ``server_end`` are the ends of the connection.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, limits: routetable.ClientLimits = LIMITS) -> None:
         self.bodies: list[bytes] = []
         self.cancelled_count = 0
         self.hang_s = 0.0
-        self.server = httpserver.HttpServer(self.handle, lambda: LIMITS)
+        self.server = httpserver.HttpServer(self.handle, lambda: limits)
         caller_end, server_end = socket.socketpair()
         self.caller_end = leaftransport.SocketTransport(caller_end)
         self.server_end = leaftransport.SocketTransport(server_end)
@@ -68,12 +70,13 @@
 
 def run_scenario(
     scenario: typing.Callable[[Caller], typing.Awaitable[None]],
+    limits: routetable.ClientLimits = LIMITS,
 ) -> Caller:
     """Serve one connection while a scenario acts as the caller."""
     callers: list[Caller] = []
 
     async def main() -> None:
-        caller = Caller()
+        caller = Caller(limits)
         callers.append(caller)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
@@ -113,6 +116,29 @@
 
         self.assertEqual([b"abcde"], run_scenario(scenario).bodies)
 
+    def test_body_of_short_chunks(self) -> None:
+        """Guard against a body that keeps all other tasks waiting."""
+
+        async def scenario(caller: Caller) -> None:
+            data = (
+                b"POST /a HTTP/1.1\r\nHost: h\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n"
+                + b"1\r\nz\r\n" * 8_000
+                + b"0\r\n\r\n"
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(counter.watch)
+                while data:
+                    data = data[await caller.caller_end.send_some(data) :]
+                self.assertIn(b"200", await caller.read(b"\r\n\r\n/a"))
+                nursery.cancel_scope.cancel()
+
+        limits = dataclasses.replace(LIMITS, body_bytes=8_000)
+        with eventcount.counting() as counter:
+            caller = run_scenario(scenario, limits)
+        self.assertEqual([b"z" * 8_000], caller.bodies)
+        self.assertTrue(counter.longest_turn_count < 200)
+
     def test_large_body_is_refused(self) -> None:
         """Guard against bodies over the size limit."""
 
