Take only requests that can be answered before a planned stop ends

Cause: connections were accepted until a fixed moment, 1 s before the exit, and requests on open ones even later, whatever their work needs. What was left at the exit was cancelled without an answer. Evidence: all lost requests arrived later than the exit less their work, all had reached a leaf, and the log counts 5 requests in flight at the exit of each daemon. Connections reset in the queue of the listener and leafs that break off were ruled out.

Change: stopadmission admits a request if it can be answered before the end, judged by the slowest recent answer of its route for 3 s and by its deadline after that; others get 503 at once. What runs 0.1 s before the exit is answered with 502, or 503 if it was not passed on. Daemons that stop refuse work of peers by the same rule.

--- a/plantainhook/branchserver.py
+++ b/plantainhook/branchserver.py
@@ -18,6 +18,7 @@
     logs,
     peers,
     routetable,
+    stopadmission,
     wire,
 )
 
@@ -52,9 +53,11 @@
         self,
         handlers: peers.Handlers,
         worker: branchworker.BranchWorker,
+        stop: stopadmission.StopAdmission,
         decisions: logs.DecisionLog,
     ) -> None:
         self._worker = worker
+        self._stop = stop
         self._decisions = decisions
         self._served: dict[Key, _Served] = {}
         # When branches ended, by key; the oldest comes first.
@@ -95,6 +98,10 @@
             return await self._next_result(served, 0.0, False, 0)
         if key in self._ended_s:
             return wire.Failed("the branch has ended")
+        if not self._stop.admits_work(
+            body.goal_ms / 1e3, body.deadline_ms / 1e3, trio.current_time()
+        ):
+            return wire.Refused("this daemon stops")
         services = tuple(body.services)
         task = _read_task(body, trio.current_time())
         running = self._worker.start(self._nursery, task)
--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -3,8 +3,9 @@
 It uses the same code as ``daemon`` for query decisions, membership and peer
 links. Its configuration and its leafs come from the platform's store. In a
 planned stop the daemon reports to the load balancer that it is not ready,
-serves requests that still arrive, closes each connection after its answer, and
-exits when no connection is left or the time for the stop is over.
+serves requests that still arrive if it can answer them in time, closes each
+connection after its answer, and exits when no connection is left or the time
+for the stop is over.
 """
 
 import functools
@@ -47,6 +48,7 @@
     routecontroller,
     routetable,
     shardmap,
+    stopadmission,
     storerelay,
     storereplica,
     windowbudget,
@@ -67,6 +69,9 @@
 # No connection is accepted in this time before the exit, so that the last
 # requests can be answered.
 LAST_REQUESTS_S: typing.Final = 1.0
+# Requests that still run are given up this long before the exit, so that
+# their callers are told.
+LAST_ANSWERS_S: typing.Final = 0.1
 IDLE_CHECK_INTERVAL_S: typing.Final = 0.05
 # Fraction of a leaf's connection limit that is divided among the daemons.
 DIVIDED_CONNECTIONS_RATIO: typing.Final = 0.9
@@ -113,6 +118,7 @@
         )
         self.shares.counts = callershares.FleetCounts(self.fleet.count(), 0)
         self.handlers = peers.Handlers()
+        self.stop_admission = stopadmission.StopAdmission()
         self.hello = wire.HelloFrame(
             version=wire.PROTOCOL_VERSION,
             incarnation=self.board.incarnation,
@@ -176,6 +182,7 @@
             self.links,
             self.handlers,
             self.gatherer_choice,
+            self.stop_admission,
             self.clock,
         )
         self.budgets = self._build_budgets()
@@ -197,7 +204,10 @@
             self._build_decision_log("attempt"),
         )
         self.branch_server = branchserver.BranchServer(
-            self.handlers, self.worker, self._build_decision_log("branch")
+            self.handlers,
+            self.worker,
+            self.stop_admission,
+            self._build_decision_log("branch"),
         )
         self.branches = branchgather.BranchGather(
             branchhelpers.Helpers(self.board, self.gatherer_choice),
@@ -222,6 +232,7 @@
                 self._build_decision_log("forward"),
                 self._build_decision_log("attempt"),
                 self.rng,
+                self.stop_admission,
             )
         )
         self.gatherers.run_here = self.service.answer_for_peer
@@ -318,12 +329,17 @@
     async def _stop(self) -> None:
         began_s = trio.current_time()
         end_s = began_s + self.forward.stop_timeout_s - EXIT_MARGIN_S
+        self.stop_admission.begin(
+            began_s + CLOSE_IDLE_AFTER_S, end_s - LAST_ANSWERS_S
+        )
         self.caller_server.drain()
         self._nursery.start_soon(self._announce)
         await trio.sleep(BALANCER_NOTICE_S)
         while trio.current_time() < end_s:
             if trio.current_time() >= end_s - LAST_REQUESTS_S:
                 self.caller_server.stop_accepting()
+            if trio.current_time() >= end_s - LAST_ANSWERS_S:
+                self.service.give_up()
             if trio.current_time() - began_s >= CLOSE_IDLE_AFTER_S:
                 self.caller_server.close_idle()
                 if not self._has_work():
--- a/plantainhook/forwardgateway.py
+++ b/plantainhook/forwardgateway.py
@@ -59,6 +59,9 @@
     notices: leafnotices.LeafNotices
     instruments: metrics.LeafMetrics
     failure_log: logs.DecisionLog
+    progress: forwardtypes.Progress = dataclasses.field(
+        default_factory=forwardtypes.Progress
+    )
 
     async def call(
         self, request: querytypes.QueryRequest, send: querytypes.Send
@@ -140,6 +143,7 @@
                 send.leaf, send.reason, trio.current_time()
             ):
                 self.instruments.limited_calls.labels(send.reason).inc()
+            self.progress.passed_on = True
             connection.record_request(request.request_id, send.deadline_s)
             # No deadline here: the query machine cancels late attempts.
             exchanged = await connection.exchange(
--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -36,6 +36,7 @@
     metrics,
     querytypes,
     routetable,
+    stopadmission,
     toprecords,
 )
 
@@ -75,6 +76,19 @@
     decisions: logs.DecisionLog
     failure_log: logs.DecisionLog
     rng: random.Random
+    stop: stopadmission.StopAdmission
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Running:
+    """Track a request that runs; ``scope`` is cancelled to give it up."""
+
+    progress: forwardtypes.Progress = dataclasses.field(
+        default_factory=forwardtypes.Progress
+    )
+    scope: trio.CancelScope = dataclasses.field(
+        default_factory=trio.CancelScope
+    )
 
 
 class ForwardService:
@@ -86,6 +100,7 @@
     def __init__(self, dependencies: Dependencies) -> None:
         self.dependencies = dependencies
         self.in_flight_count = 0
+        self._running: set[_Running] = set()
 
     async def answer(
         self, forwarded: forwardtypes.ForwardRequest
@@ -93,7 +108,9 @@
         """Answer a caller's request; cancelled if the caller disconnects."""
         self.in_flight_count += 1
         try:
-            return await self._answer(forwarded, trio.current_time(), True)
+            return await self._answer_or_give_up(
+                forwarded, trio.current_time(), True
+            )
         except Exception:
             # Leafs may have run the request, so this is not "unavailable".
             LOGGER.exception("Request {} failed.", forwarded.request_id)
@@ -113,13 +130,49 @@
         """
         margin_s = forwardplanner.PEER_MARGIN_MS / 1e3
         arrived_s = trio.current_time() - elapsed_s - margin_s
-        return await self._answer(forwarded, arrived_s, False)
+        return await self._answer_or_give_up(forwarded, arrived_s, False)
+
+    def give_up(self) -> None:
+        """Answer all requests that run as failed.
+
+        Pattern: a planned stop ends while leafs still work. A caller that is
+        told so can act sooner than one whose connection is closed.
+        """
+        for running in self._running:
+            running.scope.cancel()
+
+    async def _answer_or_give_up(
+        self,
+        forwarded: forwardtypes.ForwardRequest,
+        arrived_s: float,
+        may_forward: bool,
+    ) -> forwardtypes.Response:
+        running = _Running()
+        self._running.add(running)
+        try:
+            with running.scope:
+                return await self._answer(
+                    forwarded, arrived_s, may_forward, running.progress
+                )
+        finally:
+            self._running.discard(running)
+        passed_on = running.progress.passed_on
+        self.dependencies.decisions.log(
+            f"Request {forwarded.request_id} is given up: this daemon stops. "
+            f"It was {'passed on' if passed_on else 'not passed on'}."
+        )
+        if passed_on:
+            return forwardtypes.Response(
+                forwardtypes.STATUS_BAD_GATEWAY, [], b""
+            )
+        return self._build_retry_soon()
 
     async def _answer(
         self,
         forwarded: forwardtypes.ForwardRequest,
         arrived_s: float,
         may_forward: bool,
+        progress: forwardtypes.Progress,
     ) -> forwardtypes.Response:
         dependencies = self.dependencies
         if not self.is_started():
@@ -141,19 +194,46 @@
             return forwardtypes.Response(
                 forwardtypes.STATUS_NOT_FOUND, [], b""
             )
+        if not self._admits(forwarded, route, arrived_s):
+            dependencies.decisions.log(
+                f"Request {forwarded.request_id} on route {route.name} is "
+                "refused: this daemon stops."
+            )
+            return self._build_retry_soon()
+        # Other daemons may have a scatter-gather request from here on.
+        progress.passed_on = route.gather is not None
         if may_forward and route.gather is not None:
             answered = await dependencies.gatherers.answer(
                 forwarded, route, arrived_s
             )
             if answered is not None:
                 return answered
-        return await self._run_query(forwarded, route, arrived_s)
+        return await self._run_query(forwarded, route, arrived_s, progress)
+
+    def _admits(
+        self,
+        forwarded: forwardtypes.ForwardRequest,
+        route: routetable.Route,
+        arrived_s: float,
+    ) -> bool:
+        """Return whether a request can be answered before this daemon stops.
+
+        The executor ends it at its deadline.
+        """
+        request = forwardplanner.build_query_request(
+            forwarded, route, arrived_s
+        )
+        now_s = trio.current_time()
+        return self.dependencies.stop.admits(
+            route.name, route.goal_ms / 1e3, request.deadline_s - now_s, now_s
+        )
 
     async def _run_query(
         self,
         forwarded: forwardtypes.ForwardRequest,
         route: routetable.Route,
         arrived_s: float,
+        progress: forwardtypes.Progress,
     ) -> forwardtypes.Response:
         """Run a request on leafs and return the response."""
         services = self._choose_services(route)
@@ -193,6 +273,7 @@
             dependencies.notices,
             dependencies.instruments,
             dependencies.failure_log,
+            progress,
         )
         outcome = await executor.run_query(
             machine, request, gateway, dependencies.planner.clock
@@ -247,6 +328,10 @@
         dependencies.forward_metrics.count(
             route, outcome, duration_s, self.in_flight_count
         )
+        if not isinstance(outcome, errors.RefusalError):
+            dependencies.stop.record(
+                route.name, duration_s, trio.current_time()
+            )
         dependencies.decisions.log(
             describe_outcome(forwarded.request_id, route, outcome, duration_s)
         )
@@ -392,6 +477,12 @@
                 return wait_s
         return 0.0
 
+    def _build_retry_soon(self) -> forwardtypes.Response:
+        """Build the response to a request that another daemon may take."""
+        return self._build_unavailable(
+            self.dependencies.rng.uniform(RETRY_MIN_S, RETRY_MAX_S)
+        )
+
     def _build_unavailable(
         self, retry_after_s: float
     ) -> forwardtypes.Response:
--- a/plantainhook/forwardtypes.py
+++ b/plantainhook/forwardtypes.py
@@ -41,6 +41,16 @@
         return self.target.partition(b"?")[0].decode("latin-1")
 
 
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """Track a request that runs.
+
+    ``passed_on`` is set once a leaf or another daemon may have received it.
+    """
+
+    passed_on: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
     """Represent the response to a caller."""
--- a/plantainhook/gatherers.py
+++ b/plantainhook/gatherers.py
@@ -12,6 +12,7 @@
 """
 
 import dataclasses
+import math
 import typing
 from collections import abc
 
@@ -29,6 +30,7 @@
     membercapacity,
     peers,
     routetable,
+    stopadmission,
     wire,
 )
 
@@ -85,11 +87,13 @@
         transport: peers.PeerTransport,
         handlers: peers.Handlers,
         choice: "GathererChoice",
+        stop: stopadmission.StopAdmission,
         time_source: clock.Clock,
     ) -> None:
         self._board = board
         self._transport = transport
         self._choice = choice
+        self._stop = stop
         self._clock = time_source
         self._avoid_until_s: dict[str, float] = {}
         self._running: dict[tuple[int, str], trio.CancelScope] = {}
@@ -212,6 +216,11 @@
     async def _on_work(
         self, sender: wire.HelloFrame, body: wire.HttpWork
     ) -> wire.AnyBody:
+        left_s = math.inf
+        if body.left_ms is not None:
+            left_s = (body.left_ms - body.elapsed_ms) / 1e3
+        if not self._stop.admits_work(0.0, left_s, trio.current_time()):
+            return wire.Refused("this daemon stops")
         forwarded = read_forwarded(body, body.left_ms)
         key = (sender.incarnation, body.request_id)
         scope = self._running[key] = trio.CancelScope()
--- a/tests/test_branches.py
+++ b/tests/test_branches.py
@@ -25,6 +25,7 @@
     memorynet,
     peers,
     routetable,
+    stopadmission,
     wire,
 )
 from tests import test_gathersplit, virtualtime
@@ -136,8 +137,9 @@
             logs.part_logger("branch"), clock.TrioClock(), 50.0
         )
         self.worker = FakeWorker()
+        self.stop = stopadmission.StopAdmission()
         self.server = branchserver.BranchServer(
-            handlers, self.worker, decisions
+            handlers, self.worker, self.stop, decisions
         )
         self.gather = branchgather.BranchGather(
             branchhelpers.Helpers(
@@ -244,6 +246,20 @@
 
         run_scenario(scenario)
 
+    def test_helper_that_stops(self) -> None:
+        """Guard against parts that are lost when their helper exits."""
+
+        async def scenario(fleet: Fleet) -> None:
+            now_s = trio.current_time()
+            for daemon in fleet.daemons[1:]:
+                daemon.stop.begin(now_s, now_s + 0.05)
+            outcome = await fleet.gather()
+            assert isinstance(outcome, gathertypes.Gathered)
+            self.assertEqual((), outcome.missing)
+            self.assertEqual([1, 0, 0], fleet.started_counts())
+
+        run_scenario(scenario)
+
     def test_silent_helper_ends_the_query_early(self) -> None:
         """Guard against callers that wait for a helper that was cut off.
 
--- a/tests/test_gatherers.py
+++ b/tests/test_gatherers.py
@@ -14,6 +14,7 @@
     memorynet,
     peers,
     routetable,
+    stopadmission,
     wire,
 )
 from tests import virtualtime
@@ -95,6 +96,7 @@
         self.network = memorynet.MemoryNetwork(nursery, random.Random(1))
         self.ran_on: list[int] = []
         self.cancelled_on: list[int] = []
+        self.stops = [stopadmission.StopAdmission() for _ in range(count)]
         members = {n: member(n, 215 if n < 2 else 52) for n in range(count)}
         self.daemons = [self._build(n, members) for n in range(count)]
         self.hang_s = 0.01
@@ -120,6 +122,7 @@
             transport,
             handlers,
             gatherers.GathererChoice(board, OPTIONS),
+            self.stops[number],
             clock.TrioClock(),
         )
 
@@ -211,6 +214,21 @@
 
         run_scenario(20, scenario)
 
+    def test_gatherer_that_stops(self) -> None:
+        """Guard against requests that are cut when their gatherer exits."""
+
+        async def scenario(fleet: Fleet) -> None:
+            now_s = trio.current_time()
+            for number in (0, 1):
+                fleet.stops[number].begin(now_s, now_s + 0.1)
+            answer = await fleet.daemons[9].answer(
+                request(1), ROUTE, trio.current_time()
+            )
+            self.assertIs(None, answer)
+            self.assertEqual([], fleet.ran_on)
+
+        run_scenario(20, scenario)
+
     def test_disconnect_cancels_at_the_gatherer(self) -> None:
         """Guard against leafs that work for a caller that disconnected."""
 
