Use a larger part of a budget only after a window

Reproduced with six daemons as processes and leafs that refuse 6 in 10 calls, at: with three planned stops at once a shard got 147 repeats in 10 s, and with stops of all daemons 1 s apart 145; 134 are allowed. Without stops it got 112.

Cause: the fixed part of a shard's budget is divided by the daemons that take work at this moment. One that drains leaves that number at once, while it still calls and its earlier calls count for 10 s. The same holds when leafs move to another data centre. A daemon that has just started divided by the few members that it knew, and daemons of a large fleet that are no gatherers used a gatherer's part.

Change: a daemon uses the largest divisor of the last 12 s. Members that are only assumed count as callers near the leafs, and daemons that are no gatherers share a small part.

--- a/plantainhook/callershares.py
+++ b/plantainhook/callershares.py
@@ -8,38 +8,70 @@
 Pattern: the leafs of a shard are slow, and hedges and retries decide whether
 a query is complete. If the limit were divided among all daemons, the parts of
 those that hardly ever call the service would be wasted.
+
+The parts add up to the limit at any moment, but a limit holds for a window.
+The calls that others made with their earlier parts still count in it, so a
+larger part is used only after it has been due for ``RETENTION_S``.
 """
 
+import collections
 import typing
+from collections import abc
 
 from plantainhook import blackboard, clock, gatherers, shardmap
 
 # Part of a limit for the daemons in data centres without a leaf of the
 # service.
 DISTANT_RATIO: typing.Final = 0.15
-# A data centre counts as one of a service's for this time after its last leaf
-# has left, because earlier calls still count in the budget window.
+# Part of a limit for the daemons of a large fleet that are no gatherers. They
+# call shards only if no gatherer takes their requests.
+NO_GATHERER_RATIO: typing.Final = 0.05
+# Longer than the budget window and than the time in which all daemons learn of
+# a change.
 RETENTION_S: typing.Final = 12.0
 
 
 class FleetCounts(typing.NamedTuple):
     """Represent the numbers of daemons among which limits are divided.
 
-    ``gatherers_count`` is 0 if all daemons gather.
+    ``gatherers_count`` is 0 if all daemons gather. ``unknown_count`` is how
+    many of the fleet are only assumed, because this daemon has just started.
     """
 
     fleet_count: int
     gatherers_count: int
+    unknown_count: int = 0
 
     def callers_count(self) -> int:
         """Return the number of daemons that call shards."""
         return self.gatherers_count or self.fleet_count
 
 
+class RecentMaximum:
+    """Return the largest of the values of the last ``RETENTION_S``."""
+
+    def __init__(self) -> None:
+        # Values and when each was current last; both descend or ascend.
+        self._values: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
+
+    def update(self, value: float, now_s: float) -> float:
+        """Record the current value; return the maximum."""
+        values = self._values
+        while values and values[-1][0] <= value:
+            values.pop()
+        values.append((value, now_s))
+        while values[0][1] < now_s - RETENTION_S:
+            values.popleft()
+        return values[0][0]
+
+
 class CallerShares:
     """Return among how many daemons a limit of a service is divided.
 
-    The owner updates ``counts``.
+    The owner updates ``counts`` and calls ``refresh`` about once a second,
+    also while there are no calls.
     """
 
     counts: FleetCounts
@@ -59,49 +91,80 @@
         self._uses_helpers = uses_helpers
         self._clock = time_source
         self._leafs: dict[str, shardmap.LeafInfo] = {}
-        self._present: dict[str, set[str]] = {}
-        self._left_s: dict[str, dict[str, float]] = {}
+        self._data_centres: dict[str, set[str]] = {}
+        self._maxima: dict[str, RecentMaximum] = {}
 
     def divisor(self, service: str) -> float:
-        """Return the number by which this daemon divides a limit."""
+        """Return the number by which this daemon divides a limit.
+
+        It is the largest that was due in the last ``RETENTION_S``. Daemons
+        that were only assumed made no calls, so they count now or never.
+        """
+        counts = self.counts
+        known = counts.fleet_count - counts.unknown_count
+        maximum = self._maxima.setdefault(service, RecentMaximum())
+        recent = maximum.update(
+            self._due_divisor(service, known), self._clock.now_s()
+        )
+        if not counts.unknown_count:
+            return recent
+        return max(recent, self._due_divisor(service, counts.fleet_count))
+
+    def refresh(self, services: abc.Collection[str]) -> None:
+        """Record the parts that are due; forget all other services."""
+        self._maxima = {
+            service: maximum
+            for service, maximum in self._maxima.items()
+            if service in services
+        }
+        for service in services:
+            self.divisor(service)
+
+    def _due_divisor(self, service: str, fleet_count: int) -> float:
+        """Return the divisor that belongs to a fleet and the present leafs."""
         if service not in self._board.routes.gathered_services:
-            return self.counts.fleet_count
-        all_count = self.counts.callers_count()
+            return fleet_count
+        callers = self._choice.by_data_centre()
+        known_count = sum(len(members) for members in callers.values())
+        used_ratio = 1.0
+        if self.counts.gatherers_count:
+            used_ratio -= NO_GATHERER_RATIO
+            if not self._is_gatherer(callers):
+                others_count = fleet_count - known_count
+                return max(1, others_count) / NO_GATHERER_RATIO
+        all_count = max(
+            self.counts.gatherers_count or fleet_count, known_count
+        )
         if not self._uses_helpers:
-            return all_count
-        near = self._data_centres(service)
+            return all_count / used_ratio
+        near = self._data_centres_of(service)
         near_count = sum(
-            len(members)
-            for name, members in self._choice.by_data_centre().items()
-            if name in near
+            len(members) for name, members in callers.items() if name in near
         )
         if not 0 < near_count < all_count:
-            return all_count
+            return all_count / used_ratio
         if self._data_centre in near:
-            return near_count / (1.0 - DISTANT_RATIO)
-        return (all_count - near_count) / DISTANT_RATIO
-
-    def _data_centres(self, service: str) -> set[str]:
-        """Return the data centres that have or recently had a leaf."""
-        self._update()
-        now_s = self._clock.now_s()
-        recent = {
-            name
-            for name, left_s in self._left_s.get(service, {}).items()
-            if now_s - left_s < RETENTION_S
-        }
-        return self._present.get(service, set()) | recent
+            # A daemon that is not known yet may be near too.
+            near_count += all_count - known_count
+            return near_count / (1.0 - DISTANT_RATIO) / used_ratio
+        return (all_count - near_count) / DISTANT_RATIO / used_ratio
+
+    def _is_gatherer(
+        self, callers: abc.Mapping[str, list[blackboard.MemberInfo]]
+    ) -> bool:
+        return any(
+            member.incarnation == self._board.incarnation
+            for member in callers.get(self._data_centre, ())
+        )
 
-    def _update(self) -> None:
-        """Note which data centres have lost their last leaf of a service."""
+    def _data_centres_of(self, service: str) -> set[str]:
+        """Return the data centres that have a leaf of a service."""
         leafs = self._board.settings.leafs
-        if leafs is self._leafs:
-            return
-        self._leafs = leafs
-        before, self._present = self._present, {}
-        for info in leafs.values():
-            self._present.setdefault(info.service, set()).add(info.data_centre)
-        now_s = self._clock.now_s()
-        for service, data_centres in before.items():
-            for name in data_centres - self._present.get(service, set()):
-                self._left_s.setdefault(service, {})[name] = now_s
+        if leafs is not self._leafs:
+            self._leafs = leafs
+            self._data_centres = {}
+            for info in leafs.values():
+                self._data_centres.setdefault(info.service, set()).add(
+                    info.data_centre
+                )
+        return self._data_centres.get(service, set())
--- a/plantainhook/fleetsize.py
+++ b/plantainhook/fleetsize.py
@@ -51,3 +51,7 @@
         if now_s - self._started_s < RETENTION_S:
             return max(self._min_count, len(self._last_seen_s))
         return max(1, len(self._last_seen_s))
+
+    def unknown_count(self) -> int:
+        """Return how many of the counted daemons were never seen."""
+        return self.count() - max(1, len(self._last_seen_s))
--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -116,7 +116,9 @@
             forward.gather_levels_count > 1,
             self.clock,
         )
-        self.shares.counts = callershares.FleetCounts(self.fleet.count(), 0)
+        self.shares.counts = callershares.FleetCounts(
+            self.fleet.count(), 0, self.fleet.unknown_count()
+        )
         self.handlers = peers.Handlers()
         self.stop_admission = stopadmission.StopAdmission()
         self.hello = wire.HelloFrame(
@@ -372,15 +374,22 @@
             with trio.move_on_after(1.0):
                 await self.board.change_event(blackboard.Topic.MEMBERS).wait()
             fleet_counts = callershares.FleetCounts(
-                self.fleet.count(), self.gatherer_choice.count()
+                self.fleet.count(),
+                self.gatherer_choice.count(),
+                self.fleet.unknown_count(),
+            )
+            is_changed = fleet_counts != self.shares.counts
+            self.shares.counts = fleet_counts
+            self.shares.refresh(
+                self.board.routes.gathered_services
+                | self.board.routes.services.keys()
             )
-            if fleet_counts != self.shares.counts:
+            if is_changed:
                 LOGGER.info(
                     "The fleet has {} daemons, of which {} gather (0: all).",
                     fleet_counts.fleet_count,
                     fleet_counts.gatherers_count,
                 )
-                self.shares.counts = fleet_counts
                 self.board.notify(blackboard.Topic.SHARES)
             await trio.sleep(0.2)
 
