Bound extra calls in short spans, for restarts that forget them

Cause: a daemon that starts again let its budget grow in proportion to its age. That is right if the earlier run spent evenly, but that run could spend the budget of a whole window at once, just before its end.

Change: half of a window's budget may be spent at once, and the rest in proportion to the length of the span. What an earlier run can have left in the window that ends now then falls with the age of the new run, whose budget grows by as much. Nothing has to be remembered.

--- a/plantainhook/windowbudget.py
+++ b/plantainhook/windowbudget.py
@@ -11,16 +11,26 @@
 Queries are therefore ranked. The more of the budget is used, the lower the
 rank that a query must have for an extra call, so the same queries are served
 at every shard.
+
+Pattern: many daemons are killed at once and start again. What they spent just
+before still counts, and nobody remembers it. A shorter span therefore has a
+budget too, which is more than its part of the window but less than all. So
+much of the window's budget is always left that a daemon which has just started
+can spend a part that grows with its age.
 """
 
 import collections
 import dataclasses
+import math
 import typing
 from collections import abc
 
 # Requests are counted in three windows, which end now, half a window ago and a
 # whole window ago. The largest count applies, so two windows are kept.
 REQUEST_WINDOWS_COUNT: typing.Final = 2
+# Part of the budget of a window that may be spent at once. The rest of it
+# becomes available in proportion to the length of the span.
+BURST_RATIO: typing.Final = 0.5
 SLICES_PER_WINDOW: typing.Final = 20
 # The rest of the budget is a reserve: a sliding window that begins within a
 # slice can contain one slice more.
@@ -76,10 +86,25 @@
                 counted[1] -= 1.0
                 return
 
-    def extra_count(self, now_s: float) -> float:
-        """Return the number of extra calls in the window that ends now."""
-        oldest_s = now_s - self.slice_s * (SLICES_PER_WINDOW + 1)
-        return sum(count for at_s, count in self.extras if at_s > oldest_s)
+    def used_ratio(self, limit_count: float, now_s: float) -> float:
+        """Return how much of a budget one more extra call would use.
+
+        ``limit_count`` is the budget of a window. The result is the largest
+        of the window and of all shorter spans that end now.
+        """
+        if limit_count <= 0.0:
+            return math.inf
+        window_s = self.slice_s * SLICES_PER_WINDOW
+        used_count = 1.0
+        largest = used_count / BURST_RATIO
+        for at_s, count in reversed(self.extras):
+            if at_s <= now_s - window_s - self.slice_s:
+                break
+            used_count += count
+            span_ratio = min(1.0, (now_s - at_s) / window_s)
+            usable = BURST_RATIO + (1.0 - BURST_RATIO) * span_ratio
+            largest = max(largest, used_count / usable)
+        return largest / limit_count
 
     def request_count(self, now_s: float) -> float:
         """Return the largest number of requests in the recent windows."""
@@ -116,8 +141,8 @@
 
     ``divisor_of`` returns by what the fixed number is divided for a service,
     so that the parts of all daemons add up to at most that number. A restarted
-    daemon does not know the extra calls of its previous run, so its part of
-    the fixed number becomes available gradually over the first window.
+    daemon does not know the extra calls of its previous run. Its budget grows
+    over the first window as the share of those that may still count falls.
     """
 
     rules: WindowRules
@@ -159,10 +184,14 @@
     def limit_count(self, group: str, now_s: float) -> float:
         """Return how many extra calls this daemon may make in a window."""
         rules = self.rules
-        ramp = min(1.0, (now_s - self.started_s) / rules.window_s)
-        fixed = rules.extra_count / max(1.0, self.divisor_of(group)) * ramp
+        fixed = rules.extra_count / max(1.0, self.divisor_of(group))
         requests = self.of(group).request_count(now_s)
-        return USED_RATIO * (rules.extra_ratio * requests + fixed)
+        age_ratio = (now_s - self.started_s) / rules.window_s
+        if age_ratio >= 1.0:
+            return USED_RATIO * (rules.extra_ratio * requests + fixed)
+        # The requests since the start grow with the age themselves.
+        counted = rules.extra_ratio * requests + fixed * age_ratio
+        return USED_RATIO * (1.0 - BURST_RATIO) * counted
 
     def affordable_ratio(self, group: str, now_s: float) -> float:
         """Return how many extra calls are allowed per request."""
@@ -176,9 +205,8 @@
     ) -> bool:
         budget = self.of(group)
         limit = self.limit_count(group, now_s) * usable_ratio
-        used = budget.extra_count(now_s) + 1.0
         rank_ratio = UNRANKED_RATIO + (1.0 - UNRANKED_RATIO) * (1.0 - rank)
-        if used > limit * rank_ratio:
+        if budget.used_ratio(limit, now_s) > rank_ratio:
             return False
         budget.record_extra(now_s)
         return True
--- a/tests/test_budgetfleet.py
+++ b/tests/test_budgetfleet.py
@@ -24,6 +24,30 @@
         fleet.run(25.0)
         self.assertTrue(0.6 < fleet.worst_ratio <= 1.0, fleet.worst_ratio)
 
+    def test_restart_of_all(self) -> None:
+        """Guard against calls of an earlier run that nobody remembers.
+
+        Pattern: leafs refuse, and then all daemons are killed at once.
+        """
+        for before_s in (0.3, 2.0, 5.0, 9.0):
+            fleet = self.build()
+            fleet.fails = True
+            fleet.run(before_s)
+            for daemon in fleet.daemons:
+                daemon.start()
+            fleet.run(15.0)
+            self.assertTrue(fleet.worst_ratio <= 1.0, fleet.worst_ratio)
+
+    def test_restart_one_by_one(self) -> None:
+        """Guard against the same with kills that follow one another."""
+        fleet = self.build()
+        fleet.fails = True
+        for daemon in fleet.daemons:
+            fleet.run(1.3)
+            daemon.start()
+        fleet.run(15.0)
+        self.assertTrue(fleet.worst_ratio <= 1.0, fleet.worst_ratio)
+
     def test_planned_stop_of_half(self) -> None:
         """Guard against the part of a stopping daemon that is used twice.
 
