Count requests for the budget in one window only

Cause: each daemon took the largest of its last three windows of requests, as the platform does for the whole fleet. If load moves from one daemon to another, the sum of the largest counts is more than the largest sum: requests count at both.

Change: only the window that ends now counts. While load falls, the budget is smaller than what the platform would allow.

--- a/plantainhook/windowbudget.py
+++ b/plantainhook/windowbudget.py
@@ -25,9 +25,6 @@
 import typing
 from collections import abc
 
-# Requests are counted in three windows, which end now, half a window ago and a
-# whole window ago. The largest count applies, so two windows are kept.
-REQUEST_WINDOWS_COUNT: typing.Final = 2
 # Part of the budget of a window that may be spent at once. The rest of it
 # becomes available in proportion to the length of the span.
 BURST_RATIO: typing.Final = 0.5
@@ -73,11 +70,11 @@
 
     def record_request(self, now_s: float) -> None:
         """Count a request."""
-        self._count(self.requests, now_s, REQUEST_WINDOWS_COUNT)
+        self._count(self.requests, now_s)
 
     def record_extra(self, now_s: float) -> None:
         """Count an extra call."""
-        self._count(self.extras, now_s, 1)
+        self._count(self.extras, now_s)
 
     def remove_extra(self) -> None:
         """Remove the last extra call that was counted."""
@@ -107,31 +104,29 @@
         return largest / limit_count
 
     def request_count(self, now_s: float) -> float:
-        """Return the largest number of requests in the recent windows."""
-        window_s = self.slice_s * SLICES_PER_WINDOW
-        ends_s = (now_s, now_s - window_s / 2, now_s - window_s)
-        return max(self._requests_until(end_s, window_s) for end_s in ends_s)
+        """Return the number of requests in the window that ends now.
 
-    def _requests_until(self, end_s: float, window_s: float) -> float:
+        The platform counts the window before it too if that has more. But
+        load may move from one daemon to another, and if each of them used its
+        largest count, requests would be counted at both.
+        """
+        window_s = self.slice_s * SLICES_PER_WINDOW
         return sum(
-            count
-            for at_s, count in self.requests
-            if end_s - window_s < at_s <= end_s
+            count for at_s, count in self.requests if at_s > now_s - window_s
         )
 
     def _count(
         self,
         slices: collections.deque[list[float]],
         now_s: float,
-        windows_count: int,
     ) -> None:
         at_s = now_s - now_s % self.slice_s
         if slices and slices[-1][0] == at_s:
             slices[-1][1] += 1.0
         else:
             slices.append([at_s, 1.0])
-        keep_s = self.slice_s * SLICES_PER_WINDOW * windows_count
-        while slices[0][0] < now_s - keep_s - 2 * self.slice_s:
+        keep_s = self.slice_s * (SLICES_PER_WINDOW + 2)
+        while slices[0][0] < now_s - keep_s:
             slices.popleft()
 
 
--- a/tests/test_budgetfleet.py
+++ b/tests/test_budgetfleet.py
@@ -77,6 +77,21 @@
         fleet.run(15.0)
         self.assertTrue(fleet.worst_ratio <= 1.0, fleet.worst_ratio)
 
+    def test_load_that_moves(self) -> None:
+        """Guard against requests that count at two daemons.
+
+        Pattern: the callers of one data centre move to another.
+        """
+        fleet = self.build()
+        fleet.set_load(300.0, "a")
+        fleet.run(12.0)
+        fleet.set_load(300.0, "bc")
+        fleet.run(6.0)
+        fleet.set_load(300.0)
+        fleet.fails = True
+        fleet.run(15.0)
+        self.assertTrue(fleet.worst_ratio <= 1.0, fleet.worst_ratio)
+
     def test_leafs_that_move(self) -> None:
         """Guard against parts that change hands within a window."""
         fleet = self.build(leafs="a")
