Refuse requests that wait too long during a planned stop

What callers saw (a script of our own, planned stops of seven daemons 1 s apart, work of up to 2.55 s): in two of three runs 5 and 12 requests that had been taken 0.3 s to 1.3 s after SIGTERM got 502 at the end of the stop. Before such requests were cut without an answer.

Cause: they waited up to 2.5 s for a connection to a leaf, because few daemons of the data centre were left, and were then passed on although their work could not end in time. Admission was decided at their arrival only. Evidence: the leaf's record has their arrival 2.5 s after they were sent.

One that can't be answered in time any more is refused with 503.

Test: test_queue_is_refused_in_time failed before the change.

--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -10,6 +10,7 @@
 """
 
 import dataclasses
+import math
 import random
 import typing
 from collections import abc
@@ -81,8 +82,13 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Running:
-    """Track a request that runs; ``scope`` is cancelled to give it up."""
+    """Track a request that runs; ``scope`` is cancelled to give it up.
 
+    ``route`` is set once the request is admitted.
+    """
+
+    route: routetable.Route | None = None
+    deadline_s: float = math.inf
     progress: forwardtypes.Progress = dataclasses.field(
         default_factory=forwardtypes.Progress
     )
@@ -132,6 +138,20 @@
         arrived_s = trio.current_time() - elapsed_s - margin_s
         return await self._answer_or_give_up(forwarded, arrived_s, False)
 
+    def refuse_waiting(self) -> None:
+        """Refuse requests that wait and can't be answered in time any more.
+
+        Pattern: a planned stop under load, with requests that wait for a
+        connection to a leaf.
+        """
+        for running in self._running:
+            if (
+                running.route is not None
+                and not running.progress.passed_on
+                and not self._admits(running.route, running.deadline_s)
+            ):
+                running.scope.cancel()
+
     def give_up(self) -> None:
         """Answer all requests that run as failed.
 
@@ -152,7 +172,7 @@
         try:
             with running.scope:
                 return await self._answer(
-                    forwarded, arrived_s, may_forward, running.progress
+                    forwarded, arrived_s, may_forward, running
                 )
         finally:
             self._running.discard(running)
@@ -172,7 +192,7 @@
         forwarded: forwardtypes.ForwardRequest,
         arrived_s: float,
         may_forward: bool,
-        progress: forwardtypes.Progress,
+        running: _Running,
     ) -> forwardtypes.Response:
         dependencies = self.dependencies
         if not self.is_started():
@@ -194,43 +214,43 @@
             return forwardtypes.Response(
                 forwardtypes.STATUS_NOT_FOUND, [], b""
             )
-        if not self._admits(forwarded, route, arrived_s):
+        request = forwardplanner.build_query_request(
+            forwarded, route, arrived_s
+        )
+        running.deadline_s = request.deadline_s
+        if not self._admits(route, running.deadline_s):
             dependencies.decisions.log(
                 f"Request {forwarded.request_id} on route {route.name} is "
                 "refused: this daemon stops."
             )
             return self._build_retry_soon()
         # Other daemons may have a scatter-gather request from here on.
-        progress.passed_on = route.gather is not None
+        running.progress.passed_on = route.gather is not None
+        running.route = route
         if may_forward and route.gather is not None:
             answered = await dependencies.gatherers.answer(
                 forwarded, route, arrived_s
             )
             if answered is not None:
                 return answered
-        return await self._run_query(forwarded, route, arrived_s, progress)
+        return await self._run_query(
+            forwarded, request, route, arrived_s, running.progress
+        )
 
-    def _admits(
-        self,
-        forwarded: forwardtypes.ForwardRequest,
-        route: routetable.Route,
-        arrived_s: float,
-    ) -> bool:
+    def _admits(self, route: routetable.Route, deadline_s: float) -> bool:
         """Return whether a request can be answered before this daemon stops.
 
         The executor ends it at its deadline.
         """
-        request = forwardplanner.build_query_request(
-            forwarded, route, arrived_s
-        )
         now_s = trio.current_time()
         return self.dependencies.stop.admits(
-            route.name, route.goal_ms / 1e3, request.deadline_s - now_s, now_s
+            route.name, route.goal_ms / 1e3, deadline_s - now_s, now_s
         )
 
     async def _run_query(
         self,
         forwarded: forwardtypes.ForwardRequest,
+        request: querytypes.QueryRequest,
         route: routetable.Route,
         arrived_s: float,
         progress: forwardtypes.Progress,
@@ -252,9 +272,6 @@
             )
         dependencies = self.dependencies
         started_s = trio.current_time()
-        request = forwardplanner.build_query_request(
-            forwarded, route, arrived_s
-        )
         await dependencies.tokens.prepare(
             dependencies.planner.version_view(services),
             services,
--- a/tests/test_stopadmission.py
+++ b/tests/test_stopadmission.py
@@ -185,6 +185,31 @@
 
         self.run_stop(10.0, scenario, expected_s=0.1)
 
+    def test_queue_is_refused_in_time(self) -> None:
+        """Guard against requests that wait and are passed on too late.
+
+        Each request needs the only connection for 1.8 s.
+        """
+        answers: list[tuple[bytes, float]] = []
+
+        async def scenario(caller: Caller) -> None:
+            began_s = trio.current_time()
+
+            async def send() -> None:
+                status = await caller.send(5_000)
+                answers.append((status, trio.current_time() - began_s))
+
+            async with trio.open_nursery() as nursery:
+                for _ in range(3):
+                    await trio.sleep(0.1)
+                    nursery.start_soon(send)
+
+        leaf = self.run_stop(1.8, scenario, max_conns=1)
+        self.assertEqual(2, leaf.requests_count)
+        (refused_s,) = (at_s for status, at_s in answers if b"503" in status)
+        self.assertTrue(refused_s < 3.5)
+        self.assertEqual(2, sum(b"200" in status for status, _ in answers))
+
     def test_request_that_waits_is_answered_as_not_run(self) -> None:
         """Guard against a failure that a caller can't repeat.
 
