Read the other entries of a reply of which one is unreadable

After a restart of all daemons every request got 503 for as long as the entry was there.

Cause: a reply of the store was decoded as a whole, and an error in one entry counted as an unavailable store; the same reply then came again without end. Related: a string with a lone surrogate could be decoded, but not encoded for the peers that pull from this daemon.

Change: lenientjson decodes such a reply value by value. Unreadable values become null, and the result can always be encoded. Items and events are converted one by one, and invalid ones are logged and left out.

Test: test_unreadable_entry failed before the change.

--- a/plantainhook/platform/store.py
+++ b/plantainhook/platform/store.py
@@ -4,10 +4,10 @@
 ``objectsource.ObjectSource``. Every failure is an ``ObjectApiError``.
 """
 
-import json
 import math
 import typing
 import urllib.parse
+from collections import abc
 
 import h11
 import msgspec
@@ -18,6 +18,7 @@
     errors,
     httpconnection,
     leaftransport,
+    lenientjson,
     logs,
     objectsource,
     steps,
@@ -48,9 +49,12 @@
 
 
 class ListReply(msgspec.Struct, rename="kebab"):
-    """Represent one page of a listing; ``more`` if others follow."""
+    """Represent one page of a listing; ``more`` if others follow.
 
-    items: list[StoredDocument]
+    ``items`` are converted to ``StoredDocument`` one by one.
+    """
+
+    items: list[typing.Any]
     store_revision: int
     more: bool = False
 
@@ -63,9 +67,12 @@
 
 
 class WatchReply(msgspec.Struct, rename="kebab"):
-    """Represent the changes after a revision."""
+    """Represent the changes after a revision.
 
-    events: list[Event]
+    ``events`` are converted to ``Event`` one by one.
+    """
+
+    events: list[typing.Any]
     store_revision: int
 
 
@@ -98,7 +105,8 @@
             if isinstance(read, result.Err):
                 return read
             page, era = read.ok_value
-            objects += [_to_source_object(item) for item in page.items]
+            items = _convert_each(self.kind, page.items, StoredDocument)
+            objects += [_to_source_object(item) for item in items]
             # The position of the first page: a watch from there also returns
             # the changes made between two pages.
             if position is None:
@@ -106,9 +114,9 @@
             if era != position.era:
                 detail = "the store was restored between two pages"
                 return result.Err(self._unavailable(detail))
-            if not page.more or not page.items:
+            if not page.more or not items:
                 return result.Ok(objectsource.Listing(objects, position))
-            query = {"after": page.items[-1].meta.name}
+            query = {"after": items[-1].meta.name}
 
     async def watch(
         self, position: objectsource.Position, wait_s: float
@@ -136,7 +144,7 @@
             )
         changes = [
             objectsource.Change(_to_source_object(event.object), event.deleted)
-            for event in reply.events
+            for event in _convert_each(self.kind, reply.events, Event)
         ]
         return result.Ok(
             objectsource.Changes(
@@ -196,11 +204,11 @@
                 )
             )
         try:
-            decoded = json.loads(raw.body.decode("utf-8", "replace"))
+            decoded = lenientjson.decode(raw.body)
             return result.Ok(
                 (msgspec.convert(decoded, reply_type), _parse_era(raw))
             )
-        except (ValueError, RecursionError, msgspec.ValidationError) as error:
+        except msgspec.ValidationError as error:
             return result.Err(
                 self._unavailable(f"the reply cannot be decoded: {error}")
             )
@@ -275,6 +283,23 @@
     return int(value) if value.isdigit() and len(value) < ERA_DIGITS else 0
 
 
+def _convert_each(
+    kind: str, parts: abc.Iterable[typing.Any], part_type: type[T]
+) -> list[T]:
+    """Convert the parts of a reply; leave out and log invalid ones."""
+    converted = []
+    for part in parts:
+        try:
+            converted.append(msgspec.convert(part, part_type))
+        except msgspec.ValidationError as error:
+            LOGGER.warning(
+                "A part of a reply of the store of {} is invalid: {}",
+                kind,
+                error,
+            )
+    return converted
+
+
 def _to_source_object(stored: StoredDocument) -> objectsource.SourceObject:
     return objectsource.SourceObject(
         stored.meta.name, stored.meta.revision, stored.spec
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -119,6 +119,28 @@
         self.assertEqual(storebuilders.at(9), position)
         self.assertIn("watch=7", stand_in.paths[0])
 
+    def test_unreadable_entry(self) -> None:
+        """Guard against one entry that hides all others.
+
+        An entry may come from another writer, with bytes that can't be read.
+        """
+        sound = json.dumps(entry("b", 8)).encode()
+        for spec in (b'"\x01\xff"', b"[" * 1500 + b"]" * 1500, b"9" * 5000):
+            unreadable = b'{"meta":{"name":"a","revision":7},"spec":%s}' % spec
+            page = b'{"items":[%s,%s,null],"store-revision":8}' % (
+                unreadable,
+                sound,
+            )
+            listed = self.list(StoreStandIn((200, page))).unwrap()
+            names = [item.name for item in listed.objects]
+            self.assertEqual(["a", "b"], names)
+            events = b'{"events":[%s],"store-revision":8}' % b",".join(
+                b'{"object":%s}' % text for text in (unreadable, sound)
+            )
+            changes, _ = self.watch(StoreStandIn((200, events))).unwrap()
+            names = [change.object.name for change in changes]
+            self.assertEqual(["a", "b"], names)
+
     def test_history_expired(self) -> None:
         """Guard against an endless watch from a revision without history."""
         error = self.watch(StoreStandIn((410, {}))).unwrap_err()
