--- a/tests/test_storerelay.py
+++ b/tests/test_storerelay.py
@@ -1,6 +1,7 @@
 """Tests of the copies of the store and of their relay between daemons."""
 
 import dataclasses
+import functools
 import random
 import typing
 from unittest import mock
@@ -24,6 +25,7 @@
     storeupdate,
     wire,
 )
+from plantainhook.platform import store
 from tests import storebuilders, virtualtime
 
 KIND: typing.Final = "things"
@@ -69,6 +71,8 @@
         self.revision = 1
         self.history: list[tuple[int, objectsource.Change]] = []
         self.is_down = False
+        # Calls that are made while it is set are never answered.
+        self.is_silent = False
         self.calls = 0
         self.changed = trio.Event()
 
@@ -118,6 +122,9 @@
     async def list(self) -> objectsource.ListResult:
         """Return all objects."""
         self.store.calls += 1
+        if self.store.is_silent:
+            await trio.sleep(store.CALL_TIMEOUT_S)
+            return self._failure()
         await trio.sleep(0.004)
         if self.is_disconnected:
             return self._failure()
@@ -138,6 +145,9 @@
         revision = position.revision
         self.store.calls += 1
         silence_count = self._silence_count
+        if self.store.is_silent:
+            await trio.sleep(wait_s + store.CALL_TIMEOUT_S)
+            return self._failure()
         await trio.sleep(0.004)
         with trio.move_on_after(wait_s):
             while self.store.revision <= revision and not self.is_disconnected:
@@ -158,6 +168,9 @@
         self, position: objectsource.Position, timeout_s: float
     ) -> objectsource.ProbeOutcome:
         """Call the store on another connection, which also falls silent."""
+        if self.store.is_silent:
+            await trio.sleep(timeout_s)
+            return objectsource.ProbeOutcome.SILENT
         await trio.sleep(0.004)
         if self._silence_count != self._probe_silence_count:
             self._probe_silence_count = self._silence_count
@@ -316,6 +329,28 @@
         run_scenario(20, scenario)
         self.check(20, lambda number: f"d{number}" in watchers[1:])
 
+    def test_calls_made_in_a_silent_outage(self) -> None:
+        """Guard against a call from an outage that is waited for after it.
+
+        Pattern: the store is silent to all for some seconds. What was called
+        in the last moments is never answered, while new calls work.
+        """
+        for outage_s in (0.5, 1.9, 3.3, 6.2):
+            run_scenario(7, functools.partial(self.check_outage, outage_s))
+
+    async def check_outage(self, outage_s: float, fleet: Fleet) -> None:
+        """Silence the store for some time and check a later change."""
+        await trio.sleep(5.0)
+        fleet.store.is_silent = True
+        for source in fleet.sources:
+            source.silence()
+        await trio.sleep(outage_s)
+        fleet.store.is_silent = False
+        await trio.sleep(1.0)
+        fleet.store.put("a")
+        await trio.sleep(3.0)
+        self.assertTrue(fleet.is_current())
+
     def test_all_watches_are_silent(self) -> None:
         """Guard against a fleet in which no daemon has a watch that works."""
         for count in (7, 20):
