Apply the limits of the newest configuration on kept connections

Cause: a connection kept the limits that were in force when it was opened.

Change: limits are read again for each request. The limit of the head belongs to the parser, so a changed one gets a new parser between two requests.

Test: test_limits_of_a_kept_connection failed before the change.

--- a/plantainhook/httpserver.py
+++ b/plantainhook/httpserver.py
@@ -44,7 +44,7 @@
 class HttpServer:
     """Serve callers on a listening socket.
 
-    ``get_limits`` is called once for each new connection.
+    ``get_limits`` is called for each request.
     """
 
     def __init__(self, handler: Handler, get_limits: GetLimits) -> None:
@@ -115,7 +115,7 @@
     ) -> "CallerConnection":
         """Return a new connection, which counts as open from now on."""
         connection = CallerConnection(
-            transport, self._handler, self._get_limits(), self
+            transport, self._handler, self._get_limits, self
         )
         self.connections.add(connection)
         return connection
@@ -146,14 +146,15 @@
         self,
         transport: leaftransport.SocketTransport,
         handler: Handler,
-        limits: routetable.ClientLimits,
+        get_limits: GetLimits,
         server: HttpServer,
     ) -> None:
         self._transport = transport
         self._handler = handler
-        self._limits = limits
+        self._get_limits = get_limits
+        self._limits = get_limits()
         self._server = server
-        self._http = h11.Connection(h11.SERVER, limits.head_bytes)
+        self._http = h11.Connection(h11.SERVER, self._limits.head_bytes)
         self._idle_scope: trio.CancelScope | None = None
         self._opened_s = trio.current_time()
         self._has_served = False
@@ -196,6 +197,20 @@
             if not stays_open:
                 return
             self._http.start_next_cycle()
+            self._update_limits()
+
+    def _update_limits(self) -> None:
+        """Apply the limits that are in force now.
+
+        The limit of the head belongs to the parser, so a new one takes over.
+        """
+        limits = self._get_limits()
+        if limits.head_bytes != self._limits.head_bytes:
+            unread, _ = self._http.trailing_data
+            self._http = h11.Connection(h11.SERVER, limits.head_bytes)
+            if unread:
+                self._http.receive_data(unread)
+        self._limits = limits
 
     async def _read_head(self) -> h11.Request | None:
         """Return the head of the next request, or None if none comes."""
@@ -229,6 +244,8 @@
                 await self._transport.wait_readable()
             finally:
                 self._idle_scope = None
+        # The configuration may have changed while the connection was idle.
+        self._update_limits()
         return not scope.cancelled_caught
 
     async def _read_body(self, request: h11.Request) -> bytes | None:
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -151,6 +151,28 @@
 
         self.assertEqual([], run_scenario(scenario).bodies)
 
+    def test_limits_of_a_kept_connection(self) -> None:
+        """Guard against limits of an older configuration.
+
+        The configuration raises the limits while the connection is idle.
+        """
+        limits = [LIMITS]
+
+        async def scenario(caller: Caller) -> None:
+            caller.server._get_limits = lambda: limits[0]
+            await caller.caller_end.send_some(GET)
+            await caller.read(b"\r\n\r\n/a")
+            limits[0] = dataclasses.replace(
+                LIMITS, body_bytes=20, head_bytes=LIMITS.head_bytes * 2
+            )
+            await caller.caller_end.send_some(
+                b"POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n"
+                b"X: %s\r\n\r\n%s" % (b"x" * LIMITS.head_bytes, b"z" * 20)
+            )
+            self.assertIn(b"200", await caller.read(b"\r\n\r\n/b"))
+
+        self.assertEqual([b"", b"z" * 20], run_scenario(scenario).bodies)
+
     def test_disconnect_cancels_the_work(self) -> None:
         """Guard against leafs that work for a caller that disconnected."""
 
