Limit the concurrency that an entry of a leaf may state

Cause: the number overflowed a float in concurrency.build_limit.

Change: the number is limited where the entry is decoded.

Test: test_huge_concurrency_of_a_leaf failed before the change.

--- a/plantainhook/platform/documents.py
+++ b/plantainhook/platform/documents.py
@@ -14,6 +14,8 @@
 
 MS_PER_S: typing.Final = 1000.0
 PORT_MAX: typing.Final = 65_535
+# A larger number of another writer may not even fit a float.
+SLOTS_MAX_COUNT: typing.Final = 1_000_000
 
 
 class Backend(msgspec.Struct):
@@ -126,7 +128,7 @@
             data_centre=document.zone,
             group=document.service,
             service=document.service,
-            slot_count=max(1, document.max_concurrency),
+            slot_count=min(max(1, document.max_concurrency), SLOTS_MAX_COUNT),
             connection_limit_count=1,
         )
         return forwardtypes.LeafEntry(
--- a/tests/test_damaged_peers.py
+++ b/tests/test_damaged_peers.py
@@ -21,6 +21,7 @@
 from plantainhook import (
     blackboard,
     clock,
+    concurrency,
     errors,
     forwardgateway,
     forwardtypes,
@@ -364,6 +365,12 @@
             entry = ENTRY | {"address": f"10.0.0.1:{port}"}
             self.assertRaises(ValueError, reader.read_leaf, "leaf", entry)
 
+    def test_huge_concurrency_of_a_leaf(self) -> None:
+        """Guard against an entry whose number overflows in each request."""
+        entry = ENTRY | {"max-concurrency": 10**400}
+        info = documents.PlatformDocuments().read_leaf("leaf", entry).info
+        concurrency.build_limit(info.slot_count, 9)
+
     def test_deeply_nested_reply_of_the_store(self) -> None:
         """Guard against a reply that exceeds the recursion limit."""
         body = b"[" * 200_000
