Let ranks of queries count the window of a budget only

Cause: the share of the budget that a query of some rank may use was also taken of each short span, so that most queries got no hedge when leafs paused.

Change: the rank counts for the window, as before; a short span has a hard limit only, which is what restarts need.

--- a/plantainhook/windowbudget.py
+++ b/plantainhook/windowbudget.py
@@ -21,7 +21,6 @@
 
 import collections
 import dataclasses
-import math
 import typing
 from collections import abc
 
@@ -83,25 +82,30 @@
                 counted[1] -= 1.0
                 return
 
-    def used_ratio(self, limit_count: float, now_s: float) -> float:
-        """Return how much of a budget one more extra call would use.
+    def extra_count(self, now_s: float) -> float:
+        """Return the number of extra calls in the window that ends now."""
+        oldest_s = now_s - self.slice_s * (SLICES_PER_WINDOW + 1)
+        return sum(count for at_s, count in self.extras if at_s > oldest_s)
 
-        ``limit_count`` is the budget of a window. The result is the largest
-        of the window and of all shorter spans that end now.
+    def allows_burst(self, limit_count: float, now_s: float) -> bool:
+        """Return whether every span that ends now allows an extra call.
+
+        ``limit_count`` is the budget of a window. ``BURST_RATIO`` of it may be
+        spent at once.
         """
-        if limit_count <= 0.0:
-            return math.inf
         window_s = self.slice_s * SLICES_PER_WINDOW
         used_count = 1.0
-        largest = used_count / BURST_RATIO
+        if used_count > BURST_RATIO * limit_count:
+            return False
         for at_s, count in reversed(self.extras):
-            if at_s <= now_s - window_s - self.slice_s:
+            if at_s <= now_s - window_s:
                 break
             used_count += count
-            span_ratio = min(1.0, (now_s - at_s) / window_s)
-            usable = BURST_RATIO + (1.0 - BURST_RATIO) * span_ratio
-            largest = max(largest, used_count / usable)
-        return largest / limit_count
+            span_ratio = (now_s - at_s) / window_s
+            usable_ratio = BURST_RATIO + (1.0 - BURST_RATIO) * span_ratio
+            if used_count > usable_ratio * limit_count:
+                return False
+        return True
 
     def request_count(self, now_s: float) -> float:
         """Return the number of requests in the window that ends now.
@@ -200,8 +204,9 @@
     ) -> bool:
         budget = self.of(group)
         limit = self.limit_count(group, now_s) * usable_ratio
+        used = budget.extra_count(now_s) + 1.0
         rank_ratio = UNRANKED_RATIO + (1.0 - UNRANKED_RATIO) * (1.0 - rank)
-        if budget.used_ratio(limit, now_s) > rank_ratio:
+        if used > limit * rank_ratio or not budget.allows_burst(limit, now_s):
             return False
         budget.record_extra(now_s)
         return True
--- a/tests/test_outofservice.py
+++ b/tests/test_outofservice.py
@@ -87,7 +87,7 @@
         case = GoalCase(extra_count=1000.0)
         case.record_actions(case.machine.on_timer(0.1))
         budget = case.budgets.of("s0")
-        self.assertEqual(1.0, sum(count for _, count in budget.extras))
+        self.assertEqual(1.0, budget.extra_count(0.1))
         (hedge,) = [
             send.attempt_id
             for send in case.sends.values()
@@ -95,7 +95,7 @@
             and send.reason is querytypes.AttemptReason.HEDGE
         ]
         case.fail(hedge, 0.11, errors.Ran.NO, CONNECT)
-        self.assertEqual(0.0, sum(count for _, count in budget.extras))
+        self.assertEqual(0.0, budget.extra_count(0.1))
 
     def test_refused_calls_are_charged(self) -> None:
         """Guard against free retries of calls that a leaf received."""
