--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -341,8 +341,8 @@
             if trio.current_time() >= end_s - LAST_REQUESTS_S:
                 self.caller_server.stop_accepting()
             if trio.current_time() >= end_s - LAST_ANSWERS_S:
-                self.service.give_up()
-            self.service.refuse_waiting()
+                self.service.running.give_up()
+            self.service.running.refuse_waiting()
             if trio.current_time() - began_s >= CLOSE_IDLE_AFTER_S:
                 self.caller_server.close_idle()
                 if not self._has_work():
--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -10,7 +10,6 @@
 """
 
 import dataclasses
-import math
 import random
 import typing
 from collections import abc
@@ -37,6 +36,7 @@
     metrics,
     querytypes,
     routetable,
+    runningrequests,
     stopadmission,
     toprecords,
 )
@@ -80,33 +80,19 @@
     stop: stopadmission.StopAdmission
 
 
-@dataclasses.dataclass(slots=True, eq=False)
-class _Running:
-    """Track a request that runs; ``scope`` is cancelled to give it up.
-
-    ``route`` is set once the request is admitted.
-    """
-
-    route: routetable.Route | None = None
-    deadline_s: float = math.inf
-    progress: forwardtypes.Progress = dataclasses.field(
-        default_factory=forwardtypes.Progress
-    )
-    scope: trio.CancelScope = dataclasses.field(
-        default_factory=trio.CancelScope
-    )
-
-
 class ForwardService:
     """Answer the HTTP requests of callers and those that peers send.
 
-    ``in_flight_count`` counts the requests of callers only.
+    ``in_flight_count`` counts the requests of callers only. ``running`` holds
+    all requests.
     """
 
+    running: runningrequests.RunningRequests
+
     def __init__(self, dependencies: Dependencies) -> None:
         self.dependencies = dependencies
         self.in_flight_count = 0
-        self._running: set[_Running] = set()
+        self.running = runningrequests.RunningRequests(dependencies.stop)
 
     async def answer(
         self, forwarded: forwardtypes.ForwardRequest
@@ -138,44 +124,17 @@
         arrived_s = trio.current_time() - elapsed_s - margin_s
         return await self._answer_or_give_up(forwarded, arrived_s, False)
 
-    def refuse_waiting(self) -> None:
-        """Refuse requests that wait and can't be answered in time any more.
-
-        Pattern: a planned stop under load, with requests that wait for a
-        connection to a leaf.
-        """
-        for running in self._running:
-            if (
-                running.route is not None
-                and not running.progress.passed_on
-                and not self._admits(running.route, running.deadline_s)
-            ):
-                running.scope.cancel()
-
-    def give_up(self) -> None:
-        """Answer all requests that run as failed.
-
-        Pattern: a planned stop ends while leafs still work. A caller that is
-        told so can act sooner than one whose connection is closed.
-        """
-        for running in self._running:
-            running.scope.cancel()
-
     async def _answer_or_give_up(
         self,
         forwarded: forwardtypes.ForwardRequest,
         arrived_s: float,
         may_forward: bool,
     ) -> forwardtypes.Response:
-        running = _Running()
-        self._running.add(running)
-        try:
-            with running.scope:
-                return await self._answer(
-                    forwarded, arrived_s, may_forward, running
-                )
-        finally:
-            self._running.discard(running)
+        with self.running.track() as running:
+            return await self._answer(
+                forwarded, arrived_s, may_forward, running
+            )
+        # Only a request whose scope was cancelled leads here.
         passed_on = running.progress.passed_on
         self.dependencies.decisions.log(
             f"Request {forwarded.request_id} is given up: this daemon stops. "
@@ -192,7 +151,7 @@
         forwarded: forwardtypes.ForwardRequest,
         arrived_s: float,
         may_forward: bool,
-        running: _Running,
+        running: runningrequests.RunningRequest,
     ) -> forwardtypes.Response:
         dependencies = self.dependencies
         if not self.is_started():
@@ -217,8 +176,7 @@
         request = forwardplanner.build_query_request(
             forwarded, route, arrived_s
         )
-        running.deadline_s = request.deadline_s
-        if not self._admits(route, running.deadline_s):
+        if not self.running.admit(running, route, request.deadline_s):
             dependencies.decisions.log(
                 f"Request {forwarded.request_id} on route {route.name} is "
                 "refused: this daemon stops."
@@ -226,7 +184,6 @@
             return self._build_retry_soon()
         # Other daemons may have a scatter-gather request from here on.
         running.progress.passed_on = route.gather is not None
-        running.route = route
         if may_forward and route.gather is not None:
             answered = await dependencies.gatherers.answer(
                 forwarded, route, arrived_s
@@ -237,16 +194,6 @@
             forwarded, request, route, arrived_s, running.progress
         )
 
-    def _admits(self, route: routetable.Route, deadline_s: float) -> bool:
-        """Return whether a request can be answered before this daemon stops.
-
-        The executor ends it at its deadline.
-        """
-        now_s = trio.current_time()
-        return self.dependencies.stop.admits(
-            route.name, route.goal_ms / 1e3, deadline_s - now_s, now_s
-        )
-
     async def _run_query(
         self,
         forwarded: forwardtypes.ForwardRequest,
