--- a/plantainhook/callershares.py
+++ b/plantainhook/callershares.py
@@ -23,7 +23,7 @@
 # Part of a limit for the daemons in data centres without a leaf of the
 # service.
 DISTANT_RATIO: typing.Final = 0.15
-# Part of a limit for the daemons of a large fleet that are no gatherers. They
+# Part of a limit for the daemons of a large fleet that are not gatherers. They
 # call shards only if no gatherer takes their requests.
 NO_GATHERER_RATIO: typing.Final = 0.05
 # Longer than the budget window and than the time in which all daemons learn of
@@ -51,7 +51,8 @@
     """Return the largest of the values of the last ``RETENTION_S``."""
 
     def __init__(self) -> None:
-        # Values and when each was current last; both descend or ascend.
+        # Values in descending order, each with the time at which it was
+        # current last.
         self._values: collections.deque[tuple[float, float]] = (
             collections.deque()
         )
@@ -98,7 +99,8 @@
         """Return the number by which this daemon divides a limit.
 
         It is the largest that was due in the last ``RETENTION_S``. Daemons
-        that were only assumed made no calls, so they count now or never.
+        that are only assumed have made no calls, so they count no longer than
+        they are assumed.
         """
         counts = self.counts
         known = counts.fleet_count - counts.unknown_count
--- a/plantainhook/leafclient.py
+++ b/plantainhook/leafclient.py
@@ -117,10 +117,11 @@
         then.
         """
         now_s = trio.current_time()
-        for sent_id, sent_deadline_s in list(self._deadlines_s.items()):
-            if sent_deadline_s >= now_s:
+        while self._deadlines_s:
+            oldest_id = next(iter(self._deadlines_s))
+            if self._deadlines_s[oldest_id] >= now_s:
                 break
-            del self._deadlines_s[sent_id]
+            del self._deadlines_s[oldest_id]
         if request_id:
             self._deadlines_s[request_id] = deadline_s
 
