--- a/tests/soakworld.py
+++ b/tests/soakworld.py
@@ -28,6 +28,9 @@
 RECORDS_COUNT: typing.Final = 5
 ADDED_ROUTES_COUNT: typing.Final = 3
 SERVICE_TIME_MEAN_S: typing.Final = 0.01
+# Some requests of the single service take as long as a planned stop allows.
+LONG_WORK_RATIO: typing.Final = 0.1
+LONG_WORK_MAX_S: typing.Final = 1.8
 HEARTBEAT_S: typing.Final = 1.2
 EXPIRY_S: typing.Final = 3.6
 # Bounds of the users' platform.
@@ -115,6 +118,9 @@
         self._world.ledger.runs.setdefault(request_id, []).append(self.leaf)
         rng = self._world.rng
         await trio.sleep(rng.expovariate(1.0 / SERVICE_TIME_MEAN_S))
+        is_single = target.startswith(b"/one/")
+        if is_single and rng.random() < LONG_WORK_RATIO:
+            await trio.sleep(rng.uniform(0.0, LONG_WORK_MAX_S))
         if self.fault == "hang":
             await trio.sleep_forever()
         if self.fault == "lose":
