Say when members of a fleet are only assumed

The doc comment named the start only; since the least fleet size also holds until another daemon is seen, it was incomplete. No change of behaviour; lint, types and the tests of the module pass.

--- a/plantainhook/callershares.py
+++ b/plantainhook/callershares.py
@@ -35,7 +35,8 @@
     """Represent the numbers of daemons among which limits are divided.
 
     ``gatherers_count`` is 0 if all daemons gather. ``unknown_count`` is how
-    many of the fleet are only assumed, because this daemon has just started.
+    many of the fleet are only assumed, because this daemon has just started or
+    has met no other.
     """
 
     fleet_count: int
