Show the evidence of crashing requests in the metrics of forward

The gauge plantainhook_forward_crash_evidence shows how many leafs lost runs, and how many requests are suspected and quarantined.

--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -194,6 +194,7 @@
             self._build_policies(),
             self.budgets,
         )
+        self.forward_metrics.watch_quarantine(self.planner.policies.quarantine)
         self.worker = branchworker.BranchWorker(
             self.board,
             self.planner,
--- a/plantainhook/forwardmetrics.py
+++ b/plantainhook/forwardmetrics.py
@@ -5,9 +5,12 @@
 services or daemons.
 """
 
+import functools
+from collections import abc
+
 import prometheus_client
 
-from plantainhook import errors, executor, metrics, routetable
+from plantainhook import errors, executor, metrics, quarantine, routetable
 
 
 class ForwardMetrics:
@@ -44,12 +47,30 @@
             ["kind"],
             registry=registry,
         )
+        self.crash_evidence = prometheus_client.Gauge(
+            "plantainhook_forward_crash_evidence",
+            "Leafs that lost runs, and suspected and quarantined requests.",
+            ["kind"],
+            registry=registry,
+        )
         self._in_flight = prometheus_client.Gauge(
             "plantainhook_forward_in_flight",
             "Requests in flight at the last answer.",
             registry=registry,
         )
 
+    def watch_quarantine(self, watched: quarantine.Quarantine) -> None:
+        """Show the evidence that a quarantine holds."""
+        evidence: dict[str, abc.Sized] = {
+            "lost_leafs": watched.losses,
+            "suspects": watched.suspicions,
+            "quarantined": watched.until_s,
+        }
+        for kind, entries in evidence.items():
+            self.crash_evidence.labels(kind).set_function(
+                functools.partial(len, entries)
+            )
+
     def count(
         self,
         route: routetable.Route,
