Clear suspicions by replies that peers get; let a third crash decide

Quarantine was built for requests whose fingerprint is unique. A popular sound request that was common to both crashes kept the crashing one out of quarantine for ever, and a sound request stayed a suspect at each daemon that had not answered it itself, so that one more unrelated crash quarantined it for 10 minutes.

Cause: only replies to runs that began after the crash counted, and only at the daemon that got them; doubt never ended.

- A reply to a run that began no earlier than the one that crashed clears a suspicion, also that of peers (QuarantineSync.answered_age_s): a request that crashes leafs is never answered.
- Requests answered since the first crash don't count as common.
- A third crash in a row decides, also if the same leaf crashed each time.
- The quarantine is 60 s, then 300 s, then 600 s, and at its end the request is a suspect.
A sound one is not refused for 10 minutes.
- Of two suspicions that daemons hold of a request the one with more crashes is kept, so their digests agree.
- Gossip of quarantines is a module of its own, which forward can use.
It pushes what changed and not all entries.

--- a/plantainhook/blackboard.py
+++ b/plantainhook/blackboard.py
@@ -147,6 +147,7 @@
     suspicions: dict[str, quarantine.Crash] = dataclasses.field(
         default_factory=dict
     )
+    exonerated_s: dict[str, float] = dataclasses.field(default_factory=dict)
     lifecycle: LifecycleState = LifecycleState.STARTING
     # Routes of forwarded HTTP requests; owned by ``routecontroller``.
     routes: routetable.RouteTable = routetable.NO_ROUTES
@@ -155,6 +156,12 @@
     )
     _events: dict[Topic, trio.Event] = dataclasses.field(default_factory=dict)
 
+    def share_quarantine(self, shared: quarantine.Quarantine) -> None:
+        """Let a quarantine work on the mappings that daemons exchange."""
+        shared.until_s = self.quarantine_until_s
+        shared.suspicions = self.suspicions
+        shared.exonerated_s = self.exonerated_s
+
     def usable_members(self) -> list[MemberInfo]:
         """Return the daemons that accept new work, including this one."""
         return [
--- a/plantainhook/daemon.py
+++ b/plantainhook/daemon.py
@@ -233,10 +233,7 @@
         self.policies = queryplan.build_policies(
             run_options.data_centre, self.rng.getrandbits(32)
         )
-        # Gossip disseminates the entries of the blackboard, so the query
-        # policies must work on the same mappings.
-        self.policies.quarantine.until_s = self.board.quarantine_until_s
-        self.policies.quarantine.suspicions = self.board.suspicions
+        self.gossip.quarantine_gossip.share(self.policies.quarantine)
         self.writer = segments.SegmentWriter(
             self.environment.api,
             run_options.name,
@@ -316,10 +313,9 @@
             nursery.start_soon(self._serve_when_initialised)
             nursery.start_soon(self._flush_segments)
             nursery.start_soon(
-                crashwatch.watch_crashes,
-                self.board,
-                self.policies.quarantine,
-                self.clock,
+                crashwatch.CrashWatch(
+                    self.board, self.policies.quarantine, self.clock
+                ).run
             )
             if self.environment.serve_http:
                 self.http_binds = await nursery.start(
--- a/plantainhook/gossip.py
+++ b/plantainhook/gossip.py
@@ -11,8 +11,8 @@
 broken watch.
 
 A revision is adopted only if it is higher than the current one, whatever its
-source, so messages may arrive late, twice or out of order. Quarantine entries
-are pushed and repaired in the same way.
+source, so messages may arrive late, twice or out of order. The digests also
+repair quarantine entries, which ``quarantinegossip`` pushes.
 """
 
 import dataclasses
@@ -28,11 +28,10 @@
     dissemination,
     hashing,
     logs,
-    memberentry,
     membership,
     objectapi,
     peers,
-    quarantinesync,
+    quarantinegossip,
     wire,
 )
 
@@ -48,7 +47,6 @@
 REFRESH_ATTEMPTS_COUNT: typing.Final = 6
 API_PAUSE_MAX_S: typing.Final = 30.0
 ANNOUNCER_COUNT: typing.Final = 8
-REMOTE_LINK_COUNT: typing.Final = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,12 +93,14 @@
         self._rng = rng
         self._announcers: dict[str, int] = {}
         self._announced = trio.Event()
-        self.quarantine = quarantinesync.QuarantineSync(board)
+        self.quarantine_gossip = quarantinegossip.QuarantineGossip(
+            board, members, transport, handlers, time_source, rng
+        )
+        self.quarantine = self.quarantine_gossip.sync
         self.pull_count = 0
         handlers.register(wire.RevisionNotice)(self._on_notice)
         handlers.register(wire.RevisionPull)(self._on_pull)
         handlers.register(wire.Digest)(self._on_digest)
-        handlers.register(wire.QuarantineSync)(self._on_quarantine)
 
     async def run(self) -> None:
         """Disseminate and adopt revisions until cancelled."""
@@ -108,7 +108,8 @@
             self._nursery = nursery
             self._publish()
             nursery.start_soon(self._pull_loop)
-            nursery.start_soon(self._quarantine_loop)
+            if self._strategy.push:
+                nursery.start_soon(self.quarantine_gossip.push_changes)
             if self._strategy.digest:
                 nursery.start_soon(self._digest_loop)
             if self._strategy.watch:
@@ -134,7 +135,7 @@
         return True
 
     def _push(self, body: wire.AnyBody) -> None:
-        for address in self.neighbour_addresses():
+        for address in self._members.neighbour_addresses():
             self._nursery.start_soon(self._send, address, body)
 
     async def _send(self, address: str, body: wire.AnyBody) -> None:
@@ -142,31 +143,6 @@
         if isinstance(reply, result.Err):
             LOGGER.debug("No reply to a push: {}", reply.err_value)
 
-    def neighbour_addresses(self) -> list[str]:
-        """Return the addresses of the peers to which this daemon pushes.
-
-        These are its ring neighbours within the data centre and
-        ``REMOTE_LINK_COUNT`` members of other data centres.
-        """
-        table = self._members.table
-        own = table.own
-        local = [
-            entry.incarnation
-            for entry in table.up_members()
-            if entry.data_centre == own.data_centre
-        ]
-        remote = (
-            entry.incarnation
-            for entry in table.up_members()
-            if entry.data_centre != own.data_centre
-        )
-        chosen = memberentry.ring_neighbours(local, own.incarnation)
-        key = f"far/{own.incarnation}"
-        chosen += hashing.choose(key, remote, REMOTE_LINK_COUNT)
-        return [
-            table.entries[incarnation].peer_address for incarnation in chosen
-        ]
-
     # Watching and polling
 
     def is_watcher(self) -> bool:
@@ -369,31 +345,10 @@
             return
         self._record_announcement(address, theirs.revision)
         if theirs.quarantine_hash != self.quarantine.digest():
-            await self._send_quarantine(address)
+            await self.quarantine_gossip.exchange(address)
         if theirs.member_hash != self._members.table.members_hash():
             await self._members.sync_with(address)
 
-    async def _send_quarantine(self, address: str) -> None:
-        message = self.quarantine.message(self._clock.now_s())
-        reply = await self._transport.request(
-            address, message, REQUEST_TIMEOUT_S
-        )
-        if isinstance(reply, result.Ok):
-            theirs = reply.ok_value
-            if isinstance(theirs, wire.QuarantineSync):
-                self.quarantine.merge(theirs, self._clock.now_s())
-
-    async def _quarantine_loop(self) -> None:
-        """Push changed entries, both local ones and those from peers."""
-        digest = self.quarantine.digest()
-        while True:
-            await self._board.change_event(blackboard.Topic.QUARANTINE).wait()
-            if self.quarantine.digest() == digest:
-                continue
-            digest = self.quarantine.digest()
-            if self._strategy.push:
-                self._push(self.quarantine.message(self._clock.now_s()))
-
     # Requests of peers
 
     async def _on_notice(
@@ -416,13 +371,6 @@
         self._record_announcement(sender.peer_address, body.revision)
         return self._digest()
 
-    async def _on_quarantine(
-        self, sender: wire.HelloFrame, body: wire.QuarantineSync
-    ) -> wire.AnyBody:
-        now_s = self._clock.now_s()
-        self.quarantine.merge(body, now_s)
-        return self.quarantine.message(now_s)
-
 
 def pull_timeout_s(failure_count: int) -> float:
     """Return the timeout of a pull after some failed ones, in seconds.
--- a/plantainhook/membership.py
+++ b/plantainhook/membership.py
@@ -25,6 +25,7 @@
 from plantainhook import (
     blackboard,
     clock,
+    hashing,
     logs,
     memberentry,
     membersync,
@@ -40,6 +41,7 @@
 REJOIN_INTERVAL_S: typing.Final = 10.0
 DEAD_REPORT_COUNT: typing.Final = 24
 SEEDS_PER_ATTEMPT: typing.Final = 3
+REMOTE_LINK_COUNT: typing.Final = 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -123,6 +125,39 @@
         self.table.mark_vms_changed(before ^ self._leaving_vm_ids())
         self._publish()
 
+    def other_addresses(self) -> list[str]:
+        """Return the addresses of all other members that are up."""
+        return [
+            entry.peer_address
+            for entry in self.table.up_members()
+            if entry.incarnation != self.table.own_incarnation
+        ]
+
+    def neighbour_addresses(self) -> list[str]:
+        """Return the addresses of the peers to which this daemon pushes.
+
+        These are its ring neighbours within the data centre and
+        ``REMOTE_LINK_COUNT`` members of other data centres.
+        """
+        own = self.table.own
+        local = [
+            entry.incarnation
+            for entry in self.table.up_members()
+            if entry.data_centre == own.data_centre
+        ]
+        remote = (
+            entry.incarnation
+            for entry in self.table.up_members()
+            if entry.data_centre != own.data_centre
+        )
+        chosen = memberentry.ring_neighbours(local, own.incarnation)
+        key = f"far/{own.incarnation}"
+        chosen += hashing.choose(key, remote, REMOTE_LINK_COUNT)
+        return [
+            self.table.entries[incarnation].peer_address
+            for incarnation in chosen
+        ]
+
     def set_share(self, share: int | None) -> None:
         """Announce the connection share that this daemon holds, if any."""
         number = wire.NO_SHARE if share is None else share
--- a/plantainhook/quarantine.py
+++ b/plantainhook/quarantine.py
@@ -9,8 +9,13 @@
 
 Leafs also crash for other reasons. Two rules keep innocent requests out of
 quarantine. A second crash counts only if the run began after the first crash
-was confirmed, so that the loss of a rack counts as one crash. And a run that
-began after the first crash and ends with a reply clears the suspicion.
+was confirmed, so that the loss of a rack counts as one crash. And a reply to a
+run that began no earlier than the one that crashed clears the suspicion, also
+if another daemon got it: a request that crashes leafs is never answered.
+
+If two crashes leave a doubt, because the same requests ran in both or the same
+leaf crashed twice, a third one in a row decides. Each further crash prolongs
+the next quarantine. At its end the request is a suspect again.
 
 Before a crash is confirmed, a fingerprint that lost its connections to two
 leafs is a suspect too, unless a leaf has recently answered it: a query over a
@@ -23,8 +28,12 @@
 import enum
 import math
 import typing
+from collections import abc
 
-QUARANTINE_S: typing.Final = 600.0
+# By the number of crashes in a row, from the second on.
+QUARANTINE_STEPS_S: typing.Final = (60.0, 300.0, 600.0)
+# So many crashes in a row need no further proof.
+PROVEN_CRASHES_COUNT: typing.Final = 3
 SUSPICION_S: typing.Final = 600.0
 # A crash is confirmed by polling, which has to detect it within 3 s.
 CONFIRM_S: typing.Final = 5.0
@@ -54,13 +63,16 @@
     """Describe the crash of a leaf and the requests that it was running.
 
     ``at_s`` is the time of the first lost connection, ``confirmed_s`` when
-    the leaf was reported as down.
+    the leaf was reported as down. ``began_s`` is the start of the run of the
+    suspect. ``count`` is the number of crashes in a row, with this one.
     """
 
     leaf: str
     at_s: float
     confirmed_s: float
     fingerprints: frozenset[str]
+    began_s: float
+    count: int = 1
 
 
 @dataclasses.dataclass(slots=True)
@@ -93,6 +105,10 @@
     leafs: set[str] = dataclasses.field(default_factory=set)
 
 
+def _ignore(name: str) -> None:
+    """Ignore a change or a loss."""
+
+
 @dataclasses.dataclass(slots=True)
 class Quarantine:
     """Track running requests, suspects and quarantined fingerprints.
@@ -100,6 +116,8 @@
     ``running`` maps a leaf to its runs by fingerprint, and ``losses`` a leaf
     to its last lost connections. The other mappings have fingerprints as
     keys. ``until_s`` is when the quarantine of a fingerprint ends.
+    ``on_change`` is called with a fingerprint whose suspicion or quarantine
+    changed, and ``on_loss`` with a leaf that lost connections.
     """
 
     running: dict[str, dict[str, Run]] = dataclasses.field(
@@ -114,6 +132,10 @@
     held_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
     suspicions: dict[str, Crash] = dataclasses.field(default_factory=dict)
     until_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    # Start of the answered run that cleared a suspicion.
+    exonerated_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    on_change: abc.Callable[[str], None] = _ignore
+    on_loss: abc.Callable[[str], None] = _ignore
 
     def request_state(self, fingerprint: str, now_s: float) -> RequestState:
         """Return how a fingerprint may run now."""
@@ -178,11 +200,22 @@
             self.lost_connections.pop(fingerprint, None)
         if self.held_until_s:
             self.held_until_s.pop(fingerprint, None)
-        if not self.suspicions:
-            return
+        if self.suspicions:
+            self.exonerate(fingerprint, sent_s)
+
+    def exonerate(self, fingerprint: str, began_s: float) -> bool:
+        """Clear a suspicion after a reply to a run that began at a time.
+
+        Return whether there was one. It also ends a quarantine.
+        """
         crash = self.suspicions.get(fingerprint)
-        if crash is not None and sent_s > crash.at_s:
-            del self.suspicions[fingerprint]
+        if crash is None or began_s < crash.began_s:
+            return False
+        del self.suspicions[fingerprint]
+        self.until_s.pop(fingerprint, None)
+        self.exonerated_s[fingerprint] = began_s
+        self.on_change(fingerprint)
+        return True
 
     def record_connection_loss(
         self, leaf: str, fingerprint: str, now_s: float
@@ -190,12 +223,14 @@
         """Record the lost connection of a run; call this for each run."""
         loss = self.losses.get(leaf)
         if loss is None or now_s - loss.at_s > CONFIRM_S:
+            self._forget_losses(now_s)
             loss = self.losses[leaf] = ConnectionLoss(now_s, {})
         for other, run in self.running.get(leaf, {}).items():
             loss.runs.setdefault(other, run.started_s)
         if self.request_state(fingerprint, now_s) is RequestState.SUSPECT:
             self.held_until_s[fingerprint] = now_s + HOLD_S
         self.record_end(leaf, fingerprint)
+        self.on_loss(leaf)
         if now_s - self.answered_s.get(fingerprint, -math.inf) < CONFIRM_S:
             return
         if len(self.lost_connections) >= TRACKED_MAX_COUNT:
@@ -211,19 +246,28 @@
             )
         lost_connections.leafs.add(leaf)
 
-    def record_leaf_down(self, leaf: str, now_s: float) -> None:
-        """Record that a leaf is reported as down or restarted."""
+    def record_leaf_down(self, leaf: str, now_s: float) -> bool:
+        """Record that a leaf is reported as down or restarted.
+
+        Return whether it crashed while it ran requests.
+        """
         loss = self.losses.pop(leaf, None)
         if loss is None or now_s - loss.at_s > CONFIRM_S:
-            return
-        crash = Crash(leaf, loss.at_s, now_s, frozenset(loss.runs))
-        for fingerprint, started_s in loss.runs.items():
-            self._record_crash(fingerprint, crash, started_s, now_s)
+            return False
+        fingerprints = frozenset(loss.runs)
+        for fingerprint, began_s in loss.runs.items():
+            self._record_crash(
+                fingerprint,
+                Crash(leaf, loss.at_s, now_s, fingerprints, began_s),
+                now_s,
+            )
+        return True
 
     def add(self, fingerprint: str, until_s: float) -> None:
         """Quarantine a fingerprint or extend its quarantine."""
         known_s = self.until_s.get(fingerprint, 0.0)
         self.until_s[fingerprint] = max(known_s, until_s)
+        self.on_change(fingerprint)
 
     def clear(self, fingerprint: str) -> None:
         """Remove the quarantine and any suspicion of a fingerprint."""
@@ -250,16 +294,43 @@
             return 0
         return len(lost_connections.leafs)
 
+    def _forget_losses(self, now_s: float) -> None:
+        """Forget the lost connections to leafs that did not crash."""
+        for leaf, loss in list(self.losses.items()):
+            if now_s - loss.at_s > CONFIRM_S:
+                del self.losses[leaf]
+
     def _record_crash(
-        self, fingerprint: str, crash: Crash, started_s: float, now_s: float
+        self, fingerprint: str, crash: Crash, now_s: float
     ) -> None:
+        """Suspect or quarantine a request that ran on a crashed leaf."""
+        if self.answered_s.get(fingerprint, -math.inf) >= crash.began_s:
+            return
         first = self.suspicions.get(fingerprint)
         if first is None or crash.at_s - first.at_s > SUSPICION_S:
             self.suspicions[fingerprint] = crash
+            self.on_change(fingerprint)
             return
-        if first.leaf == crash.leaf or started_s < first.confirmed_s:
+        if crash.began_s < first.confirmed_s:
             return
-        common = first.fingerprints & crash.fingerprints
-        if len(crash.fingerprints) == 1 or len(common) == 1:
-            self.add(fingerprint, now_s + QUARANTINE_S)
-            del self.suspicions[fingerprint]
+        common = self._unanswered(first, crash)
+        count = first.count + 1
+        self.suspicions[fingerprint] = dataclasses.replace(
+            crash, count=count, fingerprints=common
+        )
+        is_only = len(crash.fingerprints) == 1 or len(common) == 1
+        if (
+            is_only and first.leaf != crash.leaf
+        ) or count >= PROVEN_CRASHES_COUNT:
+            step = min(count - 2, len(QUARANTINE_STEPS_S) - 1)
+            self.add(fingerprint, now_s + QUARANTINE_STEPS_S[step])
+        else:
+            self.on_change(fingerprint)
+
+    def _unanswered(self, first: Crash, crash: Crash) -> frozenset[str]:
+        """Return the requests common to both crashes, not answered since."""
+        return frozenset(
+            fingerprint
+            for fingerprint in first.fingerprints & crash.fingerprints
+            if self.answered_s.get(fingerprint, -math.inf) < first.at_s
+        )
--- a/plantainhook/quarantinesync.py
+++ b/plantainhook/quarantinesync.py
@@ -1,13 +1,15 @@
 """Exchange quarantine entries and suspicions between daemons.
 
 An entry is valid until a point in time. A clearing hides every entry that was
-added before it. Both are sent as the remaining seconds, so that clocks need
-not agree. Message delays shift these times, so a time replaces a known one
-only if it is later by more than ``COMPARE_STEP_S``.
+added before it. Times are sent as ages or remaining seconds, so that clocks
+need not agree. Message delays shift these times, so a time replaces a known
+one only if it is later by more than ``COMPARE_STEP_S``.
 
 Suspicions are sent too, so that a suspect runs on one leaf at a time also
-when its caller sends it to another daemon. Each suspicion is adopted only
-once, so that one which a reply has cleared here is not restored by a peer.
+when its caller sends it to another daemon, and so are the replies that clear
+them. Of two suspicions of a request the one with more crashes is kept. Each
+is adopted only once, so that one which a reply has cleared here is not
+restored by a peer.
 """
 
 import dataclasses
@@ -20,6 +22,9 @@
 # A clearing outlives every entry that was added before it.
 CLEARED_KEEP_S: typing.Final = 660.0
 COMPARE_STEP_S: typing.Final = 5.0
+# An entry that came without its crash was added at most this long before its
+# end.
+ENTRY_MAX_S: typing.Final = max(quarantine.QUARANTINE_STEPS_S)
 CRASH_FINGERPRINTS_LIMIT_COUNT: typing.Final = 64
 CRASHES_LIMIT_COUNT: typing.Final = 256
 
@@ -29,21 +34,33 @@
     """Merge the quarantine entries of peers into the blackboard.
 
     ``cleared_until_s`` holds the clearings by fingerprint. ``seen_s`` holds
-    every suspicion seen recently, by fingerprint and leaf.
+    every suspicion seen recently, by fingerprint, leaf and number of crashes.
+    ``unsent`` holds the fingerprints that changed since they were taken.
     """
 
     board: blackboard.Blackboard
     cleared_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
-    seen_s: dict[tuple[str, str], float] = dataclasses.field(
+    seen_s: dict[tuple[str, str, int], float] = dataclasses.field(
         default_factory=dict
     )
+    unsent: set[str] = dataclasses.field(default_factory=set)
+
+    def record_change(self, fingerprint: str) -> None:
+        """Record that an entry, a suspicion or a reply has to be sent."""
+        self.unsent.add(fingerprint)
+        self.board.notify(blackboard.Topic.QUARANTINE)
+
+    def take_unsent(self) -> set[str]:
+        """Return the fingerprints to send, which then count as sent."""
+        unsent, self.unsent = self.unsent, set()
+        return unsent
 
     def clear(self, fingerprint: str, now_s: float) -> None:
         """Remove an entry from all daemons; later crashes add a new one."""
         self.cleared_until_s[fingerprint] = now_s + CLEARED_KEEP_S
         self.board.quarantine_until_s.pop(fingerprint, None)
         self.board.suspicions.pop(fingerprint, None)
-        self.board.notify(blackboard.Topic.QUARANTINE)
+        self.record_change(fingerprint)
 
     def expire(self, now_s: float) -> None:
         """Drop entries, clearings and suspicions that have expired."""
@@ -54,8 +71,11 @@
         crashes = self.board.suspicions
         for key in [k for k, c in crashes.items() if c.at_s < oldest_s]:
             del crashes[key]
-        for pair in [p for p, at_s in self.seen_s.items() if at_s < oldest_s]:
-            del self.seen_s[pair]
+        answers = self.board.exonerated_s
+        for key in [k for k, at_s in answers.items() if at_s < oldest_s]:
+            del answers[key]
+        for seen in [p for p, at_s in self.seen_s.items() if at_s < oldest_s]:
+            del self.seen_s[seen]
 
     def digest(self) -> int:
         """Return a hash over the keys of entries, clearings and suspicions.
@@ -72,65 +92,132 @@
         for key, crash in self.board.suspicions.items():
             # Recorded as seen, so that a peer cannot restore the suspicion
             # after a reply has cleared it.
-            self.seen_s.setdefault((key, crash.leaf), crash.at_s)
-            text = f"crash/{key}/{crash.leaf}"
+            self.seen_s.setdefault((key, crash.leaf, crash.count), crash.at_s)
+            text = f"crash/{key}/{crash.leaf}/{crash.count}"
             combined ^= xxhash.xxh3_64_intdigest(text.encode())
         return combined
 
-    def message(self, now_s: float) -> wire.QuarantineSync:
-        """Build the message with all entries as remaining seconds."""
+    def message(
+        self, now_s: float, only: set[str] | None = None
+    ) -> wire.QuarantineSync:
+        """Build the message with all entries, or a push of some requests."""
+        board = self.board
+
+        def selected(entries: dict[str, float]) -> dict[str, float]:
+            if only is None:
+                return entries
+            return {key: entries[key] for key in only if key in entries}
+
+        crashes = [
+            _crash_entry(key, crash, now_s)
+            for key, crash in board.suspicions.items()
+            if only is None or key in only
+        ]
+        # Of too many, those with the most crashes matter most.
+        crashes.sort(key=lambda entry: -entry.count)
         return wire.QuarantineSync(
-            _remaining_s(self.board.quarantine_until_s, now_s),
-            _remaining_s(self.cleared_until_s, now_s),
-            [
-                _crash_entry(key, crash, now_s)
-                for key, crash in self.board.suspicions.items()
-            ][:CRASHES_LIMIT_COUNT],
+            _remaining_s(selected(board.quarantine_until_s), now_s),
+            _remaining_s(selected(self.cleared_until_s), now_s),
+            crashes[:CRASHES_LIMIT_COUNT],
+            {
+                key: now_s - began_s
+                for key, began_s in selected(board.exonerated_s).items()
+            },
+            is_push=only is not None,
         )
 
     def merge(self, message: wire.QuarantineSync, now_s: float) -> bool:
         """Merge the entries of a peer; return whether any was new."""
-        is_changed = False
+        changed: set[str] = set()
         for key, left_s in message.cleared_left_s.items():
             if _extend(self.cleared_until_s, key, now_s + left_s):
-                is_changed = True
+                changed.add(key)
+        for key, age_s in message.answered_age_s.items():
+            if self._adopt_answer(key, now_s - age_s):
+                changed.add(key)
+        crashes = {
+            entry.fingerprint: _crash_of(entry, now_s)
+            for entry in message.crashes[:CRASHES_LIMIT_COUNT]
+        }
+        for key, crash in crashes.items():
+            if self._adopt_crash(key, crash):
+                changed.add(key)
         for key, left_s in message.left_s.items():
-            until_s = now_s + left_s
-            if not self._is_cleared(key, until_s) and _extend(
-                self.board.quarantine_until_s, key, until_s
-            ):
-                is_changed = True
-        for entry in message.crashes[:CRASHES_LIMIT_COUNT]:
-            is_changed |= self._adopt_crash(entry, now_s)
-        self._drop_cleared()
-        if is_changed:
+            if self._adopt_entry(key, now_s + left_s, crashes.get(key)):
+                changed.add(key)
+        changed |= self._drop_cleared()
+        self.unsent |= changed
+        if changed:
             self.board.notify(blackboard.Topic.QUARANTINE)
-        return is_changed
-
-    def _adopt_crash(self, entry: wire.CrashEntry, now_s: float) -> bool:
-        """Adopt a suspicion from a peer unless it was known before."""
-        pair = (entry.fingerprint, entry.leaf)
-        known = entry.fingerprint in self.board.suspicions
-        cleared = self._is_cleared(entry.fingerprint, now_s)
-        if known or cleared or pair in self.seen_s:
+        return bool(changed)
+
+    def _adopt_answer(self, key: str, began_s: float) -> bool:
+        """Clear a suspicion because of a reply that a peer got."""
+        known_s = self.board.exonerated_s.get(key)
+        if known_s is not None and began_s <= known_s + COMPARE_STEP_S:
             return False
-        at_s = now_s - entry.age_s
-        self.seen_s[pair] = at_s
-        self.board.suspicions[entry.fingerprint] = quarantine.Crash(
-            entry.leaf,
-            at_s,
-            now_s - entry.confirmed_age_s,
-            frozenset(entry.fingerprints),
-        )
+        self.board.exonerated_s[key] = began_s
+        crash = self.board.suspicions.get(key)
+        if crash is not None and crash.began_s <= began_s:
+            del self.board.suspicions[key]
+            self.board.quarantine_until_s.pop(key, None)
+        return True
+
+    def _adopt_crash(self, key: str, crash: quarantine.Crash) -> bool:
+        """Adopt a suspicion of a peer that says more than the known one."""
+        known = self.board.suspicions.get(key)
+        if known is not None and _rank(known) >= _rank(crash):
+            return False
+        seen = (key, crash.leaf, crash.count)
+        if seen in self.seen_s or self._is_hidden(key, crash):
+            return False
+        self.seen_s[seen] = crash.at_s
+        self.board.suspicions[key] = crash
         return True
 
+    def _adopt_entry(
+        self, key: str, until_s: float, crash: quarantine.Crash | None
+    ) -> bool:
+        if crash is not None and self._is_hidden(key, crash):
+            return False
+        if self._is_cleared(key, until_s):
+            return False
+        return _extend(self.board.quarantine_until_s, key, until_s)
+
+    def _is_hidden(self, key: str, crash: quarantine.Crash) -> bool:
+        """Return whether a clearing or a reply came after a crash."""
+        answered_s = self.board.exonerated_s.get(key, float("-inf"))
+        return crash.began_s <= answered_s or self._is_cleared_at(
+            key, crash.confirmed_s
+        )
+
     def _is_cleared(self, key: str, until_s: float) -> bool:
-        return until_s <= self.cleared_until_s.get(key, 0.0)
+        crash = self.board.suspicions.get(key)
+        added_s = until_s - ENTRY_MAX_S
+        if crash is not None:
+            added_s = max(added_s, crash.confirmed_s)
+        return self._is_cleared_at(key, added_s)
+
+    def _is_cleared_at(self, key: str, added_s: float) -> bool:
+        cleared_until_s = self.cleared_until_s.get(key, float("-inf"))
+        return added_s <= cleared_until_s - CLEARED_KEEP_S
 
-    def _drop_cleared(self) -> None:
+    def _drop_cleared(self) -> set[str]:
+        """Drop what clearings hide; return the fingerprints."""
         entries = self.board.quarantine_until_s
-        for key in [k for k, u in entries.items() if self._is_cleared(k, u)]:
+        hidden = {k for k, u in entries.items() if self._is_cleared(k, u)}
+        crashes = self.board.suspicions
+        suspected = {k for k, c in crashes.items() if self._is_hidden(k, c)}
+        for key in hidden:
             del entries[key]
+        for key in suspected:
+            del crashes[key]
+        return hidden | suspected
+
+
+def _rank(crash: quarantine.Crash) -> tuple[int, str]:
+    """Return by what one of two suspicions of a request is kept."""
+    return crash.count, crash.leaf
 
 
 def _crash_entry(
@@ -142,6 +229,20 @@
         now_s - crash.at_s,
         now_s - crash.confirmed_s,
         sorted(crash.fingerprints)[:CRASH_FINGERPRINTS_LIMIT_COUNT],
+        crash.count,
+        now_s - crash.began_s,
+    )
+
+
+def _crash_of(entry: wire.CrashEntry, now_s: float) -> quarantine.Crash:
+    began_age_s = entry.began_age_s
+    return quarantine.Crash(
+        entry.leaf,
+        now_s - entry.age_s,
+        now_s - entry.confirmed_age_s,
+        frozenset((entry.fingerprint, *entry.fingerprints)),
+        now_s - (entry.age_s if began_age_s is None else began_age_s),
+        entry.count,
     )
 
 
--- a/plantainhook/wire.py
+++ b/plantainhook/wire.py
@@ -197,8 +197,8 @@
     """Describe a crash of which a request is suspected to be the cause.
 
     ``fingerprint`` is that of the suspected request, and ``fingerprints`` are
-    those of all requests that the leaf was running. Times are sent as ages, so
-    that clocks need not agree.
+    those of all requests that the leaf was running. ``count`` is the number of
+    crashes in a row. Times are sent as ages, so that clocks need not agree.
     """
 
     fingerprint: str
@@ -206,6 +206,9 @@
     age_s: float
     confirmed_age_s: float
     fingerprints: list[str]
+    count: int = 1
+    # Age of the start of the suspect's run; None if the sender is older.
+    began_age_s: float | None = None
 
 
 class QuarantineSync(Body, frozen=True, tag=True, array_like=True):
@@ -213,11 +216,16 @@
 
     ``left_s`` maps the fingerprints of quarantined requests to the seconds
     that remain; ``cleared_left_s`` does the same for clearings.
+    ``answered_age_s`` holds how long ago the runs began whose replies cleared
+    a suspicion. The reply to a push is an ``Ack``, and otherwise contains all
+    entries of the receiver.
     """
 
     left_s: dict[str, float]
     cleared_left_s: dict[str, float]
     crashes: list[CrashEntry] = []
+    answered_age_s: dict[str, float] = {}
+    is_push: bool = False
 
 
 class StatusQuery(Body, frozen=True, tag=True, array_like=True):
--- a/tests/test_query_policies.py
+++ b/tests/test_query_policies.py
@@ -35,7 +35,9 @@
         elif operation == "lost":
             shared.record_connection_loss(leaf, rest[0], now_s)
         elif operation == "replied":
-            shared.record_reply(leaf, rest[0], now_s)
+            # The run began at the time of the event unless another is given.
+            began_s = rest[1] if len(rest) > 1 else now_s
+            shared.record_reply(leaf, rest[0], began_s)
         else:
             shared.record_leaf_down(leaf, now_s)
     return {
