Record and share the crashes of leafs in forward

Class: a part that decides needs another that reports, and nothing shows that it is missing.

forward now starts crashwatch, which also reports leafs whose entry is gone or that started again, and quarantinegossip, on the mappings of the blackboard.

--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -23,6 +23,7 @@
     branchworker,
     callershares,
     clock,
+    crashwatch,
     fleetsize,
     forwardmetrics,
     forwardplanner,
@@ -44,6 +45,7 @@
     options,
     peerlinks,
     peers,
+    quarantinegossip,
     queryplan,
     routecontroller,
     routetable,
@@ -194,7 +196,20 @@
             self._build_policies(),
             self.budgets,
         )
-        self.forward_metrics.watch_quarantine(self.planner.policies.quarantine)
+        self.quarantine_gossip = quarantinegossip.QuarantineGossip(
+            self.board,
+            self.members,
+            self.links,
+            self.handlers,
+            self.clock,
+            self.rng,
+        )
+        request_quarantine = self.planner.policies.quarantine
+        self.quarantine_gossip.share(request_quarantine)
+        self.forward_metrics.watch_quarantine(request_quarantine)
+        self.crashes = crashwatch.CrashWatch(
+            self.board, request_quarantine, self.clock
+        )
         self.worker = branchworker.BranchWorker(
             self.board,
             self.planner,
@@ -243,7 +258,7 @@
             self.board, adapters.documents.read_leaf
         )
         self.notices.on_leaving = self.directory.on_leaving
-        self.directory.on_restart = self.notices.forget
+        self.directory.on_restart = self._on_leaf_restart
         self.routes = routecontroller.RouteController(
             self.board,
             adapters.configuration_name,
@@ -317,6 +332,9 @@
                     nursery,
                 )
             nursery.start_soon(self._update_fleet_counts)
+            nursery.start_soon(self.crashes.run)
+            nursery.start_soon(self.quarantine_gossip.push_changes)
+            nursery.start_soon(self.quarantine_gossip.repair, self.handlers)
             LOGGER.info("Serving callers at {}.", self.forward.front_address)
 
     def request_stop(self) -> None:
@@ -441,6 +459,10 @@
     def _limits(self) -> routetable.ClientLimits:
         return self.board.routes.limits
 
+    def _on_leaf_restart(self, leaf: str) -> None:
+        self.notices.forget(leaf)
+        self.crashes.report_down(leaf)
+
     def _on_routes(self) -> None:
         self.planner.clear_views()
         self.directory.on_routes()
