Confirm the crash of a leaf by the connections that it refuses

A crash was confirmed when the entry of the leaf expired, up to 3.6 s after it. A second crash counts only after that, so that the loss of a rack counts as one, and the request went on crashing leafs meanwhile: 12 crashes with seven daemons and 5 with one in 20 s (tests/crashfleet.py), and arrivals later than allowed in some orders of tasks.

The operating system refuses connections to a process that has ended. A refused connection reports the crash; one that succeeds is kept in the pool, so a leaf that only lost an answer costs at most the connection that the next request needs anyway.

--- a/plantainhook/errors.py
+++ b/plantainhook/errors.py
@@ -190,8 +190,11 @@
 
     ``ran`` states whether the leaf may have run the request. ``served``
     lists the index versions that the leaf named in a 409 reply.
+    ``nothing_listens`` is set if the address refused the connection.
     """
 
+    nothing_listens: bool = False
+
     def __init__(
         self,
         step: steps.Step,
--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -8,6 +8,7 @@
 for the stop is over.
 """
 
+import dataclasses
 import functools
 import random
 import typing
@@ -166,7 +167,9 @@
             self.allotment_of,
             self.instruments,
             self.rng,
-            options=POOL_OPTIONS,
+            options=dataclasses.replace(
+                POOL_OPTIONS, on_nothing_listens=self._on_nothing_listens
+            ),
         )
         self.limits = leaflimits.LeafLimits()
         self.notices = leafnotices.LeafNotices()
@@ -208,7 +211,7 @@
         self.quarantine_gossip.share(request_quarantine)
         self.forward_metrics.watch_quarantine(request_quarantine)
         self.crashes = crashwatch.CrashWatch(
-            self.board, request_quarantine, self.clock
+            self.board, request_quarantine, self.clock, self.pools.check
         )
         self.worker = branchworker.BranchWorker(
             self.board,
@@ -459,6 +462,9 @@
     def _limits(self) -> routetable.ClientLimits:
         return self.board.routes.limits
 
+    def _on_nothing_listens(self, leaf: str) -> None:
+        self.crashes.report_down(leaf)
+
     def _on_leaf_restart(self, leaf: str) -> None:
         self.notices.forget(leaf)
         self.crashes.report_down(leaf)
--- a/plantainhook/leafconnect.py
+++ b/plantainhook/leafconnect.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+from collections import abc
 
 import result
 import trio
@@ -22,6 +23,10 @@
 Failure = errors.LeafFailureKind
 
 
+def _ignore(leaf: str) -> None:
+    """Ignore that a leaf refuses connections."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolOptions:
     """Configure the limits and timeouts of a connection pool.
@@ -30,6 +35,8 @@
     spare connection. ``late_reply_timeout_s`` is how long an abandoned
     request may take to end before its connection is closed, and
     ``close_timeout_s`` how long the leaf may take to close its side.
+    ``on_nothing_listens`` is called with the name of a leaf whose address
+    refuses a connection.
     """
 
     connect_timeout_s: float = 1.0
@@ -43,6 +50,7 @@
     # one connection more than the recent peak of use is kept open.
     checks_health: bool = True
     keeps_spare: bool = True
+    on_nothing_listens: abc.Callable[[str], None] = _ignore
 
 
 @dataclasses.dataclass(slots=True)
@@ -82,7 +90,9 @@
         try:
             transport = await connector(address)
         except OSError as error:
-            return result.Err(connect_error(address, str(error)))
+            failed = connect_error(address, str(error))
+            failed.nothing_listens = isinstance(error, ConnectionRefusedError)
+            return result.Err(failed)
     if transport is None:
         return result.Err(connect_error(address, "connecting timed out"))
     client = leafclient.LeafClient(transport, leaf, address)
--- a/plantainhook/leafpool.py
+++ b/plantainhook/leafpool.py
@@ -216,12 +216,25 @@
 
     def sweep(self) -> None:
         """Replace idle connections that the leaf has closed."""
-        stale = [client for client in self._idle if client.is_stale()]
-        for client in stale:
-            self._idle.remove(client)
-            self._close(client)
+        self._close_stale()
         self._open_more()
 
+    def check(self) -> None:
+        """Open a connection, unless an idle one shows that the leaf is up.
+
+        If the leaf refuses it, ``PoolOptions.on_nothing_listens`` is called.
+        """
+        self._close_stale()
+        if (
+            self._nursery is None
+            or self._idle
+            or self.connecting_count
+            or self._excess_count() >= 0
+        ):
+            return
+        self.connecting_count += 1
+        self._nursery.start_soon(self._connect)
+
     def _refusal_without_wait(self) -> errors.LeafError | None:
         """Return the error if waiting for a connection is of no use."""
         if self._nursery is None:
@@ -268,6 +281,13 @@
         elif isinstance(waiter.outcome, result.Ok):
             self.release(waiter.outcome.ok_value)
 
+    def _close_stale(self) -> None:
+        """Close the idle connections that the leaf has closed."""
+        stale = [client for client in self._idle if client.is_stale()]
+        for client in stale:
+            self._idle.remove(client)
+            self._close(client)
+
     def _close_idle_longer_than(self, max_idle_s: float) -> None:
         """Close the connections that have been idle for too long."""
         oldest_s = trio.current_time() - max_idle_s
@@ -408,6 +428,8 @@
         """Back off; fail the waiters if no other connection can serve them."""
         self._metrics.count_connect("failed")
         options = self._options
+        if error.nothing_listens:
+            options.on_nothing_listens(self.leaf)
         doubled_s = max(options.backoff_min_s, self._backoff_s * 2)
         self._backoff_s = min(options.backoff_max_s, doubled_s)
         delay_s = self._backoff_s * self._rng.uniform(0.5, 1.0)
--- a/plantainhook/leafpools.py
+++ b/plantainhook/leafpools.py
@@ -81,6 +81,15 @@
                 return pool
             await self._pool_added.wait()
 
+    def check(self, leaf: str) -> None:
+        """Find out whether a leaf accepts connections, if it is registered.
+
+        See ``LeafPool.check``.
+        """
+        pool = self._pools.get(leaf)
+        if pool is not None:
+            pool.check()
+
     def may_send(self, leaf: str) -> bool:
         """Return whether a leaf may still be sent a request.
 
--- a/tests/test_crashfleet.py
+++ b/tests/test_crashfleet.py
@@ -10,6 +10,8 @@
 
 # More requests that reach leafs late break a rule of the users' platform.
 LATE_MAX_COUNT: typing.Final = 3
+# Two leafs until the first crash is confirmed, and one whose run proves it.
+CRASHES_MAX_COUNT: typing.Final = 4
 SOUND_PATHS: typing.Final = [b"/one/%d" % number for number in range(10)]
 
 
@@ -29,6 +31,7 @@
     def check(self, fleet: crashfleet.Fleet) -> None:
         """Check that the request crashed leafs and was then held back."""
         self.assertGreaterEqual(len(fleet.crashes), 2)
+        self.assertLessEqual(len(fleet.crashes), CRASHES_MAX_COUNT)
         self.assertLessEqual(len(fleet.late_arrivals()), LATE_MAX_COUNT)
 
     def test_seven_daemons(self) -> None:
