Keep quarantined requests in the platform's store

With the gossip of quarantines alone (tests/crashfleet.py): seven daemons whose peer links are cut let a request crash 21 leafs in 40 s, with 11 arrivals later than 4 s after the third crash; after a restart of all daemons it crashed 2 more leafs. Cause: what must last and be agreed on lived in the memory of the daemons only (design.md says that the entries are in the object API, which holds for daemon).

- quarantinestore keeps the entries in force in the store, under a kind of the system's own.
It compares and writes what differs, so a lost write, an outage and a store that comes back older need no code of their own.
The daemon that quarantined a request writes at once, and three others if it does not.
- A suspicion that no peer has heard of is written too.
- An operator sees the request and the last leaf in the object, and ends the quarantine by deleting it.
Each quarantine is logged with the request.

--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -47,6 +47,7 @@
     peerlinks,
     peers,
     quarantinegossip,
+    quarantinestore,
     queryplan,
     routecontroller,
     routetable,
@@ -210,6 +211,16 @@
         request_quarantine = self.planner.policies.quarantine
         self.quarantine_gossip.share(request_quarantine)
         self.forward_metrics.watch_quarantine(request_quarantine)
+        self.quarantine_store = quarantinestore.QuarantineStore(
+            self.board,
+            self.quarantine_gossip.sync,
+            adapters.quarantine_writer,
+            self.rng,
+        )
+        request_quarantine.on_quarantine = self.quarantine_store.on_quarantine
+        self.quarantine_gossip.on_unreached = (
+            self.quarantine_store.on_unreached
+        )
         self.crashes = crashwatch.CrashWatch(
             self.board, request_quarantine, self.clock, self.pools.check
         )
@@ -254,6 +265,7 @@
                 self._build_decision_log("attempt"),
                 self.rng,
                 self.stop_admission,
+                self.quarantine_store,
             )
         )
         self.gatherers.run_here = self.service.answer_for_peer
@@ -273,6 +285,7 @@
             for source, consumer in (
                 (adapters.leafs, self.directory),
                 (adapters.configurations, self.routes),
+                (adapters.quarantines, self.quarantine_store),
             )
         }
         for kind, replica in replicas.items():
@@ -285,7 +298,11 @@
             replicas,
             {
                 source.kind: source
-                for source in (adapters.leafs, adapters.configurations)
+                for source in (
+                    adapters.leafs,
+                    adapters.configurations,
+                    adapters.quarantines,
+                )
             },
             self.links,
             self.handlers,
@@ -336,6 +353,7 @@
                 )
             nursery.start_soon(self._update_fleet_counts)
             nursery.start_soon(self.crashes.run)
+            nursery.start_soon(self.quarantine_store.run)
             nursery.start_soon(self.quarantine_gossip.push_changes)
             nursery.start_soon(self.quarantine_gossip.repair, self.handlers)
             LOGGER.info("Serving callers at {}.", self.forward.front_address)
@@ -531,8 +549,9 @@
 class PlatformAdapters(typing.NamedTuple):
     """Collect the objects through which a daemon uses the platform.
 
-    ``leafs`` and ``configurations`` read the platform's store;
-    ``configuration_name`` names the configuration that daemons apply.
+    ``leafs``, ``configurations`` and ``quarantines`` read the platform's
+    store; ``quarantine_writer`` writes to it. ``configuration_name`` names the
+    configuration that daemons apply.
     """
 
     dialect: forwardtypes.Dialect
@@ -540,3 +559,5 @@
     leafs: objectsource.ObjectSource
     configurations: objectsource.ObjectSource
     configuration_name: str
+    quarantines: objectsource.ObjectSource
+    quarantine_writer: objectsource.ObjectWriter
--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -34,6 +34,7 @@
     limitsync,
     logs,
     metrics,
+    quarantinestore,
     querytypes,
     routetable,
     runningrequests,
@@ -78,6 +79,7 @@
     failure_log: logs.DecisionLog
     rng: random.Random
     stop: stopadmission.StopAdmission
+    quarantines: quarantinestore.QuarantineStore
 
 
 class ForwardService:
@@ -242,11 +244,29 @@
         outcome = await executor.run_query(
             machine, request, gateway, dependencies.planner.clock
         )
+        self._label(forwarded, request, outcome)
         self._record(forwarded, route, outcome, arrived_s)
         if isinstance(outcome, errors.RefusalError):
             return self._build_refusal(outcome, route, services)
         return self._build_response(route, outcome)
 
+    def _label(
+        self,
+        forwarded: forwardtypes.ForwardRequest,
+        request: querytypes.QueryRequest,
+        outcome: executor.Outcome,
+    ) -> None:
+        """Describe a request that failed, in case it crashes leafs."""
+        if (
+            isinstance(outcome, errors.RefusalError)
+            and outcome.ran is not errors.Ran.NO
+        ):
+            method = forwarded.method.decode("latin-1")
+            target = forwarded.target.decode("latin-1")
+            self.dependencies.quarantines.label(
+                request.fingerprint, f"{method} {forwarded.host}{target}"
+            )
+
     def _choose_services(self, route: routetable.Route) -> tuple[str, ...]:
         """Return the services that a request needs."""
         if route.gather is not None:
--- a/plantainhook/httpconnection.py
+++ b/plantainhook/httpconnection.py
@@ -39,6 +39,7 @@
 LeafResult = result.Result[T, errors.LeafError]
 Failure = errors.LeafFailureKind
 Headers = typing.Sequence[tuple[bytes, bytes]]
+TextHeaders = typing.Sequence[tuple[str, str]]
 
 
 class Phase(enum.Enum):
--- a/plantainhook/objectsource.py
+++ b/plantainhook/objectsource.py
@@ -87,6 +87,7 @@
 
 ListResult = result.Result[Listing, errors.ObjectApiError]
 WatchResult = result.Result[Changes, errors.ObjectApiError]
+WriteResult = result.Result[None, errors.ObjectApiError]
 
 
 class ObjectSource(typing.Protocol):
@@ -111,6 +112,19 @@
         """Make a cheap call on another connection than that of the watch."""
 
 
+class ObjectWriter(typing.Protocol):
+    """Write the objects of one kind to a store.
+
+    A write that returns an error may have taken effect.
+    """
+
+    async def put(self, name: str, spec: object) -> WriteResult:
+        """Create an object, or replace its spec if it exists."""
+
+    async def delete(self, name: str) -> WriteResult:
+        """Remove an object; one that does not exist counts as removed."""
+
+
 class Consumer(typing.Protocol):
     """Receive the objects and changes that reach a replica.
 
--- a/plantainhook/platform/adapters.py
+++ b/plantainhook/platform/adapters.py
@@ -9,14 +9,16 @@
     connector: leaftransport.Connector = leaftransport.connect_for_watches,
 ) -> forwarddaemon.PlatformAdapters:
     """Build the adapters for the platform's store named in the options."""
+
+    def build_store(kind: str) -> store.PlatformStore:
+        return store.PlatformStore(forward.store_address, kind, connector)
+
     return forwarddaemon.PlatformAdapters(
         dialect=dialect.PlatformDialect(),
         documents=documents.PlatformDocuments(),
-        leafs=store.PlatformStore(
-            forward.store_address, names.LEAF_KIND, connector
-        ),
-        configurations=store.PlatformStore(
-            forward.store_address, names.CONFIGURATION_KIND, connector
-        ),
+        leafs=build_store(names.LEAF_KIND),
+        configurations=build_store(names.CONFIGURATION_KIND),
         configuration_name=names.CONFIGURATION_NAME,
+        quarantines=build_store(names.QUARANTINE_KIND),
+        quarantine_writer=build_store(names.QUARANTINE_KIND),
     )
--- a/plantainhook/platform/names.py
+++ b/plantainhook/platform/names.py
@@ -23,6 +23,7 @@
 LEAF_KIND: typing.Final = "servers"
 CONFIGURATION_KIND: typing.Final = "config"
 CONFIGURATION_NAME: typing.Final = "main"
+QUARANTINE_KIND: typing.Final = "quarantined-requests"
 
 STATE_DRAINING: typing.Final = "draining"
 KIND_IDEMPOTENT: typing.Final = "idempotent"
--- a/plantainhook/platform/store.py
+++ b/plantainhook/platform/store.py
@@ -1,7 +1,8 @@
 """Client of the platform's store, over HTTP/1.1.
 
-``PlatformStore`` lists and watches one kind of objects; it implements
-``objectsource.ObjectSource``. Every failure is an ``ObjectApiError``.
+``PlatformStore`` lists, watches and writes one kind of objects; it implements
+``objectsource.ObjectSource`` and ``ObjectWriter``. Every failure is an
+``ObjectApiError``.
 """
 
 import math
@@ -29,6 +30,8 @@
 CALL_TIMEOUT_S: typing.Final = 2.0
 CONNECT_TIMEOUT_S: typing.Final = 1.0
 STATUS_OK: typing.Final = 200
+STATUS_NOT_FOUND: typing.Final = 404
+STATUS_CONFLICT: typing.Final = 409
 STATUS_HISTORY_EXPIRED: typing.Final = 410
 # A number of so many digits is no era; it would not fit the messages to peers.
 ERA_DIGITS: typing.Final = 19
@@ -80,7 +83,7 @@
 
 
 class PlatformStore:
-    """Read one kind of objects over one connection that it keeps open."""
+    """Use one kind of objects over one connection that it keeps open."""
 
     def __init__(
         self,
@@ -170,6 +173,57 @@
             return _read_probe(read, position)
         return objectsource.ProbeOutcome.SILENT
 
+    async def put(self, name: str, spec: object) -> objectsource.WriteResult:
+        """Create an object, or replace its spec if it exists.
+
+        Use another instance than that of a watch, which occupies the
+        connection.
+        """
+        path = f"{names.OBJECTS_PATH}/{self.kind}"
+        document = {"meta": {"name": name}, "spec": spec}
+        body = msgspec.json.encode(document)
+        written = await self._write("POST", path, body)
+        if isinstance(written, result.Err):
+            return written
+        if written.ok_value == STATUS_CONFLICT:
+            written = await self._write("PUT", f"{path}/{name}", body)
+        return self._check_write(written)
+
+    async def delete(self, name: str) -> objectsource.WriteResult:
+        """Remove an object; one that does not exist counts as removed."""
+        path = f"{names.OBJECTS_PATH}/{self.kind}/{name}"
+        deleted = await self._write("DELETE", path, b"")
+        if deleted == result.Ok(STATUS_NOT_FOUND):
+            return result.Ok(None)
+        return self._check_write(deleted)
+
+    def _check_write(
+        self, written: result.Result[int, errors.ObjectApiError]
+    ) -> objectsource.WriteResult:
+        """Return an error unless the status of a write is a success."""
+        if isinstance(written, result.Err):
+            return written
+        status = written.ok_value
+        if not 200 <= status < 300:
+            detail = f"the store replied to a write with status {status}"
+            return result.Err(self._unavailable(detail))
+        return result.Ok(None)
+
+    async def _write(
+        self, method: str, path: str, body: bytes
+    ) -> result.Result[int, errors.ObjectApiError]:
+        """Make a call that writes; return its status."""
+        headers = []
+        if body:
+            headers = [
+                ("content-type", "application/json"),
+                ("content-length", str(len(body))),
+            ]
+        called = await self._call(method, path, headers, body, CALL_TIMEOUT_S)
+        if isinstance(called, result.Err):
+            return called
+        return result.Ok(called.ok_value.status)
+
     async def _get(
         self, query: dict[str, str], timeout_s: float, reply_type: type[T]
     ) -> result.Result[tuple[T, int], errors.ObjectApiError]:
@@ -177,23 +231,10 @@
         path = f"{names.OBJECTS_PATH}/{self.kind}"
         if query:
             path += "?" + urllib.parse.urlencode(query)
-        connected = await self._get_connection()
-        if isinstance(connected, result.Err):
-            return connected
-        connection = connected.ok_value
-        head = h11.Request(
-            method="GET", target=path, headers=[("host", self._address)]
-        )
-        deadline_s = trio.current_time() + timeout_s
-        try:
-            read = await connection.exchange(head, b"", deadline_s)
-        finally:
-            if not connection.is_reusable():
-                self._close()
-        if isinstance(read, result.Err):
-            return result.Err(self._unavailable(str(read.err_value)))
-        raw = read.ok_value
-        self._record_era(_parse_era(raw))
+        called = await self._call("GET", path, [], b"", timeout_s)
+        if isinstance(called, result.Err):
+            return called
+        raw = called.ok_value
         if raw.status == STATUS_HISTORY_EXPIRED:
             detail = "the store has no history after the revision"
             return result.Err(self._history_expired(detail))
@@ -213,6 +254,35 @@
                 self._unavailable(f"the reply cannot be decoded: {error}")
             )
 
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        headers: httpconnection.TextHeaders,
+        body: bytes,
+        timeout_s: float,
+    ) -> result.Result[httpconnection.RawReply, errors.ObjectApiError]:
+        """Exchange a call and its reply on the connection."""
+        connected = await self._get_connection()
+        if isinstance(connected, result.Err):
+            return connected
+        connection = connected.ok_value
+        head = h11.Request(
+            method=method,
+            target=path,
+            headers=[("host", self._address), *headers],
+        )
+        deadline_s = trio.current_time() + timeout_s
+        try:
+            read = await connection.exchange(head, body, deadline_s)
+        finally:
+            if not connection.is_reusable():
+                self._close()
+        if isinstance(read, result.Err):
+            return result.Err(self._unavailable(str(read.err_value)))
+        self._record_era(_parse_era(read.ok_value))
+        return result.Ok(read.ok_value)
+
     async def _get_connection(
         self,
     ) -> result.Result[httpconnection.HttpConnection, errors.ObjectApiError]:
--- a/plantainhook/quarantine.py
+++ b/plantainhook/quarantine.py
@@ -117,7 +117,8 @@
     to its last lost connections. The other mappings have fingerprints as
     keys. ``until_s`` is when the quarantine of a fingerprint ends.
     ``on_change`` is called with a fingerprint whose suspicion or quarantine
-    changed, and ``on_loss`` with a leaf that lost connections.
+    changed, ``on_quarantine`` with one that crashes here have proven, and
+    ``on_loss`` with a leaf that lost connections.
     """
 
     running: dict[str, dict[str, Run]] = dataclasses.field(
@@ -135,6 +136,7 @@
     # Start of the answered run that cleared a suspicion.
     exonerated_s: dict[str, float] = dataclasses.field(default_factory=dict)
     on_change: abc.Callable[[str], None] = _ignore
+    on_quarantine: abc.Callable[[str], None] = _ignore
     on_loss: abc.Callable[[str], None] = _ignore
 
     def request_state(self, fingerprint: str, now_s: float) -> RequestState:
@@ -324,6 +326,7 @@
         ) or count >= PROVEN_CRASHES_COUNT:
             step = min(count - 2, len(QUARANTINE_STEPS_S) - 1)
             self.add(fingerprint, now_s + QUARANTINE_STEPS_S[step])
+            self.on_quarantine(fingerprint)
         else:
             self.on_change(fingerprint)
 
--- a/plantainhook/quarantinegossip.py
+++ b/plantainhook/quarantinegossip.py
@@ -12,6 +12,7 @@
 
 import random
 import typing
+from collections import abc
 
 import result
 import trio
@@ -36,7 +37,13 @@
 
 
 class QuarantineGossip:
-    """Exchange the quarantine entries of the blackboard with peers."""
+    """Exchange the quarantine entries of the blackboard with peers.
+
+    ``on_unreached`` is called with the fingerprints of changes that no peer
+    has confirmed.
+    """
+
+    on_unreached: abc.Callable[[set[str]], None]
 
     def __init__(
         self,
@@ -53,6 +60,7 @@
         self._transport = transport
         self._clock = time_source
         self._rng = rng
+        self.on_unreached = lambda fingerprints: None
         handlers.register(wire.QuarantineSync)(self._on_sync)
 
     def share(self, shared: quarantine.Quarantine) -> None:
@@ -76,8 +84,7 @@
                 message = self.sync.message(
                     self._clock.now_s(), unsent or None
                 )
-                for address in self._push_addresses():
-                    nursery.start_soon(self._push, address, message)
+                nursery.start_soon(self._push_to_peers, message, unsent)
 
     async def repair(self, handlers: peers.Handlers) -> None:
         """Compare digests with random members until cancelled.
@@ -111,12 +118,26 @@
             return others
         return self._members.neighbour_addresses()
 
-    async def _push(self, address: str, message: wire.QuarantineSync) -> None:
+    async def _push_to_peers(
+        self, message: wire.QuarantineSync, unsent: set[str]
+    ) -> None:
+        confirmed: list[str] = []
+        async with trio.open_nursery() as nursery:
+            for address in self._push_addresses():
+                nursery.start_soon(self._push, address, message, confirmed)
+        if not confirmed:
+            self.on_unreached(unsent)
+
+    async def _push(
+        self, address: str, message: wire.QuarantineSync, confirmed: list[str]
+    ) -> None:
         reply = await self._transport.request(
             address, message, REQUEST_TIMEOUT_S
         )
         if isinstance(reply, result.Err):
             LOGGER.debug("No reply to a push: {}", reply.err_value)
+        else:
+            confirmed.append(address)
 
     async def _compare(self, address: str) -> None:
         reply = await self._transport.request(
--- a/plantainhook/quarantinesync.py
+++ b/plantainhook/quarantinesync.py
@@ -17,8 +17,9 @@
 
 import xxhash
 
-from plantainhook import blackboard, quarantine, wire
+from plantainhook import blackboard, logs, quarantine, wire
 
+LOGGER: typing.Final = logs.part_logger("quarantine")
 # A clearing outlives every entry that was added before it.
 CLEARED_KEEP_S: typing.Final = 660.0
 COMPARE_STEP_S: typing.Final = 5.0
@@ -126,6 +127,23 @@
             is_push=only is not None,
         )
 
+    def adopt(
+        self,
+        fingerprint: str,
+        until_s: float | None,
+        crash: quarantine.Crash,
+    ) -> bool:
+        """Adopt a suspicion from the store; return whether it says more.
+
+        ``until_s`` is the end of a quarantine, if there is one.
+        """
+        is_new = self._adopt_crash(fingerprint, crash)
+        if until_s is not None:
+            is_new |= self._adopt_entry(fingerprint, until_s, crash)
+        if is_new:
+            self.record_change(fingerprint)
+        return is_new
+
     def merge(self, message: wire.QuarantineSync, now_s: float) -> bool:
         """Merge the entries of a peer; return whether any was new."""
         changed: set[str] = set()
@@ -144,6 +162,11 @@
                 changed.add(key)
         for key, left_s in message.left_s.items():
             if self._adopt_entry(key, now_s + left_s, crashes.get(key)):
+                LOGGER.info(
+                    "Request {} is in quarantine for {:.0f} s, says a peer.",
+                    key,
+                    left_s,
+                )
                 changed.add(key)
         changed |= self._drop_cleared()
         self.unsent |= changed
