Call all shards at once when a reply clears a suspected query

After a crash of leafs, sound queries over many shards that ran there are suspects until one of their calls is answered. Such a query called its shards one after the other to its end: with 20 shards of 40 ms each it is answered after its deadline, refused, and sent again as a suspect.

The first shard shows whether a query crashes leafs, so all others are called as soon as it has answered. The query still gets no hedges and retries. test_answered_query_calls_the_other_shards_at_once failed before.

--- a/plantainhook/query.py
+++ b/plantainhook/query.py
@@ -192,7 +192,7 @@
         """Start an empty merge for a version and send its first attempts.
 
         A suspect request has only one attempt at a time; its other
-        assignments are pending.
+        assignments are pending until it is answered.
         """
         self._dispatcher.pin(view)
         requested = self.plan.request.shards
@@ -388,6 +388,8 @@
             return self._finish_with_merge(actions, now_s)
         if self._dispatcher.one_at_a_time and self._ledger.lost_leafs:
             self._pending = []
+        elif self._pending and self._is_clear(now_s):
+            self._send_pending(actions, now_s)
         if self._pending and not self._ledger.live:
             reason = querytypes.AttemptReason.FIRST
             self._dispatcher.send_first(
@@ -405,6 +407,25 @@
             self._set_timer(actions)
         return actions
 
+    def _is_clear(self, now_s: float) -> bool:
+        """Return whether the request is no suspect any more."""
+        state = self.policies.quarantine.request_state(
+            self.plan.request.fingerprint, now_s
+        )
+        return state is quarantine.RequestState.CLEAR
+
+    def _send_pending(self, actions: Actions, now_s: float) -> None:
+        """Send all pending assignments, as a reply has cleared the suspect.
+
+        The query still gets neither hedges nor retries.
+        """
+        pending, self._pending = self._pending, []
+        for assignment in pending:
+            self._dispatcher.send_first(
+                assignment, querytypes.AttemptReason.FIRST, actions, now_s
+            )
+        self._schedule_early_check()
+
     def _refuse_lost_shards(self, actions: Actions, now_s: float) -> Actions:
         """Refuse the query, which has lost too many shards.
 
--- a/tests/test_querygoal.py
+++ b/tests/test_querygoal.py
@@ -8,6 +8,7 @@
     errors,
     forwardplanner,
     goalhedging,
+    quarantine,
     query,
     queryplan,
     querytypes,
@@ -32,6 +33,7 @@
         idempotent: bool = True,
         extra_count: float = 1000.0,
         down: typing.Collection[str] = (),
+        suspect: bool = False,
     ) -> None:
         gather = routetable.Gather(SHARDS, 5, min_coverage_ratio)
         route = routetable.Route(
@@ -78,6 +80,10 @@
         for name in down:
             state = policies.replicas.state(statuses[name])
             state.hard_failure_count = replicastate.DOWN_FAILURES_COUNT
+        if suspect:
+            policies.quarantine.suspicions["f"] = quarantine.Crash(
+                "s0x", -1.0, -0.9, frozenset("f"), -1.1
+            )
         request = querytypes.QueryRequest("q", "r", "k", {}, "f", 0.0, 0.8)
         rules = forwardplanner.build_rules(route, 0.9)
         plan = queryplan.QueryPlan(request, rules, lambda: view)
@@ -210,3 +216,33 @@
         case = GoalCase(extra_count=0.0)
         case.fail(1, 0.01, errors.Ran.NO)
         self.assertEqual(4, len(case.sends))
+
+
+class SuspectTest(testtools.TestCase):
+    """Check how a query runs that is suspected of crashing leafs."""
+
+    def test_one_shard_is_tried_first(self) -> None:
+        """Guard against a query that crashes a leaf of each shard."""
+        case = GoalCase(suspect=True)
+        self.assertEqual(1, len(case.sends))
+        case.fail(
+            1, 0.01, errors.Ran.MAYBE, errors.LeafFailureKind.CONNECTION_LOST
+        )
+        self.assertEqual(1, len(case.sends))
+        self.assertIsInstance(case.outcome, errors.RefusalError)
+
+    def test_answered_query_calls_the_other_shards_at_once(self) -> None:
+        """Guard against a sound query that calls its shards one by one."""
+        case = GoalCase(suspect=True)
+        case.reply(1, 0.03)
+        self.assertEqual(len(SHARDS), len(case.sends))
+        for attempt_id in (2, 3, 4):
+            case.reply(attempt_id, 0.06)
+        self.assertEqual((), case.outcome.missing_shards)
+
+    def test_refusing_leaf_does_not_end_the_query(self) -> None:
+        """Guard against a sound query that ends with its first refusal."""
+        case = GoalCase(suspect=True)
+        case.fail(1, 0.01, errors.Ran.NO)
+        self.assertEqual(2, len(case.sends))
+        self.assertIs(None, case.outcome)
