Check for a quarantine before a query is divided into branches

A suspected query over shards in three data centres ran on one leaf at a time in each branch, so it crashed up to three leafs where one is enough. The fingerprint did not contain the host, so a path that crashes leafs of one route was refused at all hosts.

--- a/plantainhook/forwardplanner.py
+++ b/plantainhook/forwardplanner.py
@@ -230,6 +230,7 @@
 def fingerprint_of(forwarded: forwardtypes.ForwardRequest) -> str:
     """Return a hash that is equal for repetitions of a request."""
     digest = xxhash.xxh3_64(forwarded.method)
+    digest.update(forwarded.host.encode("latin-1"))
     digest.update(forwarded.target)
     digest.update(forwarded.body)
     return digest.hexdigest()
--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -34,6 +34,7 @@
     limitsync,
     logs,
     metrics,
+    quarantine,
     quarantinestore,
     querytypes,
     routetable,
@@ -184,6 +185,10 @@
                 "refused: this daemon stops."
             )
             return self._build_retry_soon()
+        refusal = self._check_quarantine(request)
+        if refusal is not None:
+            self._record(forwarded, route, refusal, arrived_s)
+            return self._build_refusal(refusal, route, ())
         # Other daemons may have a scatter-gather request from here on.
         running.progress.passed_on = route.gather is not None
         if may_forward and route.gather is not None:
@@ -211,7 +216,9 @@
             self._record(forwarded, route, refusal, arrived_s)
             return self._build_refusal(refusal, route, services)
         gathered = None
-        if self.dependencies.branches is not None:
+        if self.dependencies.branches is not None and not self._is_suspect(
+            request
+        ):
             gathered = await self.dependencies.branches.gather(
                 forwarded, route, arrived_s
             )
@@ -250,6 +257,24 @@
             return self._build_refusal(outcome, route, services)
         return self._build_response(route, outcome)
 
+    def _check_quarantine(
+        self, request: querytypes.QueryRequest
+    ) -> errors.RefusalError | None:
+        """Return a refusal if a request is in quarantine."""
+        left_s = self.dependencies.planner.policies.quarantine.left_s(
+            request.fingerprint, trio.current_time()
+        )
+        return answers.quarantine_refusal(left_s) if left_s > 0.0 else None
+
+    def _is_suspect(self, request: querytypes.QueryRequest) -> bool:
+        """Return whether a request may crash leafs.
+
+        A suspect runs on one leaf at a time, so helpers don't run it.
+        """
+        shared = self.dependencies.planner.policies.quarantine
+        state = shared.request_state(request.fingerprint, trio.current_time())
+        return state is not quarantine.RequestState.CLEAR
+
     def _label(
         self,
         forwarded: forwardtypes.ForwardRequest,
--- a/tests/crashfleet.py
+++ b/tests/crashfleet.py
@@ -30,6 +30,9 @@
 CRASHING_PATH: typing.Final = b"/one/crash"
 # The rule counts from this long after the third crash.
 SETTLE_S: typing.Final = 4.0
+# With so many shards and records, queries are gathered in branches.
+SHARDS_COUNT: typing.Final = 12
+RECORDS_COUNT: typing.Final = 100
 STORE_ADDRESS: typing.Final = "10.3.0.1:80"
 
 
@@ -345,9 +348,9 @@
             leaf.address if behaviour.keeps_address else "",
         )
 
-    def configure(self, shards_count: int = 3) -> None:
+    def configure(self) -> None:
         """Write routes to one service and to all shards."""
-        shards = [f"shard-{number}" for number in range(shards_count)]
+        shards = [f"shard-{number}" for number in range(SHARDS_COUNT)]
         shared = {"host": HOST, "timeout-ms": 3000, "max-attempts": 2}
         repeated = {**shared, "kind": "idempotent"}
         routes: list[platformfleet.Spec] = [
@@ -369,7 +372,7 @@
                 "name": "all",
                 "path-prefix": "/all/",
                 "gather": shards,
-                "top-k": 5,
+                "top-k": RECORDS_COUNT,
                 "min-coverage": 0.5,
             },
         ]
@@ -451,7 +454,8 @@
 ) -> Fleet:
     """Run a scenario on virtual time; return what was seen.
 
-    The service "one" has ``leafs_count`` leafs, and each of three shards two.
+    The service "one" has ``leafs_count`` leafs, and each shard two in one data
+    centre.
     """
 
     async def main() -> Fleet:
@@ -460,8 +464,10 @@
             fleet.configure()
             for number in range(leafs_count):
                 fleet.add_leaf("one", "abc"[number % 3])
-            for number in range(6):
-                fleet.add_leaf(f"shard-{number % 3}", "abc"[number % 3])
+            for number in range(2 * SHARDS_COUNT):
+                fleet.add_leaf(
+                    f"shard-{number // 2}", "abc"[(number // 2) % 3]
+                )
             for daemon in fleet.daemons:
                 daemon.start()
             await trio.sleep(6.0)
--- a/tests/test_crashfleet.py
+++ b/tests/test_crashfleet.py
@@ -6,6 +6,7 @@
 import testtools
 import trio
 
+from plantainhook import forwardplanner, forwardtypes
 from tests import crashfleet
 
 # More requests that reach leafs late break a rule of the users' platform.
@@ -47,3 +48,56 @@
         self.check(
             crashfleet.run("a", functools.partial(play, crashing_pause_s=0.7))
         )
+
+    def test_query_over_many_shards(self) -> None:
+        """Guard against a query that crashes leafs in each of its branches."""
+        path = b"/all/crash"
+
+        async def scenario(fleet: crashfleet.Fleet) -> None:
+            sound = [b"/all/%d" % number for number in range(5)]
+            with trio.move_on_after(10.0):
+                await fleet.send_often(sound, 0.1)
+            with trio.move_on_after(20.0):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(fleet.send_often, sound, 0.1)
+                    nursery.start_soon(fleet.send_often, [path], 0.7)
+
+        fleet = crashfleet.run("abcabca", scenario)
+        branches = [
+            daemon.process.forward_metrics.branches.labels("sent")
+            for daemon in fleet.daemons
+        ]
+        self.assertGreater(sum(each._value.get() for each in branches), 0)
+        # A leaf of each shard, a retry in each data centre, and one leaf whose
+        # run proves it.
+        crashes_max_count = crashfleet.SHARDS_COUNT + 3 + 1
+        self.assertLessEqual(len(fleet.crashes), crashes_max_count)
+        self.assertEqual([], fleet.late_arrivals(path))
+        self.assertEqual({200}, fleet.statuses().keys())
+
+    def test_loss_of_a_rack(self) -> None:
+        """Guard against sound requests that are refused after a crash."""
+
+        async def scenario(fleet: crashfleet.Fleet) -> None:
+            with trio.move_on_after(10.0):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(fleet.send_often, SOUND_PATHS, 0.02)
+                    await trio.sleep(3.0)
+                    for leaf in fleet.leafs_of("one")[::3]:
+                        fleet.crash(leaf)
+
+        fleet = crashfleet.run("abcabca", scenario)
+        self.assertGreaterEqual(len(fleet.crashes), 4)
+        self.assertEqual({200}, fleet.statuses().keys())
+        for daemon in fleet.daemons:
+            self.assertEqual({}, daemon.process.board.quarantine_until_s)
+            self.assertEqual({}, daemon.process.board.suspicions)
+
+    def test_other_host(self) -> None:
+        """Guard against the quarantine of a path at other hosts."""
+        requests = [
+            forwardtypes.ForwardRequest(b"GET", b"/", host, [], b"", "q", None)
+            for host in ("a.example", "b.example")
+        ]
+        fingerprints = {forwardplanner.fingerprint_of(r) for r in requests}
+        self.assertEqual(2, len(fingerprints))
