Suspect no request that was not sent

A request that waits for a connection to a leaf fails with it when the leaf crashes. It counted as one that ran there, although no byte of it was written, which made sound requests suspects and, as common to two crashes, hid the one that crashes leafs. test_unsent_request_is_not_suspected failed before.

--- a/plantainhook/attempts.py
+++ b/plantainhook/attempts.py
@@ -197,6 +197,10 @@
         )
         if failure.kind is errors.LeafFailureKind.CONNECTION_LOST:
             self.lost_leafs.add(leaf)
+        if (
+            failure.kind is errors.LeafFailureKind.CONNECTION_LOST
+            and not failure.is_unsent()
+        ):
             self.policies.quarantine.record_connection_loss(
                 leaf, fingerprint, now_s
             )
--- a/tests/test_querygoal.py
+++ b/tests/test_querygoal.py
@@ -246,3 +246,10 @@
         case.fail(1, 0.01, errors.Ran.NO)
         self.assertEqual(2, len(case.sends))
         self.assertIs(None, case.outcome)
+
+    def test_unsent_request_is_not_suspected(self) -> None:
+        """Guard against suspicion of a request that a crash kept waiting."""
+        case = GoalCase()
+        kind = errors.LeafFailureKind.CONNECTION_LOST
+        case.fail(1, 0.01, errors.Ran.NO, kind)
+        self.assertEqual({}, case.policies.quarantine.losses)
