--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -8,6 +8,7 @@
 for the stop is over.
 """
 
+import dataclasses
 import functools
 import random
 import typing
@@ -23,6 +24,7 @@
     branchworker,
     callershares,
     clock,
+    crashwatch,
     fleetsize,
     forwardmetrics,
     forwardplanner,
@@ -44,6 +46,8 @@
     options,
     peerlinks,
     peers,
+    quarantinegossip,
+    quarantinestore,
     queryplan,
     routecontroller,
     routetable,
@@ -164,7 +168,9 @@
             self.allotment_of,
             self.instruments,
             self.rng,
-            options=POOL_OPTIONS,
+            options=dataclasses.replace(
+                POOL_OPTIONS, on_nothing_listens=self._on_nothing_listens
+            ),
         )
         self.limits = leaflimits.LeafLimits()
         self.notices = leafnotices.LeafNotices()
@@ -194,6 +200,30 @@
             self._build_policies(),
             self.budgets,
         )
+        self.quarantine_gossip = quarantinegossip.QuarantineGossip(
+            self.board,
+            self.members,
+            self.links,
+            self.handlers,
+            self.clock,
+            self.rng,
+        )
+        request_quarantine = self.planner.policies.quarantine
+        self.quarantine_gossip.share(request_quarantine)
+        self.forward_metrics.watch_quarantine(request_quarantine)
+        self.quarantine_store = quarantinestore.QuarantineStore(
+            self.board,
+            self.quarantine_gossip.sync,
+            adapters.quarantine_writer,
+            self.rng,
+        )
+        request_quarantine.on_quarantine = self.quarantine_store.on_quarantine
+        self.quarantine_gossip.on_unreached = (
+            self.quarantine_store.on_unreached
+        )
+        self.crashes = crashwatch.CrashWatch(
+            self.board, request_quarantine, self.clock, self.pools.check
+        )
         self.worker = branchworker.BranchWorker(
             self.board,
             self.planner,
@@ -235,6 +265,7 @@
                 self._build_decision_log("attempt"),
                 self.rng,
                 self.stop_admission,
+                self.quarantine_store,
             )
         )
         self.gatherers.run_here = self.service.answer_for_peer
@@ -242,7 +273,7 @@
             self.board, adapters.documents.read_leaf
         )
         self.notices.on_leaving = self.directory.on_leaving
-        self.directory.on_restart = self.notices.forget
+        self.directory.on_restart = self._on_leaf_restart
         self.routes = routecontroller.RouteController(
             self.board,
             adapters.configuration_name,
@@ -254,6 +285,7 @@
             for source, consumer in (
                 (adapters.leafs, self.directory),
                 (adapters.configurations, self.routes),
+                (adapters.quarantines, self.quarantine_store),
             )
         }
         for kind, replica in replicas.items():
@@ -266,7 +298,11 @@
             replicas,
             {
                 source.kind: source
-                for source in (adapters.leafs, adapters.configurations)
+                for source in (
+                    adapters.leafs,
+                    adapters.configurations,
+                    adapters.quarantines,
+                )
             },
             self.links,
             self.handlers,
@@ -316,6 +352,10 @@
                     nursery,
                 )
             nursery.start_soon(self._update_fleet_counts)
+            nursery.start_soon(self.crashes.run)
+            nursery.start_soon(self.quarantine_store.run)
+            nursery.start_soon(self.quarantine_gossip.push_changes)
+            nursery.start_soon(self.quarantine_gossip.repair, self.handlers)
             LOGGER.info("Serving callers at {}.", self.forward.front_address)
 
     def request_stop(self) -> None:
@@ -440,6 +480,13 @@
     def _limits(self) -> routetable.ClientLimits:
         return self.board.routes.limits
 
+    def _on_nothing_listens(self, leaf: str) -> None:
+        self.crashes.report_down(leaf)
+
+    def _on_leaf_restart(self, leaf: str) -> None:
+        self.notices.forget(leaf)
+        self.crashes.report_down(leaf)
+
     def _on_routes(self) -> None:
         self.planner.clear_views()
         self.directory.on_routes()
@@ -502,8 +549,9 @@
 class PlatformAdapters(typing.NamedTuple):
     """Collect the objects through which a daemon uses the platform.
 
-    ``leafs`` and ``configurations`` read the platform's store;
-    ``configuration_name`` names the configuration that daemons apply.
+    ``leafs``, ``configurations`` and ``quarantines`` read the platform's
+    store; ``quarantine_writer`` writes to it. ``configuration_name`` names the
+    configuration that daemons apply.
     """
 
     dialect: forwardtypes.Dialect
@@ -511,3 +559,5 @@
     leafs: objectsource.ObjectSource
     configurations: objectsource.ObjectSource
     configuration_name: str
+    quarantines: objectsource.ObjectSource
+    quarantine_writer: objectsource.ObjectWriter
--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -34,6 +34,8 @@
     limitsync,
     logs,
     metrics,
+    quarantine,
+    quarantinestore,
     querytypes,
     routetable,
     runningrequests,
@@ -78,6 +80,7 @@
     failure_log: logs.DecisionLog
     rng: random.Random
     stop: stopadmission.StopAdmission
+    quarantines: quarantinestore.QuarantineStore
 
 
 class ForwardService:
@@ -182,6 +185,10 @@
                 "refused: this daemon stops."
             )
             return self._build_retry_soon()
+        refusal = self._check_quarantine(request)
+        if refusal is not None:
+            self._record(forwarded, route, refusal, arrived_s)
+            return self._build_refusal(refusal, route, ())
         # Other daemons may have a scatter-gather request from here on.
         running.progress.passed_on = route.gather is not None
         if may_forward and route.gather is not None:
@@ -209,7 +216,9 @@
             self._record(forwarded, route, refusal, arrived_s)
             return self._build_refusal(refusal, route, services)
         gathered = None
-        if self.dependencies.branches is not None:
+        if self.dependencies.branches is not None and not self._is_suspect(
+            request
+        ):
             gathered = await self.dependencies.branches.gather(
                 forwarded, route, arrived_s
             )
@@ -242,11 +251,47 @@
         outcome = await executor.run_query(
             machine, request, gateway, dependencies.planner.clock
         )
+        self._label(forwarded, request, outcome)
         self._record(forwarded, route, outcome, arrived_s)
         if isinstance(outcome, errors.RefusalError):
             return self._build_refusal(outcome, route, services)
         return self._build_response(route, outcome)
 
+    def _check_quarantine(
+        self, request: querytypes.QueryRequest
+    ) -> errors.RefusalError | None:
+        """Return a refusal if a request is in quarantine."""
+        left_s = self.dependencies.planner.policies.quarantine.left_s(
+            request.fingerprint, trio.current_time()
+        )
+        return answers.quarantine_refusal(left_s) if left_s > 0.0 else None
+
+    def _is_suspect(self, request: querytypes.QueryRequest) -> bool:
+        """Return whether a request may crash leafs.
+
+        A suspect runs on one leaf at a time, so helpers don't run it.
+        """
+        shared = self.dependencies.planner.policies.quarantine
+        state = shared.request_state(request.fingerprint, trio.current_time())
+        return state is not quarantine.RequestState.CLEAR
+
+    def _label(
+        self,
+        forwarded: forwardtypes.ForwardRequest,
+        request: querytypes.QueryRequest,
+        outcome: executor.Outcome,
+    ) -> None:
+        """Describe a request that failed, in case it crashes leafs."""
+        if (
+            isinstance(outcome, errors.RefusalError)
+            and outcome.ran is not errors.Ran.NO
+        ):
+            method = forwarded.method.decode("latin-1")
+            target = forwarded.target.decode("latin-1")
+            self.dependencies.quarantines.label(
+                request.fingerprint, f"{method} {forwarded.host}{target}"
+            )
+
     def _choose_services(self, route: routetable.Route) -> tuple[str, ...]:
         """Return the services that a request needs."""
         if route.gather is not None:
