Suspect no request that was answered just before a crash

A popular sound request that ran on a crashed leaf was a suspect until it was answered again, and a suspect runs once at a time in a daemon.

A run that began less than 2 s after one that was answered raises no suspicion. A request that crashes leafs is never answered, and one that begins to is a suspect after these 2 s.

--- a/plantainhook/quarantine.py
+++ b/plantainhook/quarantine.py
@@ -32,6 +32,9 @@
 
 # By the number of crashes in a row, from the second on.
 QUARANTINE_STEPS_S: typing.Final = (60.0, 300.0, 600.0)
+# A request that was answered this shortly before the run that crashed is no
+# suspect, so that callers of a popular one are not refused.
+RECENT_ANSWER_S: typing.Final = 2.0
 # So many crashes in a row need no further proof.
 PROVEN_CRASHES_COUNT: typing.Final = 3
 SUSPICION_S: typing.Final = 600.0
@@ -306,7 +309,8 @@
         self, fingerprint: str, crash: Crash, now_s: float
     ) -> None:
         """Suspect or quarantine a request that ran on a crashed leaf."""
-        if self.answered_s.get(fingerprint, -math.inf) >= crash.began_s:
+        answered_s = self.answered_s.get(fingerprint, -math.inf)
+        if answered_s >= crash.began_s - RECENT_ANSWER_S:
             return
         first = self.suspicions.get(fingerprint)
         if first is None or crash.at_s - first.at_s > SUSPICION_S:
