Answer writes in the stand-in of the platform's store

PlatformStoreModel and the soak's store accept POST, PUT and DELETE of objects as the protocol says: 409 if the object exists or the revision is another, 404 if there is none, no event for a PUT that changes nothing, finalizers, and 403 for the platform's own kinds. Calls that the soak leaves without an answer are done if they write.

--- a/tests/platformfleet.py
+++ b/tests/platformfleet.py
@@ -1,8 +1,8 @@
 """Daemons' copies of a store that speaks the platform's protocol, in memory.
 
-``PlatformStoreModel`` answers list and watch calls and can come back from a
-copy of its earlier objects. ``Fleet`` runs the store client, the relay and the
-consumers of each daemon over it; leafs and operators are the test's part.
+``PlatformStoreModel`` answers all calls of the protocol and can come back from
+a copy of its earlier objects. ``Fleet`` runs the store client, the relay and
+the consumers of each daemon over it; leafs and operators are the test's part.
 """
 
 import copy
@@ -31,6 +31,8 @@
 
 Spec = dict[str, typing.Any]
 REPLY_DELAY_S: typing.Final = 0.004
+# Of these kinds a daemon writes only ``status`` and ``finalizers``.
+PLATFORM_KINDS: typing.Final = (names.LEAF_KIND, names.CONFIGURATION_KIND)
 
 
 class PlatformStoreModel:
@@ -43,6 +45,7 @@
         # Stale calls cost a tenth and don't count towards the rate.
         self.calls_count = 0
         self.stale_calls_count = 0
+        self.writes_count = 0
         self.changed = trio.Event()
         self._objects: dict[tuple[str, str], Spec] = {}
         self._history: list[tuple[int, str, Spec, bool]] = []
@@ -51,18 +54,21 @@
 
     def put(self, kind: str, name: str, spec: Spec) -> None:
         """Write an object."""
-        self.revision += 1
-        stored = {
-            "meta": {"name": name, "revision": self.revision},
-            "spec": spec,
+        known = self._objects.get((kind, name))
+        created = known["meta"]["created"] if known else self.revision + 1
+        meta: Spec = {
+            "name": name,
+            "created": created,
+            "finalizers": [],
+            "deleting": False,
         }
-        self._objects[kind, name] = stored
-        self._record(kind, stored, deleted=False)
+        self._write(kind, {"meta": meta, "spec": spec, "status": None})
 
     def delete(self, kind: str, name: str) -> None:
         """Remove an object."""
+        stored = self._objects.pop((kind, name))
         self.revision += 1
-        self._record(kind, self._objects.pop((kind, name)), deleted=True)
+        self._record(kind, stored, deleted=True)
 
     def has(self, kind: str, name: str) -> bool:
         """Return whether an object exists."""
@@ -86,6 +92,94 @@
         self.is_down = False
         self._wake()
 
+    def call(
+        self, method: str, path: str, query: dict[str, str], body: bytes
+    ) -> tuple[int, object]:
+        """Return status and body of a call with any method, without waiting.
+
+        The path is that of a kind, of an object, or of an object's status.
+        """
+        relative = path.removeprefix(f"{names.OBJECTS_PATH}/")
+        kind, _, rest = relative.partition("/")
+        quoted_name, _, part = rest.partition("/")
+        name = urllib.parse.unquote(quoted_name)
+        if method == "GET" and not name:
+            return self.answer(kind, query)
+        if method != "GET":
+            self.writes_count += 1
+        value = json.loads(body) if body else {}
+        meta = value.get("meta", {})
+        if method == "POST":
+            return self._create(kind, name or meta["name"], value)
+        stored = self._objects.get((kind, name))
+        if stored is None:
+            return 404, {}
+        condition = meta.get("revision", query.get("revision"))
+        if condition not in (None, "") and (
+            int(condition) != stored["meta"]["revision"]
+        ):
+            return 409, stored
+        if method == "PUT":
+            return self._replace(kind, stored, value, part)
+        if method == "DELETE":
+            return self._remove(kind, stored)
+        return (200, stored) if method == "GET" else (405, {})
+
+    def _create(self, kind: str, name: str, value: Spec) -> tuple[int, object]:
+        if kind in PLATFORM_KINDS:
+            return 403, {}
+        if (kind, name) in self._objects:
+            return 409, self._objects[kind, name]
+        meta = {
+            "name": name,
+            "created": self.revision + 1,
+            "finalizers": value.get("meta", {}).get("finalizers", []),
+            "deleting": False,
+        }
+        created = {"meta": meta, "spec": value.get("spec"), "status": None}
+        return 201, self._write(kind, created)
+
+    def _replace(
+        self, kind: str, stored: Spec, value: Spec, part: str
+    ) -> tuple[int, object]:
+        """Replace the status of an object, or its spec and finalizers."""
+        changed = copy.deepcopy(stored)
+        if part == "status":
+            changed["status"] = value.get("status")
+        else:
+            changed["spec"] = value.get("spec")
+            finalizers = value.get("meta", {}).get("finalizers", [])
+            changed["meta"]["finalizers"] = finalizers
+        if kind in PLATFORM_KINDS and changed["spec"] != stored["spec"]:
+            return 403, {}
+        if changed == stored:
+            return 200, stored
+        written = self._write(kind, changed)
+        if written["meta"]["deleting"] and not written["meta"]["finalizers"]:
+            self.delete(kind, written["meta"]["name"])
+        return 200, written
+
+    def _remove(self, kind: str, stored: Spec) -> tuple[int, object]:
+        """Remove an object, or mark it until its finalizers are gone."""
+        if kind in PLATFORM_KINDS:
+            return 403, {}
+        if not stored["meta"]["finalizers"]:
+            self.delete(kind, stored["meta"]["name"])
+            return 200, stored
+        if stored["meta"]["deleting"]:
+            return 200, stored
+        marked = copy.deepcopy(stored)
+        marked["meta"]["deleting"] = True
+        return 200, self._write(kind, marked)
+
+    def _write(self, kind: str, stored: Spec) -> Spec:
+        """Store a new state of an object under the next revision."""
+        self.revision += 1
+        stored["meta"]["revision"] = self.revision
+        self._objects[kind, stored["meta"]["name"]] = stored
+        self._record(kind, stored, deleted=False)
+        return stored
+
     def answer(self, kind: str, query: dict[str, str]) -> tuple[int, object]:
         """Return status and body of a call, without waiting."""
         if "watch" not in query:
@@ -134,13 +228,16 @@
         self._model = model
         self._is_cut = is_cut
         self._era = model.era
+        self._method = ""
         self._path = ""
+        self._body = b""
         self._is_closed = False
 
     async def send_some(self, data: bytes) -> int:
         """Receive a call."""
         await trio.lowlevel.checkpoint()
-        self._path = data.split(b" ")[1].decode()
+        head, _, self._body = data.partition(b"\r\n\r\n")
+        self._method, self._path = head.decode().split(" ")[:2]
         if "allow-stale=1" in self._path:
             self._model.stale_calls_count += 1
         else:
@@ -159,7 +256,9 @@
                     await self._model.changed.wait()
         if self._fails():
             raise ConnectionResetError("the store is away")
-        status, value = self._model.answer(kind, query)
+        status, value = self._model.call(
+            self._method, url.path, query, self._body
+        )
         body = json.dumps(value).encode()
         head = (
             f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n"
--- a/tests/soakstore.py
+++ b/tests/soakstore.py
@@ -49,7 +49,7 @@
 
     ``delay_s`` slows replies. Connections that were opened before
     ``silent_before_s`` are never answered, and neither are the calls that
-    began before ``lost_before_s``.
+    began before ``lost_before_s``; writes among them are done.
     """
 
     def __init__(self) -> None:
@@ -97,11 +97,16 @@
                 with trio.move_on_after(0.2):
                     await self.model.changed.wait()
         await trio.sleep(self.delay_s)
-        if opened_s < self.silent_before_s or began_s < self.lost_before_s:
+        is_lost = (
+            opened_s < self.silent_before_s or began_s < self.lost_before_s
+        )
+        if is_lost and method == b"GET":
             await trio.sleep_forever()
         if self.model.is_down or era != self.model.era:
             raise NoAnswerError
-        status, value = self.model.answer(kind, query)
+        status, value = self.model.call(method.decode(), url.path, query, body)
+        if is_lost:
+            await trio.sleep_forever()
         era_header = (names.ERA, b"%d" % self.model.era)
         return forwardtypes.Response(
             status, [era_header], json.dumps(value).encode()
