Let requests crash leafs in the soak and check their arrivals

The soak sends such requests to any daemon beside the other faults, and the last one for 14 s after them; leafs are back under the same name or another. The new requests draw from a generator of their own, so seeds keep their faults.

--- a/tests/soak.py
+++ b/tests/soak.py
@@ -12,6 +12,7 @@
 import sys
 import tempfile
 import typing
+from collections import abc
 
 import loguru
 import trio
@@ -26,9 +27,13 @@
 
 
 async def soak(
-    seed: int, fault_s: float, daemons_count: int, directory: pathlib.Path
+    seed: int,
+    fault_s: float,
+    daemons_count: int,
+    directory: pathlib.Path,
+    some_faults: abc.Sequence[str] = (),
 ) -> soakledger.Ledger:
-    """Run one seed and return what was recorded."""
+    """Run one seed, with the faults named or all; return what was recorded."""
     rng = random.Random(seed)
     world = soakworld.World(random.Random(rng.random()))
     daemons = [
@@ -56,7 +61,17 @@
                         callers.start_soon(caller.run)
                 context = soakfaults.Context(world, daemons, rng)
                 end_s = trio.current_time() + fault_s
-                await soakfaults.run_faults(context, end_s)
+                async with trio.open_nursery() as faults:
+                    faults.start_soon(
+                        soakfaults.run_faults, context, end_s, some_faults
+                    )
+                    # Draws of its own, so the other faults stay those of the
+                    # seed.
+                    faults.start_soon(
+                        soakfaults.run_crashing_requests,
+                        context._replace(rng=random.Random(-seed - 1)),
+                        end_s,
+                    )
                 await _recover(world, daemons)
                 calling.cancel()
         nursery.cancel_scope.cancel()
@@ -106,6 +121,13 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--minutes", type=float, default=0.5)
     parser.add_argument("--daemons", type=int, default=4)
+    parser.add_argument(
+        "--faults",
+        nargs="+",
+        default=(),
+        choices=soakfaults.FAULTS.names(),
+        help="faults to draw from; all if not given",
+    )
     arguments = parser.parse_args()
     # The stand-ins log each connection that they break on purpose.
     loguru.logger.remove()
@@ -118,6 +140,7 @@
             arguments.minutes * 60.0,
             arguments.daemons,
             directory,
+            arguments.faults,
         )
         print(describe(seed, ledger), flush=True)
         failed_count += bool(ledger.violations)
@@ -131,9 +154,10 @@
         name = str(sent.status or "none")
         statuses[name] = statuses.get(name, 0) + 1
     faults = sum(ledger.faults.values())
+    crashes = sum(len(each.crashes_s) for each in ledger.crashing.values())
     lines = [
-        f"seed {seed}: {faults} faults, {len(ledger.sent)} requests "
-        f"{dict(sorted(statuses.items()))}, "
+        f"seed {seed}: {faults} faults, {crashes} leafs crashed by requests, "
+        f"{len(ledger.sent)} requests {dict(sorted(statuses.items()))}, "
         f"{len(ledger.violations)} violations"
     ]
     return "\n  ".join([*lines, *ledger.violations[:20]])
--- a/tests/soakcallers.py
+++ b/tests/soakcallers.py
@@ -54,7 +54,16 @@
         while True:
             await trio.sleep(self._rng.expovariate(1.0 / PAUSE_MEAN_S))
             if await self._connect():
-                await self._send()
+                prefix = self._rng.choice(self._prefixes())
+                self._count += 1
+                await self._send(prefix, f"{prefix}{self._count % 50}")
+
+    async def send_once(self, prefix: str, path: str) -> None:
+        """Send one request on a connection of its own."""
+        if await self._connect():
+            await self._send(prefix, path)
+            assert self._connection is not None
+            self._connection.close()
 
     async def _connect(self) -> bool:
         connection = self._connection
@@ -73,12 +82,9 @@
             )
         return self._connection is not None
 
-    async def _send(self) -> None:
+    async def _send(self, prefix: str, path: str) -> None:
         assert self._connection is not None
-        self._count += 1
         request_id = f"{self._name}-{self._count}"
-        prefix = self._rng.choice(self._prefixes())
-        path = f"{prefix}{self._count % 50}"
         ledger = self._world.ledger
         now_s = trio.current_time()
         sent = soakledger.Sent(self._daemon.number, path, now_s)
--- a/tests/soakfaults.py
+++ b/tests/soakfaults.py
@@ -11,9 +11,11 @@
 import trio
 
 from plantainhook import registry
-from tests import soakdaemons, soakworld
+from tests import soakcallers, soakdaemons, soakledger, soakworld
 
 START_INTERVAL_S: typing.Final = 0.7
+CRASHING_PREFIXES: typing.Final = ("/one/", "/once/", "/all/")
+REPEATED_AFTER_S: typing.Final = 14.0
 
 
 class Context(typing.NamedTuple):
@@ -198,13 +200,62 @@
     await FAULTS.create(name, context)
 
 
-async def run_faults(context: Context, end_s: float) -> None:
-    """Start faults until a time, and return when all have ended."""
+async def run_faults(
+    context: Context, end_s: float, some_names: abc.Sequence[str] = ()
+) -> None:
+    """Start faults until a time, and return when all have ended.
+
+    They are drawn from the names given, or from all.
+    """
+    names = some_names or FAULTS.names()
     async with trio.open_nursery() as nursery:
         while trio.current_time() < end_s:
-            name = context.rng.choice(FAULTS.names())
+            name = context.rng.choice(names)
             counts = context.world.ledger.faults
             counts[name] = counts.get(name, 0) + 1
             context.world.ledger.note(name)
             nursery.start_soon(run_fault, name, context)
             await trio.sleep(context.rng.expovariate(1.0 / START_INTERVAL_S))
+
+
+async def run_crashing_requests(context: Context, end_s: float) -> None:
+    """Send requests that crash leafs; return with all leafs up.
+
+    Each is sent again and again for some seconds, to any daemon; the last one
+    also after the given time.
+    """
+    number = 0
+    async with trio.open_nursery() as nursery:
+        while trio.current_time() < end_s:
+            number += 1
+            prefix = context.rng.choice(CRASHING_PREFIXES)
+            path = f"{prefix}crashes-{number}"
+            crashing = context.world.ledger.crashing
+            crashing[path] = soakledger.CrashingRequest()
+            for_s = context.rng.uniform(8.0, 14.0)
+            await _repeat(context, nursery, prefix, path, for_s)
+        # All machines are in touch in a part of this time.
+        await _repeat(context, nursery, prefix, path, REPEATED_AFTER_S)
+    while context.world.away_count:
+        await trio.sleep(0.1)
+
+
+async def _repeat(
+    context: Context,
+    nursery: trio.Nursery,
+    prefix: str,
+    path: str,
+    for_s: float,
+) -> None:
+    """Send a request again and again for some seconds, to any daemon."""
+    end_s = trio.current_time() + for_s
+    while trio.current_time() < end_s:
+        count = len(context.world.ledger.sent)
+        caller = soakcallers.Caller(
+            f"{path.strip('/').replace('/', '-')}-{count}",
+            context.daemon(),
+            context.world,
+            context.rng,
+        )
+        nursery.start_soon(caller.send_once, prefix, path)
+        await trio.sleep(context.rng.uniform(0.3, 0.9))
--- a/tests/soakworld.py
+++ b/tests/soakworld.py
@@ -35,7 +35,11 @@
 EXPIRY_S: typing.Final = 3.6
 # Bounds of the users' platform.
 DRAIN_S: typing.Final = 3.0
-IN_TOUCH_S: typing.Final = 4.0
+IN_TOUCH_S: typing.Final = soakledger.IN_TOUCH_S
+# How long a leaf is away after a request crashed it.
+AWAY_MIN_S: typing.Final = 0.3
+AWAY_MAX_S: typing.Final = 5.0
+NEW_NAME_RATIO: typing.Final = 0.5
 
 
 class SoakLeaf:
@@ -115,9 +119,14 @@
             notices.append((names.RETRY_AFTER, b"%.3f" % left_s))
         if left_s > 0.0 or self.fault == "shed":
             return forwardtypes.Response(503, [*refused, *notices], b"")
-        self._world.ledger.runs.setdefault(request_id, []).append(self.leaf)
+        self._world.ledger.start_run(request_id, self.leaf)
         rng = self._world.rng
         await trio.sleep(rng.expovariate(1.0 / SERVICE_TIME_MEAN_S))
+        if target.decode() in self._world.ledger.crashing:
+            self._world.crash_by_request(self, target.decode())
+            # Ends here if the leaf has crashed.
+            await trio.lowlevel.checkpoint()
+            raise soakstore.NoAnswerError
         is_single = target.startswith(b"/one/")
         if is_single and rng.random() < LONG_WORK_RATIO:
             await trio.sleep(rng.uniform(0.0, LONG_WORK_MAX_S))
@@ -150,6 +159,8 @@
         self.version = 1
         # The time of the acknowledgement, by added route.
         self.added_s: dict[str, float] = {}
+        # Leafs that requests crashed and that are not back yet.
+        self.away_count = 0
         self._born_ms = 0
         self._leafs_count = 0
         self._service_of: dict[str, str] = {}
@@ -201,6 +212,29 @@
         leaf.is_down = True
         leaf.scope.cancel()
 
+    def crash_by_request(self, leaf: SoakLeaf, path: str) -> None:
+        """Crash a leaf; it is back some seconds later, maybe under a new name.
+
+        A leaf that a fault acts on stays up.
+        """
+        if not is_sound(leaf):
+            return
+        self.ledger.crashing[path].crashes_s.append(trio.current_time())
+        self.ledger.note(f"{path} crashes {leaf.leaf}")
+        self.away_count += 1
+        self.crash_leaf(leaf)
+        self._nursery.start_soon(self._return_leaf, leaf)
+
+    async def _return_leaf(self, leaf: SoakLeaf) -> None:
+        await trio.sleep(self.rng.uniform(AWAY_MIN_S, AWAY_MAX_S))
+        self.forget_told(leaf.leaf)
+        if self.rng.random() < NEW_NAME_RATIO:
+            del self.leafs[leaf.leaf]
+            self.add_leaf(leaf.service)
+        else:
+            self.restart_leaf(leaf)
+        self.away_count -= 1
+
     def remove_leaf(self, leaf: SoakLeaf) -> None:
         """End a leaf and remove its entry."""
         self.crash_leaf(leaf)
