--- a/tests/test_branches.py
+++ b/tests/test_branches.py
@@ -1,5 +1,6 @@
 """Test branches between daemons: messages, cancellation and lost helpers."""
 
+import dataclasses
 import random
 import typing
 
@@ -181,10 +182,14 @@
             Daemon(number, members, self.network) for number in members
         ]
 
-    async def gather(self) -> branchgather.Outcome | None:
-        """Gather the request at daemon 0."""
+    async def gather(
+        self,
+        request: forwardtypes.ForwardRequest = REQUEST,
+        route: routetable.Route = ROUTE,
+    ) -> branchgather.Outcome | None:
+        """Gather a request at daemon 0."""
         return await self.daemons[0].gather.gather(
-            REQUEST, ROUTE, trio.current_time()
+            request, route, trio.current_time()
         )
 
     def started_counts(self) -> list[int]:
@@ -277,6 +282,37 @@
 
         run_scenario(scenario)
 
+    def test_repeated_first_message(self) -> None:
+        """Guard against leafs that work longer than the caller waits.
+
+        Pattern: the first message to a helper is lost. The helper starts the
+        branch when the message is repeated, after a third of a long goal.
+        """
+        goal_s, deadline_s = 3.0, 8.0
+        route = dataclasses.replace(
+            ROUTE, goal_ms=goal_s * 1e3, timeout_ms=deadline_s * 1e3
+        )
+        request = dataclasses.replace(REQUEST, left_ms=deadline_s * 1e3)
+
+        async def scenario(fleet: Fleet) -> None:
+            fleet.network.is_reachable = lambda sender, receiver: (
+                trio.current_time() > 0.5
+            )
+            outcome = await fleet.gather(request, route)
+            (task,) = [
+                task
+                for daemon in fleet.daemons[1:]
+                for task in daemon.worker.started
+            ]
+            self.assertTrue(
+                task.deadline_s < deadline_s + 0.01, task.deadline_s
+            )
+            self.assertTrue(task.goal_s < goal_s + 0.01, task.goal_s)
+            assert isinstance(outcome, gathertypes.Gathered)
+            self.assertEqual((), outcome.missing)
+
+        run_scenario(scenario)
+
     def test_silent_helper_is_avoided(self) -> None:
         """Guard against each query waiting for the same frozen helper."""
 
--- a/tests/test_leafpauses.py
+++ b/tests/test_leafpauses.py
@@ -123,3 +123,23 @@
             self.assertEqual(1, self.leafs["a"].requests_count)
 
         forwardrig.run(self.rig, scenario)
+
+    def test_refusal_after_its_request_was_cancelled(self) -> None:
+        """Guard against a pause that is asked for a little too late.
+
+        Pattern: a leaf refuses a hedge, and the reply to the first attempt
+        arrives while the refusal is on its way. The leaf has a free slot soon
+        after, so that it refuses no further request.
+        """
+        self.refuse(b"5", "a")
+        self.leafs["a"].service_s = 0.05
+
+        async def scenario() -> None:
+            with trio.move_on_after(0.02):
+                await self.rig.send()
+            self.assertEqual(1, self.leafs["a"].requests_count)
+            await trio.sleep(0.5)
+            self.leafs["a"].reply = forwardrig.OK
+            self.assertEqual(0, await self.count(50))
+
+        forwardrig.run(self.rig, scenario)
--- a/tests/test_querygoal.py
+++ b/tests/test_querygoal.py
@@ -23,7 +23,7 @@
 
 
 class GoalCase:
-    """Run one query over four shards with two leafs each."""
+    """Run one query over four shards with a leaf in each of ``zones``."""
 
     def __init__(
         self,
@@ -32,6 +32,8 @@
         idempotent: bool = True,
         extra_count: float = 1000.0,
         down: typing.Collection[str] = (),
+        zones: str = "xy",
+        seed: int = 1,
     ) -> None:
         gather = routetable.Gather(SHARDS, 5, min_coverage_ratio)
         route = routetable.Route(
@@ -48,7 +50,7 @@
         infos = [
             shardmap.LeafInfo(f"{shard}{z}", "a:1", z, shard, shard, 2, 9)
             for shard in SHARDS
-            for z in "xy"
+            for z in zones
         ]
         statuses = {
             info.name: querytypes.LeafStatus(
@@ -61,13 +63,13 @@
             1,
             {
                 name: shardmap.ShardInfo(
-                    name, name, (f"{name}x", f"{name}y"), 1.0, ()
+                    name, name, tuple(f"{name}{z}" for z in zones), 1.0, ()
                 )
                 for name in SHARDS
             },
         )
         view = snapshot.build_target_view("", {1: shard_map}, statuses, "x")
-        policies = queryplan.build_policies("x", 1)
+        policies = queryplan.build_policies("x", seed)
         policies.latencies = goalhedging.PooledLatencies()
         budgets = windowbudget.WindowBudgets(
             windowbudget.WindowRules(10.0, 0.2, extra_count),
@@ -192,6 +194,29 @@
         case.fail(1, 0.01, errors.Ran.NO)
         self.assertEqual(2, len(set(case.leafs_of(shard))))
 
+    def test_refusal_after_a_run_of_the_same_leaf(self) -> None:
+        """Guard against a leaf that ran the work and is no longer counted.
+
+        Pattern: the leaf that has run the work is called once more, because
+        all others refused it, and then refuses it too.
+        """
+        for seed in range(20):
+            case = GoalCase(zones="uvw", seed=seed)
+            shard = case.sends[1].shards[0]
+            ran_on: set[str] = set()
+            refused_count = 0
+            for attempt_id in range(1, 12):
+                send = case.sends.get(attempt_id)
+                if send is None or send.shards[0] != shard:
+                    continue
+                ran = errors.Ran.NO
+                if refused_count >= 2 and send.leaf not in ran_on:
+                    ran_on.add(send.leaf)
+                    ran = errors.Ran.MAYBE
+                refused_count += 1
+                case.fail(attempt_id, 0.01 + attempt_id / 1e3, ran)
+            self.assertTrue(0 < len(ran_on) <= 2, (seed, ran_on))
+
     def test_request_that_may_run_once_is_not_repeated(self) -> None:
         """Guard against a second run of a request that is not idempotent."""
         case = GoalCase(idempotent=False, min_coverage_ratio=1.0)
