Count each attempt that may have run, not only its leaf

Cause: a refusal took the leaf out of the set of leafs that may have run the work, although an earlier attempt on the same leaf had run it or still did. A hedge or retry goes to a tried leaf once all others were tried.

Each attempt now has an entry of its own, and a refusal removes only that.

--- a/plantainhook/attempts.py
+++ b/plantainhook/attempts.py
@@ -24,7 +24,8 @@
     ``missing`` holds the shards not merged yet and ``live`` the attempts
     that have not ended. ``tried`` names the leafs in the order in which
     attempts were sent to them, ``excluded`` the leafs that do not serve the
-    pinned version, and ``ran_on`` the leafs that may have run the work.
+    pinned version. ``ran_on`` names the leaf of each attempt that may have
+    run the work, so a leaf may be in it more than once.
     """
 
     group: str
@@ -36,7 +37,7 @@
     hedge_count: int = 0
     retry_count: int = 0
     closed: bool = False
-    ran_on: set[str] = dataclasses.field(default_factory=set)
+    ran_on: list[str] = dataclasses.field(default_factory=list)
     # The number of attempts that a leaf received or may still receive, and of
     # those that were charged to the load budget: all but the first one.
     delivered_count: int = 0
@@ -50,7 +51,7 @@
         """
         if max_runs_count is None or leaf in self.ran_on:
             return True
-        return len(self.ran_on) < max_runs_count
+        return len(set(self.ran_on)) < max_runs_count
 
     def uncovered_shards(self, attempt: "Attempt") -> set[str]:
         """Return an attempt's missing shards that no live attempt covers."""
@@ -136,7 +137,7 @@
         self.live[attempt.attempt_id] = attempt
         shard_set.live.append(attempt)
         shard_set.tried += (leaf.name,)
-        shard_set.ran_on.add(leaf.name)
+        shard_set.ran_on.append(leaf.name)
         shard_set.delivered_count += 1
         policies.quarantine.record_start(
             leaf.name, self.plan.request.fingerprint, now_s
@@ -188,7 +189,8 @@
         self.record_executed(failure.ran)
         leaf = attempt.leaf.name
         if failure.ran is errors.Ran.NO:
-            attempt.shard_set.ran_on.discard(leaf)
+            # An earlier attempt on the same leaf may have run.
+            attempt.shard_set.ran_on.remove(leaf)
         if failure.is_unsent():
             self._refund_unsent(attempt.shard_set, now_s)
         fingerprint = self.plan.request.fingerprint
