Apply the notices in the reply to a cancelled request

Cause: the reply to an attempt that is cancelled while the reply is on its way is read by the pool, so that its connection can be used again, and was dropped. A leaf that has a free slot soon after refuses no further request, so the daemon never learned of the pause.

The gateway now leaves a callback on the connection, which the late reply passes to the same notices; limits of leafs are learned this way too.

--- a/plantainhook/forwardgateway.py
+++ b/plantainhook/forwardgateway.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import functools
 import math
 import typing
 
@@ -158,12 +159,12 @@
                 detail = f"the reply is for request {answer.request_id!r}"
                 return _build_error(send.leaf, detail, Failure.MALFORMED)
         finally:
+            if connection.phase is httpconnection.Phase.WAITING:
+                connection.on_late_reply = functools.partial(
+                    self._on_late_reply, send.leaf, connection
+                )
             pool.abandon(connection)
-        if not answer.misdirected:
-            self._apply_notices(send.leaf, answer)
-            self.limits.observe(
-                send.leaf, answer.limit_per_s, trio.current_time()
-            )
+        self._apply_notices(send.leaf, answer)
         return self._check_answer(send.leaf, answer)
 
     def _may_send(self, leaf: str) -> bool:
@@ -171,16 +172,34 @@
         now_s = trio.current_time()
         return self.pools.may_send(leaf) and self.notices.may_call(leaf, now_s)
 
+    def _on_late_reply(
+        self,
+        leaf: str,
+        connection: leafclient.LeafClient,
+        raw: httpconnection.RawReply,
+    ) -> None:
+        """Apply the notices in the reply to a request that was cancelled.
+
+        Pattern: a leaf refuses a hedge and asks for a pause, while the reply
+        to the first attempt arrives. It may refuse no further request.
+        """
+        answer = self.dialect.read_answer(raw)
+        if self._is_own(answer, connection):
+            self._apply_notices(leaf, answer)
+
     def _apply_notices(
         self, leaf: str, answer: forwardtypes.LeafAnswer
     ) -> None:
+        if answer.misdirected:
+            # These are the notices of another leaf.
+            return
         if answer.leaving:
             self.instruments.leaving_replies.inc()
         if answer.pause_s is not None:
             self.instruments.pauses.inc()
-        self.notices.observe(
-            leaf, answer.leaving, answer.pause_s, trio.current_time()
-        )
+        now_s = trio.current_time()
+        self.notices.observe(leaf, answer.leaving, answer.pause_s, now_s)
+        self.limits.observe(leaf, answer.limit_per_s, now_s)
 
     def _is_own(
         self,
--- a/plantainhook/httpconnection.py
+++ b/plantainhook/httpconnection.py
@@ -11,6 +11,7 @@
 import enum
 import math
 import typing
+from collections import abc
 
 import h11
 import result
@@ -74,7 +75,8 @@
 
     ``peer`` names the other side. ``last_used_s`` is the time of the last
     complete exchange. After an idle time of ``idle_limit_s`` the connection is
-    stale; None means no limit.
+    stale; None means no limit. ``on_late_reply`` is called with the reply to
+    a request that was abandoned, if it still arrives.
     """
 
     peer: str
@@ -83,6 +85,7 @@
     last_used_s: float
     idle_limit_s: float | None
     reply_limit_bytes: int = REPLY_LIMIT_BYTES
+    on_late_reply: abc.Callable[[RawReply], None] | None = None
 
     def __init__(
         self, transport: leaftransport.Transport, peer: str, address: str
@@ -188,6 +191,9 @@
             elif isinstance(event, h11.EndOfMessage):
                 reply.body = bytes(body)
                 self._end_exchange(reply)
+                if self.on_late_reply is not None:
+                    self.on_late_reply(reply)
+                    self.on_late_reply = None
                 return reply
             elif isinstance(event, h11.ConnectionClosed):
                 raise self._closed_error()
