Send the time that is left with a repeated branch message

Cause: the first message of a branch states goal and deadline as time left. When it is repeated because no reply came, the copy stated the times of the first one. If only the copy arrives, the branch works for too long by the time waited: 0.3 of the goal, over 0.5 s with a goal of 1.7 s or, without a goal, with a timeout of that length.

--- a/plantainhook/branchgather.py
+++ b/plantainhook/branchgather.py
@@ -182,7 +182,7 @@
         self._tree = tree
         self._nursery = nursery
         self._remote: dict[int, _Remote] = {}
-        self._works: dict[int, wire.BranchWork] = {}
+        self._starts: dict[int, gathertypes.StartBranch] = {}
         self._local: dict[int, branchworker.RunningBranch] = {}
         self._avoided: set[int] = set()
         self._events: collections.deque[tuple[int, int, Event]] = (
@@ -266,7 +266,7 @@
                 action.address, action.services
             )
             work = _build_work(query, action, trio.current_time())
-            self._works[action.branch_id] = work
+            self._starts[action.branch_id] = action
             self._owner.instruments.branches.labels("sent").inc()
             self._nursery.start_soon(
                 self._exchange, action.branch_id, 0, work, FIRST_LANE
@@ -305,8 +305,12 @@
                 action.acknowledged,
             )
         else:
-            # The first message may not have arrived.
-            body = self._works[action.branch_id]
+            # The first message may not have arrived. Less time is left now.
+            start = dataclasses.replace(
+                self._starts[action.branch_id],
+                wait_until_s=action.wait_until_s,
+            )
+            body = _build_work(self._query, start, trio.current_time())
         lane = FIRST_LANE
         if action.is_repeated:
             lane = SECOND_LANE
