Let requests to a killed daemon fail at once in the fleet of the load tests

A connection is lost at once when a process is killed; memorynet let the sender wait for its timeout, so that a gatherer's requests that run again at the entry daemon (a mutation of the code) went undetected.

--- a/tests/forwardfleet.py
+++ b/tests/forwardfleet.py
@@ -14,12 +14,14 @@
 
 from plantainhook import (
     blackboard,
+    errors,
     forwarddaemon,
     forwardtypes,
     memorynet,
     objectsource,
     options,
     peerlinks,
+    peers,
     wire,
 )
 from plantainhook.platform import adapters
@@ -157,6 +159,47 @@
         self._is_closed = True
 
 
+class PeerTransport(memorynet.MemoryTransport):
+    """Send requests to other daemons; those to a killed one fail at once."""
+
+    def __init__(
+        self,
+        fleet: "Fleet",
+        hello: wire.HelloFrame,
+        handlers: peers.Handlers,
+    ) -> None:
+        super().__init__(fleet.network, hello, handlers)
+        self._fleet = fleet
+
+    async def request(
+        self,
+        peer_address: str,
+        body: wire.AnyBody,
+        timeout_s: float,
+        lane: int = 0,
+    ) -> peers.Reply:
+        """Return the reply to a request, or the error if there is none."""
+        peer = self._fleet.by_address[peer_address]
+        if not peer.is_up:
+            return await super().request(peer_address, body, timeout_s, lane)
+        reply: peers.Reply = peers.error_result(
+            body, peer_address, "connection lost", errors.Ran.MAYBE
+        )
+        async with trio.open_nursery() as nursery:
+
+            async def exchange() -> None:
+                nonlocal reply
+                reply = await super(PeerTransport, self).request(
+                    peer_address, body, timeout_s, lane
+                )
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(exchange)
+            await peer.ended.wait()
+            nursery.cancel_scope.cancel()
+        return reply
+
+
 class Daemon:
     """One daemon; it can be killed, stopped and cut off from its peers."""
 
@@ -168,6 +211,7 @@
         self.run_name = ""
         self.is_up = False
         self.is_cut_off = False
+        self.ended = trio.Event()
         self.scope = trio.CancelScope()
         self.forward: forwarddaemon.ForwardDaemon
 
@@ -188,9 +232,7 @@
         def connect_peers(
             hello: wire.HelloFrame, handlers: typing.Any, *rest: typing.Any
         ) -> memorynet.MemoryTransport:
-            return memorynet.MemoryTransport(
-                self.fleet.network, hello, handlers
-            )
+            return PeerTransport(self.fleet, hello, handlers)
 
         with (
             mock.patch.object(forwarddaemon, "random", seeded),
@@ -207,6 +249,7 @@
                 adapters.build_adapters(forward),
             )
         self.forward.pools._connector = self._connect
+        self.ended = trio.Event()
         self.is_up = True
 
     async def _connect(self, address: str) -> LeafConnection:
@@ -235,6 +278,7 @@
     def kill(self) -> None:
         """End the daemon without notice."""
         self.is_up = False
+        self.ended.set()
         self.fleet.network.nodes[self.address].close()
         self.scope.cancel()
 
