--- a/plantainhook/explain.py
+++ b/plantainhook/explain.py
@@ -18,7 +18,15 @@
 # Parts whose lines show what a daemon knew of the fleet and its settings
 # shortly before a request, which explains its decisions.
 CONTEXT_PARTS: typing.Final = frozenset(
-    {"daemon", "directory", "gatherers", "relay", "routes", "store"}
+    {
+        "daemon",
+        "directory",
+        "gatherers",
+        "quarantine",
+        "relay",
+        "routes",
+        "store",
+    }
 )
 
 _DECODER: typing.Final = msgspec.json.Decoder(logs.LogLine)
