Add failing tests of the last answers of a planned stop

Both show a connection that is closed without an answer: an event loop that is late at the end of the stop, and a stop of 3 s, skip the step that answers requests which still run.

--- a/tests/forwardrig.py
+++ b/tests/forwardrig.py
@@ -91,8 +91,14 @@
 
     daemon: forwarddaemon.ForwardDaemon
 
-    def __init__(self, leafs: dict[str, Leaf], max_conns: int = 100) -> None:
+    def __init__(
+        self,
+        leafs: dict[str, Leaf],
+        max_conns: int = 100,
+        stop_timeout_s: float = 6.0,
+    ) -> None:
         self.leafs = leafs
+        self._stop_timeout_s = stop_timeout_s
         self._addresses = {
             f"10.0.0.{number}:80": name
             for number, name in enumerate(sorted(leafs), 1)
@@ -107,6 +113,7 @@
             ready_address="127.0.0.1:2",
             store_address="127.0.0.1:3",
             fleet_least_count=1,
+            stop_timeout_s=self._stop_timeout_s,
         )
         seeded = mock.MagicMock(Random=lambda: random.Random(1))
         with mock.patch.object(forwarddaemon, "random", seeded):
--- a/tests/test_stopadmission.py
+++ b/tests/test_stopadmission.py
@@ -7,6 +7,7 @@
 
 import testtools
 import trio
+import trio.testing
 
 from plantainhook import forwarddaemon, leaftransport, stopadmission
 from tests import forwardrig
@@ -113,15 +114,16 @@
         scenario: typing.Callable[[Caller], typing.Awaitable[None]],
         expected_s: float | None = None,
         max_conns: int = 100,
+        stop_timeout_s: float = 6.0,
     ) -> forwardrig.Leaf:
-        """Stop a daemon within 6 s; the scenario begins at the stop.
+        """Stop a daemon within a time; the scenario begins at the stop.
 
         ``expected_s`` is the time of the slowest answer before the stop; None
         stands for ``work_s``.
         """
         leaf = forwardrig.Leaf()
         leaf.service_s = work_s
-        rig = forwardrig.ForwardRig({"leaf": leaf}, max_conns)
+        rig = forwardrig.ForwardRig({"leaf": leaf}, max_conns, stop_timeout_s)
 
         async def main() -> None:
             daemon = rig.daemon
@@ -185,6 +187,44 @@
 
         self.run_stop(10.0, scenario, expected_s=0.1)
 
+    def test_unfinished_work_is_answered_late(self) -> None:
+        """Guard against connections that are closed by a busy daemon.
+
+        Its event loop stands still from before the last answers are due until
+        after the end of the stop.
+        """
+        statuses: list[bytes] = []
+
+        async def scenario(caller: Caller) -> None:
+            clock = trio.lowlevel.current_clock()
+            assert isinstance(clock, trio.testing.MockClock)
+
+            async def send() -> None:
+                statuses.append(await caller.send(20_000))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(send)
+                await trio.sleep(
+                    6.0
+                    - forwarddaemon.EXIT_MARGIN_S
+                    - forwarddaemon.LAST_ANSWERS_S
+                    - 0.04
+                )
+                clock.jump(0.3)
+
+        self.run_stop(10.0, scenario, expected_s=0.1)
+        self.assertEqual(1, len(statuses))
+        self.assertIn(b"502", statuses[0])
+
+    def test_unfinished_work_is_answered_in_a_short_stop(self) -> None:
+        """Guard against connections that are closed in a stop of 3 s."""
+
+        async def scenario(caller: Caller) -> None:
+            self.assertIn(b"502", await caller.send(20_000))
+            self.assertTrue(trio.current_time() < 3.0)
+
+        self.run_stop(10.0, scenario, expected_s=0.1, stop_timeout_s=3.0)
+
     def test_queue_is_refused_in_time(self) -> None:
         """Guard against requests that wait and are passed on too late.
 
