Answer the requests of a planned stop however late the daemon is

Callers saw connections closed without an answer at the end of a planned stop: a daemon with 300 requests on leafs (work 10 s, deadline 20 s) closed all 300 at 5.3 s after SIGTERM (one run as a process; 50 of 50 requests got their 502).

Cause: the last answers had a fixed 0.1 s. Requests that still ran were given up at 5.0 s and the nursery was cancelled at 5.1 s. To give up 300 requests takes about 0.25 s, and the cancellation cut all answers before they were written. An event loop that was late by 0.1 s skipped the step altogether, and so did a stop of 3 s, which slept through it.

Now the step is a part of the sequence: after the last moment to serve, requests are given up, and the exit waits up to 0.4 s longer while a request that was read has no answer yet. Nothing is waited for if all are answered.

--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -72,7 +72,11 @@
 # Requests that still run are given up this long before the exit, so that
 # their callers are told.
 LAST_ANSWERS_S: typing.Final = 0.1
+# The exit waits this long for answers to requests that were given up. Many of
+# them, or a late event loop, need more time than ``LAST_ANSWERS_S``.
+LATE_ANSWERS_S: typing.Final = 0.4
 IDLE_CHECK_INTERVAL_S: typing.Final = 0.05
+ANSWER_CHECK_INTERVAL_S: typing.Final = 0.02
 # Fraction of a leaf's connection limit that is divided among the daemons.
 DIVIDED_CONNECTIONS_RATIO: typing.Final = 0.9
 POOL_OPTIONS: typing.Final = leafconnect.PoolOptions(
@@ -331,17 +335,14 @@
     async def _stop(self) -> None:
         began_s = trio.current_time()
         end_s = began_s + self.forward.stop_timeout_s - EXIT_MARGIN_S
-        self.stop_admission.begin(
-            began_s + CLOSE_IDLE_AFTER_S, end_s - LAST_ANSWERS_S
-        )
+        answers_s = end_s - LAST_ANSWERS_S
+        self.stop_admission.begin(began_s + CLOSE_IDLE_AFTER_S, answers_s)
         self.caller_server.drain()
         self._nursery.start_soon(self._announce)
-        await trio.sleep(BALANCER_NOTICE_S)
-        while trio.current_time() < end_s:
+        await trio.sleep_until(min(began_s + BALANCER_NOTICE_S, answers_s))
+        while trio.current_time() < answers_s:
             if trio.current_time() >= end_s - LAST_REQUESTS_S:
                 self.caller_server.stop_accepting()
-            if trio.current_time() >= end_s - LAST_ANSWERS_S:
-                self.service.running.give_up()
             self.service.running.refuse_waiting()
             if trio.current_time() - began_s >= CLOSE_IDLE_AFTER_S:
                 self.caller_server.close_idle()
@@ -352,12 +353,32 @@
                     if not self._has_work():
                         break
             await trio.sleep(IDLE_CHECK_INTERVAL_S)
+        await self._give_up(end_s)
         LOGGER.info(
             "Stopping; {} requests in flight are cancelled.",
             self.in_flight_count(),
         )
         self._nursery.cancel_scope.cancel()
 
+    async def _give_up(self, end_s: float) -> None:
+        """Answer the requests that still run, then wait for the answers.
+
+        Pattern: a planned stop of a busy daemon. A fixed time for the answers
+        is over before all of them are written.
+        """
+        self.caller_server.stop_accepting()
+        self.service.running.give_up()
+        late_s = trio.current_time() + LAST_ANSWERS_S + LATE_ANSWERS_S
+        while self._has_work() and (
+            trio.current_time() < end_s
+            or (
+                self.caller_server.has_unanswered()
+                and trio.current_time() < late_s
+            )
+        ):
+            self.caller_server.close_idle()
+            await trio.sleep(ANSWER_CHECK_INTERVAL_S)
+
     def _has_work(self) -> bool:
         """Return whether a caller or a peer still waits for an answer."""
         return bool(
--- a/plantainhook/httpserver.py
+++ b/plantainhook/httpserver.py
@@ -104,6 +104,10 @@
         for connection in self.connections:
             connection.close_if_idle()
 
+    def has_unanswered(self) -> bool:
+        """Return whether a request was read and its answer not written."""
+        return any(connection.has_request for connection in self.connections)
+
     async def serve_transport(
         self, transport: leaftransport.SocketTransport
     ) -> None:
@@ -140,7 +144,12 @@
 
 
 class CallerConnection:
-    """Serve the requests of one connection, one after the other."""
+    """Serve the requests of one connection, one after the other.
+
+    ``has_request`` states whether a request was read and not answered yet.
+    """
+
+    has_request: bool
 
     def __init__(
         self,
@@ -155,6 +164,7 @@
         self._limits = get_limits()
         self._server = server
         self._http = h11.Connection(h11.SERVER, self._limits.head_bytes)
+        self.has_request = False
         self._idle_scope: trio.CancelScope | None = None
         self._opened_s = trio.current_time()
         self._has_served = False
@@ -190,6 +200,7 @@
                 await self._refuse(STATUS_TOO_LARGE)
                 return
             self._has_served = True
+            self.has_request = True
             response = await self._run_handler(request, body)
             if response is None:
                 return
@@ -319,6 +330,7 @@
         data += self._http.send(h11.Data(data=response.body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
         await self._send(data)
+        self.has_request = False
         if self._http.our_state is h11.DONE is self._http.their_state:
             return True
         await self._linger()
