--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -211,6 +211,27 @@
 
         run_scenario(scenario)
 
+    def test_drain_answers_requests_that_were_read(self) -> None:
+        """Guard against the loss of a request that was read during another.
+
+        Pattern: a caller sends requests without waiting for the answers, and
+        the stop begins during the first one.
+        """
+
+        async def scenario(caller: Caller) -> None:
+            caller.hang_s = 0.1
+            await caller.caller_end.send_some(
+                GET + GET.replace(b"/a", b"/b") + GET.replace(b"/a", b"/c")
+            )
+            await trio.sleep(0.02)
+            caller.server.drain()
+            answers = await caller.read(b"\r\n\r\n/c")
+            self.assertEqual(3, answers.count(b" 200 "))
+            self.assertEqual(1, answers.lower().count(b"connection: close"))
+            self.assertTrue(await caller.wait_for_close())
+
+        run_scenario(scenario)
+
     def test_idle_connection_ends(self) -> None:
         """Guard against idle connections that are kept for ever."""
 
