Add failing tests of slow callers and of a drain during a response

A response is cut after 5 s although its caller still reads it, and a connection is closed after a response that did not announce it. A caller that reads nothing is still cut.

--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -26,6 +26,7 @@
         self.bodies: list[bytes] = []
         self.cancelled_count = 0
         self.hang_s = 0.0
+        self._answer: bytes | None = None
         self.server = httpserver.HttpServer(self.handle, lambda: limits)
         caller_end, server_end = socket.socketpair()
         self.caller_end = leaftransport.SocketTransport(caller_end)
@@ -38,14 +39,33 @@
         headers: forwardtypes.Headers,
         body: bytes,
     ) -> forwardtypes.Response:
-        """Answer after ``hang_s`` with the target as the body."""
+        """Answer after ``hang_s``, by default with the target as the body."""
         self.bodies.append(body)
         try:
             await trio.sleep(self.hang_s)
         except trio.Cancelled:
             self.cancelled_count += 1
             raise
-        return forwardtypes.Response(200, [], target)
+        body = target if self._answer is None else self._answer
+        return forwardtypes.Response(200, [], body)
+
+    def answer_with(self, body: bytes) -> None:
+        """Answer further requests with a body."""
+        self._answer = body
+
+    async def read_count(self, wanted_count: int, pause_s: float = 0.0) -> int:
+        """Read at least so many bytes, or up to the end of the stream.
+
+        Return how many were read. The caller pauses before each read.
+        """
+        count = 0
+        while count < wanted_count:
+            await trio.sleep(pause_s)
+            chunk = await self.caller_end.receive_some(20_000)
+            if not chunk:
+                break
+            count += len(chunk)
+        return count
 
     async def read(self, wanted: bytes) -> bytes:
         """Read for up to 1 s, until ``wanted`` arrives or the stream ends."""
@@ -211,6 +231,52 @@
 
         run_scenario(scenario)
 
+    def test_drain_during_a_response(self) -> None:
+        """Guard against a close that no response has announced.
+
+        The stop begins while a caller still reads a long response.
+        """
+
+        async def scenario(caller: Caller) -> None:
+            answer = b"x" * 2_000_000
+            caller.answer_with(answer)
+            await caller.caller_end.send_some(GET)
+            await caller.read(b"x")
+            caller.server.drain()
+            await caller.read_count(len(answer))
+            caller.answer_with(b"")
+            await trio.sleep(0.05)
+            await caller.caller_end.send_some(GET)
+            last = await caller.read(b"\r\n\r\n")
+            self.assertIn(b" 200 ", last)
+            self.assertIn(b"connection: close", last.lower())
+
+        run_scenario(scenario)
+
+    def test_response_to_a_slow_caller(self) -> None:
+        """Guard against a response that is cut because it is read slowly."""
+        self.patch(httpserver, "WRITE_TIMEOUT_S", 0.2)
+
+        async def scenario(caller: Caller) -> None:
+            caller.answer_with(b"x" * 1_000_000)
+            await caller.caller_end.send_some(GET)
+            count = await caller.read_count(1_000_000, pause_s=0.02)
+            self.assertTrue(count >= 1_000_000)
+
+        run_scenario(scenario)
+
+    def test_caller_that_stops_reading(self) -> None:
+        """Guard against a response that waits for its caller for ever."""
+        self.patch(httpserver, "WRITE_TIMEOUT_S", 0.2)
+
+        async def scenario(caller: Caller) -> None:
+            caller.answer_with(b"x" * 1_000_000)
+            await caller.caller_end.send_some(GET)
+            await trio.sleep(0.5)
+            self.assertTrue(await caller.read_count(1_000_000) < 1_000_000)
+
+        run_scenario(scenario)
+
     def test_drain_answers_requests_that_were_read(self) -> None:
         """Guard against the loss of a request that was read during another.
 
