Answer the requests that have arrived before a drain closes a connection

Callers that send requests without waiting for the answers lost those that the daemon had read already: with SIGTERM during the first request its response announced the close, and the others got none.

Cause: a draining server closed each connection after its next response, whatever had arrived on it. The parser held the other requests.

Now a draining server looks first: while bytes of a further request have arrived, the response doesn't announce the close, and the next request is answered or refused as any other. The last one announces it.

test_drain_answers_requests_that_were_read failed before (one answer of three).

--- a/plantainhook/httpserver.py
+++ b/plantainhook/httpserver.py
@@ -3,8 +3,9 @@
 Each connection has its own task, which reads complete requests, passes them to
 a handler and writes the responses. It keeps reading while a request runs, so
 that the work is cancelled as soon as the caller disconnects. A draining server
-closes each connection after its next response; ``HttpServer.close_idle``
-closes those that are idle.
+closes each connection after its next response, or after the response to the
+last request that has arrived on it; ``HttpServer.close_idle`` closes those
+that are idle.
 """
 
 import socket
@@ -92,7 +93,7 @@
             nursery.start_soon(self._serve, connection)
 
     def drain(self) -> None:
-        """Close each connection after its next response."""
+        """Close each connection once what has arrived on it is answered."""
         self._draining.set()
 
     def is_draining(self) -> bool:
@@ -323,7 +324,7 @@
             *response.headers,
             (b"content-length", b"%d" % len(response.body)),
         ]
-        if self._server.is_draining():
+        if self._server.is_draining() and not self._has_next_bytes():
             headers.append((b"connection", b"close"))
         head = h11.Response(status_code=response.status, headers=headers)
         data = self._http.send(head) or b""
@@ -336,6 +337,16 @@
         await self._linger()
         return False
 
+    def _has_next_bytes(self) -> bool:
+        """Return whether bytes of a further request have arrived.
+
+        Pattern: a caller sends requests without waiting for the answers. Its
+        further requests are lost if the connection is closed after the first.
+        """
+        return (
+            bool(self._http.trailing_data[0]) or self._transport.is_readable()
+        )
+
     async def _linger(self) -> None:
         """Read the bytes that still arrive, so that closing sends no reset."""
         self._transport.send_eof()
