--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -328,10 +328,6 @@
             self.board.lifecycle = blackboard.LifecycleState.LEAVING
             self._nursery.start_soon(self._stop)
 
-    def in_flight_count(self) -> int:
-        """Return the number of callers' requests in flight."""
-        return self.service.in_flight_count
-
     async def _stop(self) -> None:
         began_s = trio.current_time()
         end_s = began_s + self.forward.stop_timeout_s - EXIT_MARGIN_S
@@ -356,7 +352,7 @@
         await self._give_up(end_s)
         LOGGER.info(
             "Stopping; {} requests in flight are cancelled.",
-            self.in_flight_count(),
+            self.caller_server.unanswered_count(),
         )
         self._nursery.cancel_scope.cancel()
 
@@ -372,7 +368,7 @@
         while self._has_work() and (
             trio.current_time() < end_s
             or (
-                self.caller_server.has_unanswered()
+                self.caller_server.unanswered_count()
                 and trio.current_time() < late_s
             )
         ):
--- a/plantainhook/httpserver.py
+++ b/plantainhook/httpserver.py
@@ -107,9 +107,9 @@
         for connection in self.connections:
             connection.close_if_idle()
 
-    def has_unanswered(self) -> bool:
-        """Return whether a request was read and its answer not written."""
-        return any(connection.has_request for connection in self.connections)
+    def unanswered_count(self) -> int:
+        """Return how many requests were read and are not fully answered."""
+        return sum(connection.has_request for connection in self.connections)
 
     async def serve_transport(
         self, transport: leaftransport.SocketTransport
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -255,6 +255,33 @@
 
         run_scenario(scenario)
 
+    def test_unanswered_requests_are_counted(self) -> None:
+        """Guard against a stop that reports too few requests as cut.
+
+        A request counts until its response is written completely.
+        """
+        counts: list[int] = []
+
+        async def scenario(caller: Caller) -> None:
+            def count() -> None:
+                counts.append(caller.server.unanswered_count())
+
+            caller.hang_s = 0.1
+            caller.answer_with(b"x" * 2_000_000)
+            count()
+            await caller.caller_end.send_some(GET)
+            await trio.sleep(0.05)
+            count()
+            start = await caller.read(b"\r\n\r\nx")
+            count()
+            head = start.partition(b"\r\n\r\n")[0] + b"\r\n\r\n"
+            await caller.read_count(len(head) + 2_000_000 - len(start))
+            await trio.sleep(0.05)
+            count()
+
+        run_scenario(scenario)
+        self.assertEqual([0, 1, 1, 0], counts)
+
     def test_response_to_a_slow_caller(self) -> None:
         """Guard against a response that is cut because it is read slowly.
 
