--- a/plantainhook/httpserver.py
+++ b/plantainhook/httpserver.py
@@ -3,8 +3,9 @@
 Each connection has its own task, which reads complete requests, passes them to
 a handler and writes the responses. It keeps reading while a request runs, so
 that the work is cancelled as soon as the caller disconnects. A draining server
-closes each connection after its next response; ``HttpServer.close_idle``
-closes those that are idle.
+closes each connection after its next response, or after the response to the
+last request that has arrived on it; ``HttpServer.close_idle`` closes those
+that are idle.
 """
 
 import socket
@@ -25,7 +26,9 @@
 LOGGER: typing.Final = logs.part_logger("front")
 RECEIVE_BYTES: typing.Final = 65_536
 BACKLOG_COUNT: typing.Final = 1024
-WRITE_TIMEOUT_S: typing.Final = 5.0
+# A caller is disconnected if none of a response can be written for this time.
+# The kernel takes more only when a third of its buffer is free.
+WRITE_TIMEOUT_S: typing.Final = 15.0
 STATUS_TOO_LARGE: typing.Final = 413
 # A connection that is closed while bytes still arrive is reset, and the caller
 # may lose the response. So the rest of a body is read for this time first.
@@ -92,7 +95,7 @@
             nursery.start_soon(self._serve, connection)
 
     def drain(self) -> None:
-        """Close each connection after its next response."""
+        """Close each connection once what has arrived on it is answered."""
         self._draining.set()
 
     def is_draining(self) -> bool:
@@ -104,6 +107,10 @@
         for connection in self.connections:
             connection.close_if_idle()
 
+    def unanswered_count(self) -> int:
+        """Return how many requests were read and are not fully answered."""
+        return sum(connection.has_request for connection in self.connections)
+
     async def serve_transport(
         self, transport: leaftransport.SocketTransport
     ) -> None:
@@ -140,7 +147,12 @@
 
 
 class CallerConnection:
-    """Serve the requests of one connection, one after the other."""
+    """Serve the requests of one connection, one after the other.
+
+    ``has_request`` states whether a request was read and not answered yet.
+    """
+
+    has_request: bool
 
     def __init__(
         self,
@@ -155,6 +167,7 @@
         self._limits = get_limits()
         self._server = server
         self._http = h11.Connection(h11.SERVER, self._limits.head_bytes)
+        self.has_request = False
         self._idle_scope: trio.CancelScope | None = None
         self._opened_s = trio.current_time()
         self._has_served = False
@@ -190,6 +203,7 @@
                 await self._refuse(STATUS_TOO_LARGE)
                 return
             self._has_served = True
+            self.has_request = True
             response = await self._run_handler(request, body)
             if response is None:
                 return
@@ -231,13 +245,6 @@
 
     async def _wait_idle(self) -> bool:
         """Wait for the first byte of a request; return False if none comes."""
-        if (
-            self._server.is_draining()
-            and self._has_served
-            and not self._transport.is_readable()
-        ):
-            # The last response announced that the connection is closed.
-            return False
         with trio.move_on_after(self._limits.idle_timeout_s) as scope:
             self._idle_scope = scope
             try:
@@ -312,18 +319,29 @@
             *response.headers,
             (b"content-length", b"%d" % len(response.body)),
         ]
-        if self._server.is_draining():
+        if self._server.is_draining() and not self._has_next_bytes():
             headers.append((b"connection", b"close"))
         head = h11.Response(status_code=response.status, headers=headers)
         data = self._http.send(head) or b""
         data += self._http.send(h11.Data(data=response.body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
         await self._send(data)
+        self.has_request = False
         if self._http.our_state is h11.DONE is self._http.their_state:
             return True
         await self._linger()
         return False
 
+    def _has_next_bytes(self) -> bool:
+        """Return whether bytes of a further request have arrived.
+
+        Pattern: a caller sends requests without waiting for the answers. Its
+        further requests are lost if the connection is closed after the first.
+        """
+        return (
+            bool(self._http.trailing_data[0]) or self._transport.is_readable()
+        )
+
     async def _linger(self) -> None:
         """Read the bytes that still arrive, so that closing sends no reset."""
         self._transport.send_eof()
@@ -341,9 +359,10 @@
 
     async def _send(self, data: bytes | None) -> None:
         rest = data or b""
-        with trio.fail_after(WRITE_TIMEOUT_S):
-            while rest:
-                rest = rest[await self._transport.send_some(rest) :]
+        while rest:
+            with trio.fail_after(WRITE_TIMEOUT_S):
+                sent_count = await self._transport.send_some(rest)
+            rest = rest[sent_count:]
 
 
 def listen(address: str) -> socket.socket:
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -26,6 +26,7 @@
         self.bodies: list[bytes] = []
         self.cancelled_count = 0
         self.hang_s = 0.0
+        self._answer: bytes | None = None
         self.server = httpserver.HttpServer(self.handle, lambda: limits)
         caller_end, server_end = socket.socketpair()
         self.caller_end = leaftransport.SocketTransport(caller_end)
@@ -38,14 +39,33 @@
         headers: forwardtypes.Headers,
         body: bytes,
     ) -> forwardtypes.Response:
-        """Answer after ``hang_s`` with the target as the body."""
+        """Answer after ``hang_s``, by default with the target as the body."""
         self.bodies.append(body)
         try:
             await trio.sleep(self.hang_s)
         except trio.Cancelled:
             self.cancelled_count += 1
             raise
-        return forwardtypes.Response(200, [], target)
+        body = target if self._answer is None else self._answer
+        return forwardtypes.Response(200, [], body)
+
+    def answer_with(self, body: bytes) -> None:
+        """Answer further requests with a body."""
+        self._answer = body
+
+    async def read_count(self, wanted_count: int, pause_s: float = 0.0) -> int:
+        """Read at least so many bytes, or up to the end of the stream.
+
+        Return how many were read. The caller pauses before each read.
+        """
+        count = 0
+        while count < wanted_count:
+            await trio.sleep(pause_s)
+            chunk = await self.caller_end.receive_some(20_000)
+            if not chunk:
+                break
+            count += len(chunk)
+        return count
 
     async def read(self, wanted: bytes) -> bytes:
         """Read for up to 1 s, until ``wanted`` arrives or the stream ends."""
@@ -211,6 +231,106 @@
 
         run_scenario(scenario)
 
+    def test_drain_during_a_response(self) -> None:
+        """Guard against a close that no response has announced.
+
+        The stop begins while a caller still reads a long response.
+        """
+
+        async def scenario(caller: Caller) -> None:
+            answer = b"x" * 2_000_000
+            caller.answer_with(answer)
+            await caller.caller_end.send_some(GET)
+            start = await caller.read(b"\r\n\r\nx")
+            caller.server.drain()
+            head = start.partition(b"\r\n\r\n")[0] + b"\r\n\r\n"
+            rest_count = len(head) + len(answer) - len(start)
+            await caller.read_count(rest_count)
+            caller.answer_with(b"")
+            await trio.sleep(0.05)
+            await caller.caller_end.send_some(GET)
+            last = await caller.read(b"\r\n\r\n")
+            self.assertIn(b" 200 ", last)
+            self.assertIn(b"connection: close", last.lower())
+
+        run_scenario(scenario)
+
+    def test_unanswered_requests_are_counted(self) -> None:
+        """Guard against a stop that reports too few requests as cut.
+
+        A request counts until its response is written completely.
+        """
+        counts: list[int] = []
+
+        async def scenario(caller: Caller) -> None:
+            def count() -> None:
+                counts.append(caller.server.unanswered_count())
+
+            caller.hang_s = 0.1
+            caller.answer_with(b"x" * 2_000_000)
+            count()
+            await caller.caller_end.send_some(GET)
+            await trio.sleep(0.05)
+            count()
+            start = await caller.read(b"\r\n\r\nx")
+            count()
+            head = start.partition(b"\r\n\r\n")[0] + b"\r\n\r\n"
+            await caller.read_count(len(head) + 2_000_000 - len(start))
+            await trio.sleep(0.05)
+            count()
+
+        run_scenario(scenario)
+        self.assertEqual([0, 1, 1, 0], counts)
+
+    def test_response_to_a_slow_caller(self) -> None:
+        """Guard against a response that is cut because it is read slowly.
+
+        The caller needs at least 1 s, and less than the time limit between
+        any two writes.
+        """
+        self.patch(httpserver, "WRITE_TIMEOUT_S", 0.5)
+
+        async def scenario(caller: Caller) -> None:
+            caller.answer_with(b"x" * 4_000_000)
+            await caller.caller_end.send_some(GET)
+            count = await caller.read_count(4_000_000, pause_s=0.005)
+            self.assertTrue(count >= 4_000_000)
+
+        run_scenario(scenario)
+
+    def test_caller_that_stops_reading(self) -> None:
+        """Guard against a response that waits for its caller for ever."""
+        self.patch(httpserver, "WRITE_TIMEOUT_S", 0.2)
+
+        async def scenario(caller: Caller) -> None:
+            caller.answer_with(b"x" * 1_000_000)
+            await caller.caller_end.send_some(GET)
+            await trio.sleep(0.5)
+            self.assertTrue(await caller.read_count(1_000_000) < 1_000_000)
+
+        run_scenario(scenario)
+
+    def test_drain_answers_requests_that_were_read(self) -> None:
+        """Guard against the loss of a request that was read during another.
+
+        Pattern: a caller sends requests without waiting for the answers, and
+        the stop begins during the first one.
+        """
+
+        async def scenario(caller: Caller) -> None:
+            caller.hang_s = 0.1
+            await caller.caller_end.send_some(
+                GET + GET.replace(b"/a", b"/b") + GET.replace(b"/a", b"/c")
+            )
+            await trio.sleep(0.02)
+            caller.server.drain()
+            answers = await caller.read(b"\r\n\r\n/c")
+            self.assertEqual(3, answers.count(b" 200 "))
+            self.assertEqual(1, answers.lower().count(b"connection: close"))
+            self.assertTrue(await caller.wait_for_close())
+
+        run_scenario(scenario)
+
     def test_idle_connection_ends(self) -> None:
         """Guard against idle connections that are kept for ever."""
 
