Count a caller's time from the first byte of its request

A body that takes 2 s to arrive left them 2 s too much, because the time that the caller stated was counted from the end of the body.

--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -457,9 +457,11 @@
         target: bytes,
         headers: forwardtypes.Headers,
         body: bytes,
+        arrived_s: float,
     ) -> forwardtypes.Response:
         return await self.service.answer(
-            self.adapters.dialect.read_request(method, target, headers, body)
+            self.adapters.dialect.read_request(method, target, headers, body),
+            arrived_s,
         )
 
     async def _answer_ready(
@@ -468,6 +470,7 @@
         target: bytes,
         headers: forwardtypes.Headers,
         body: bytes,
+        arrived_s: float,
     ) -> forwardtypes.Response:
         status = forwardtypes.STATUS_UNAVAILABLE
         if self.is_ready():
@@ -480,6 +483,7 @@
         target: bytes,
         headers: forwardtypes.Headers,
         body: bytes,
+        arrived_s: float,
     ) -> forwardtypes.Response:
         content_type = (b"content-type", b"text/plain; version=0.0.4")
         text = prometheus_client.generate_latest(self.registry)
--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -98,14 +98,19 @@
         self.running = runningrequests.RunningRequests(dependencies.stop)
 
     async def answer(
-        self, forwarded: forwardtypes.ForwardRequest
+        self,
+        forwarded: forwardtypes.ForwardRequest,
+        arrived_s: float | None = None,
     ) -> forwardtypes.Response:
-        """Answer a caller's request; cancelled if the caller disconnects."""
+        """Answer a caller's request; cancelled if the caller disconnects.
+
+        ``arrived_s`` is when it began to arrive, by default now.
+        """
+        if arrived_s is None:
+            arrived_s = trio.current_time()
         self.in_flight_count += 1
         try:
-            return await self._answer_or_give_up(
-                forwarded, trio.current_time(), True
-            )
+            return await self._answer_or_give_up(forwarded, arrived_s, True)
         except Exception:
             # Leafs may have run the request, so this is not "unavailable".
             LOGGER.exception("Request {} failed.", forwarded.request_id)
--- a/plantainhook/httpserver.py
+++ b/plantainhook/httpserver.py
@@ -37,8 +37,9 @@
 # The first request on a new connection is expected within this time.
 NEW_CONNECTION_S: typing.Final = 0.5
 
+# Takes method, target, headers, body, and when the request began to arrive.
 Handler = abc.Callable[
-    [bytes, bytes, forwardtypes.Headers, bytes],
+    [bytes, bytes, forwardtypes.Headers, bytes, float],
     abc.Awaitable[forwardtypes.Response],
 ]
 GetLimits = abc.Callable[[], routetable.ClientLimits]
@@ -171,6 +172,7 @@
         self._idle_scope: trio.CancelScope | None = None
         self._opened_s = trio.current_time()
         self._has_served = False
+        self._arrived_s = self._opened_s
 
     def close(self) -> None:
         """Close the connection at once."""
@@ -236,6 +238,7 @@
             and not await self._wait_idle()
         ):
             return None
+        self._arrived_s = trio.current_time()
         with trio.move_on_after(self._limits.head_timeout_s):
             while event is h11.NEED_DATA:
                 await self._receive()
@@ -292,6 +295,7 @@
                         request.target,
                         list(request.headers),
                         body,
+                        self._arrived_s,
                     )
                 )
                 nursery.cancel_scope.cancel()
--- a/tests/soakstore.py
+++ b/tests/soakstore.py
@@ -82,6 +82,7 @@
         target: bytes,
         headers: forwardtypes.Headers,
         body: bytes,
+        arrived_s: float,
     ) -> forwardtypes.Response:
         began_s = trio.current_time()
         era = self.model.era
--- a/tests/soakworld.py
+++ b/tests/soakworld.py
@@ -100,6 +100,7 @@
         target: bytes,
         headers: forwardtypes.Headers,
         body: bytes,
+        arrived_s: float,
     ) -> forwardtypes.Response:
         by_name = dict(headers)
         request_id = by_name.get(names.REQUEST_ID, b"").decode()
--- a/tests/test_damaged_peers.py
+++ b/tests/test_damaged_peers.py
@@ -535,6 +535,7 @@
             target: bytes,
             headers: forwardtypes.Headers,
             body: bytes,
+            arrived_s: float,
         ) -> forwardtypes.Response:
             return forwardtypes.Response(200, [], b"answer")
 
@@ -581,6 +582,7 @@
             target: bytes,
             headers: forwardtypes.Headers,
             body: bytes,
+            arrived_s: float,
         ) -> forwardtypes.Response:
             raise ZeroDivisionError
 
--- a/tests/test_httpserver.py
+++ b/tests/test_httpserver.py
@@ -38,6 +38,7 @@
         target: bytes,
         headers: forwardtypes.Headers,
         body: bytes,
+        arrived_s: float,
     ) -> forwardtypes.Response:
         """Answer after ``hang_s``, by default with the target as the body."""
         self.bodies.append(body)
