Close the attempts of a query whose caller has left

Seen when callers left before their request crashed a leaf: no crash was ever counted. Cause: the executor never called QueryMachine.on_cancel, so a query that is cancelled, because its caller disconnects, a branch ends or a stop gives it up, left its attempts open. They counted as in flight at their leafs for ever, which keeps work from these leafs (in_flight_count 5 after five callers that left), and as running in the quarantine, where a suspect would never run again. Class of fault as in docs/incidents/requests-that-crash-leafs.md: a decision needs a report that nobody makes.

test_open_attempts_are_closed failed before (5 in place of 0).

--- a/plantainhook/branchworker.py
+++ b/plantainhook/branchworker.py
@@ -79,6 +79,9 @@
     def on_timer(self, now_s: float) -> list[querytypes.Action]:
         return self.machine.on_timer(now_s)
 
+    def on_cancel(self, now_s: float) -> list[querytypes.Action]:
+        return self.machine.on_cancel(now_s)
+
 
 class RunningBranch:
     """Track a branch that runs, and build its batches.
--- a/plantainhook/executor.py
+++ b/plantainhook/executor.py
@@ -49,6 +49,9 @@
     def on_timer(self, now_s: float) -> abc.Sequence[querytypes.Action]:
         """Handle the expiry of the timer that was set last."""
 
+    def on_cancel(self, now_s: float) -> abc.Sequence[querytypes.Action]:
+        """Close all attempts, because nobody waits for the query."""
+
 
 @dataclasses.dataclass(slots=True)
 class _RunningQuery:
@@ -109,9 +112,13 @@
     """Run a query until it finishes; return its answer or refusal."""
     async with trio.open_nursery() as nursery:
         run = _RunningQuery(request, caller, run_clock, nursery)
-        run.carry_out(machine.start(run_clock.now_s()))
-        while run.outcome is None:
-            await _next_event(machine, run)
+        try:
+            run.carry_out(machine.start(run_clock.now_s()))
+            while run.outcome is None:
+                await _next_event(machine, run)
+        finally:
+            # The policies that all queries share count its open attempts.
+            machine.on_cancel(run_clock.now_s())
         nursery.cancel_scope.cancel()
     if run.outcome is None:
         raise errors.PlantainhookError(
