--- a/plantainhook/gathertree.py
+++ b/plantainhook/gathertree.py
@@ -132,6 +132,11 @@
         if batch.ran:
             self.ran = errors.Ran.MAYBE
         if batch.quarantine_ms:
+            if any(
+                other.is_open and other is not branch
+                for other in self.branches.values()
+            ):
+                self.ran = errors.Ran.MAYBE
             return self._finish([], self._quarantine_refusal(batch))
         self._merge(batch)
         actions: gathertypes.Actions = []
--- a/tests/test_gathertree.py
+++ b/tests/test_gathertree.py
@@ -164,6 +164,8 @@
         self.assertIs(errors.RefusalKind.QUARANTINED, case.outcome.kind)
         self.assertEqual(700, case.outcome.retry_after_ms)
         self.assertEqual(2, len(case.started))
+        # The other branch may have called leafs.
+        self.assertIs(errors.Ran.MAYBE, case.outcome.ran)
 
 
 class LostHelperTest(testtools.TestCase):
