Count crashes that show late, and those of abandoned runs

And a leaf whose address still accepted connections 0.3 s after its crash was not checked again; a loss was forgotten after 5 s though the entry may expire later.

Abandoned runs are kept for 5 s, losses for 12 s, and leafs are checked for 6 s. test_callers_that_leave_before_the_crash failed before.

--- a/plantainhook/attempts.py
+++ b/plantainhook/attempts.py
@@ -206,6 +206,10 @@
             self.policies.quarantine.record_connection_loss(
                 leaf, fingerprint, now_s
             )
+        elif failure.kind is errors.LeafFailureKind.TIMEOUT:
+            self.policies.quarantine.record_abandoned(
+                leaf, fingerprint, attempt.sent_s, now_s
+            )
         else:
             self.policies.quarantine.record_end(leaf, fingerprint)
         if failure.kind is errors.LeafFailureKind.TIMEOUT:
@@ -229,7 +233,10 @@
         self.policies.replicas.on_cancelled(
             attempt.leaf, waited_s, estimate.median_s, now_s
         )
-        self.policies.quarantine.record_end(
-            attempt.leaf.name, self.plan.request.fingerprint
+        self.policies.quarantine.record_abandoned(
+            attempt.leaf.name,
+            self.plan.request.fingerprint,
+            attempt.sent_s,
+            now_s,
         )
         return querytypes.Cancel(attempt.attempt_id)
--- a/plantainhook/crashwatch.py
+++ b/plantainhook/crashwatch.py
@@ -19,8 +19,8 @@
 
 LOGGER: typing.Final = logs.part_logger("quarantine")
 # Pauses before the checks of a leaf that lost connections. A leaf that ends
-# may still accept one.
-CHECK_PAUSES_S: typing.Final = (0.005, 0.05, 0.25)
+# may still accept some.
+CHECK_PAUSES_S: typing.Final = (0.005, 0.05, 0.25, 0.5, 1.0, 2.0, 2.0)
 
 
 def _ignore(leaf: str) -> None:
--- a/plantainhook/quarantine.py
+++ b/plantainhook/quarantine.py
@@ -40,6 +40,9 @@
 SUSPICION_S: typing.Final = 600.0
 # A crash is confirmed by polling, which has to detect it within 3 s.
 CONFIRM_S: typing.Final = 5.0
+# The entry of a leaf may expire late, and until then nothing else may show
+# that it crashed.
+LOSS_KEEP_S: typing.Final = 12.0
 # How long a suspect that lost another connection is held back.
 HOLD_S: typing.Final = 2.0
 # A fingerprint that lost connections to this many leafs is a suspect.
@@ -100,6 +103,16 @@
     runs: dict[str, float]
 
 
+class AbandonedRun(typing.NamedTuple):
+    """Represent a run that was cancelled or timed out at ``at_s``.
+
+    The leaf may go on with it.
+    """
+
+    began_s: float
+    at_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class LostConnections:
     """Record the leafs to which a fingerprint lost its connection."""
@@ -116,9 +129,9 @@
 class Quarantine:
     """Track running requests, suspects and quarantined fingerprints.
 
-    ``running`` maps a leaf to its runs by fingerprint, and ``losses`` a leaf
-    to its last lost connections. The other mappings have fingerprints as
-    keys. ``until_s`` is when the quarantine of a fingerprint ends.
+    ``running`` and ``abandoned`` map a leaf to its runs by fingerprint, and
+    ``losses`` a leaf to its last lost connections. The other mappings have
+    fingerprints as keys. ``until_s`` is when a quarantine ends.
     ``on_change`` is called with a fingerprint whose suspicion or quarantine
     changed, ``on_quarantine`` with one that crashes here have proven, and
     ``on_loss`` with a leaf that lost connections.
@@ -128,6 +141,9 @@
         default_factory=dict
     )
     losses: dict[str, ConnectionLoss] = dataclasses.field(default_factory=dict)
+    abandoned: dict[str, dict[str, AbandonedRun]] = dataclasses.field(
+        default_factory=dict
+    )
     lost_connections: dict[str, LostConnections] = dataclasses.field(
         default_factory=dict
     )
@@ -192,6 +208,22 @@
         if run.count == 0:
             del runs[fingerprint]
 
+    def record_abandoned(
+        self, leaf: str, fingerprint: str, sent_s: float, now_s: float
+    ) -> None:
+        """Record a run that is not waited for any more.
+
+        Pattern: the caller leaves before the leaf crashes.
+        """
+        self.record_end(leaf, fingerprint)
+        runs = self.abandoned.setdefault(leaf, {})
+        runs.pop(fingerprint, None)
+        runs[fingerprint] = AbandonedRun(sent_s, now_s)
+        for other in tuple(runs):
+            if now_s - runs[other].at_s <= CONFIRM_S:
+                break
+            del runs[other]
+
     def record_reply(self, leaf: str, fingerprint: str, sent_s: float) -> None:
         """Record a run that ended with a reply, which clears a suspicion.
 
@@ -227,7 +259,7 @@
     ) -> None:
         """Record the lost connection of a run; call this for each run."""
         loss = self.losses.get(leaf)
-        if loss is None or now_s - loss.at_s > CONFIRM_S:
+        if loss is None or now_s - loss.at_s > LOSS_KEEP_S:
             self._forget_losses(now_s)
             loss = self.losses[leaf] = ConnectionLoss(now_s, {})
         for other, run in self.running.get(leaf, {}).items():
@@ -257,16 +289,21 @@
         Return whether it crashed while it ran requests.
         """
         loss = self.losses.pop(leaf, None)
-        if loss is None or now_s - loss.at_s > CONFIRM_S:
-            return False
-        fingerprints = frozenset(loss.runs)
-        for fingerprint, began_s in loss.runs.items():
+        runs: dict[str, float] = {}
+        at_s = now_s
+        if loss is not None and now_s - loss.at_s <= LOSS_KEEP_S:
+            runs, at_s = dict(loss.runs), loss.at_s
+        for fingerprint, run in self.abandoned.pop(leaf, {}).items():
+            if at_s - run.at_s <= CONFIRM_S:
+                runs.setdefault(fingerprint, run.began_s)
+        fingerprints = frozenset(runs)
+        for fingerprint, began_s in runs.items():
             self._record_crash(
                 fingerprint,
-                Crash(leaf, loss.at_s, now_s, fingerprints, began_s),
+                Crash(leaf, at_s, now_s, fingerprints, began_s),
                 now_s,
             )
-        return True
+        return bool(runs)
 
     def add(self, fingerprint: str, until_s: float) -> None:
         """Quarantine a fingerprint or extend its quarantine."""
@@ -302,7 +339,7 @@
     def _forget_losses(self, now_s: float) -> None:
         """Forget the lost connections to leafs that did not crash."""
         for leaf, loss in list(self.losses.items()):
-            if now_s - loss.at_s > CONFIRM_S:
+            if now_s - loss.at_s > LOSS_KEEP_S:
                 del self.losses[leaf]
 
     def _record_crash(
--- a/tests/crashfleet.py
+++ b/tests/crashfleet.py
@@ -42,7 +42,8 @@
 
     With ``keeps_address`` a leaf starts again at its address, and with
     ``keeps_name`` under its name too. ``closes_late_s`` is how long a crashed
-    leaf still accepts connections.
+    leaf still accepts connections. With ``finishes_abandoned`` it goes on
+    with a crashing request whose connection is closed.
     """
 
     work_s: float = 0.02
@@ -52,6 +53,7 @@
     keeps_address: bool = False
     keeps_name: bool = False
     closes_late_s: float = 0.0
+    finishes_abandoned: bool = False
 
 
 class Arrival(typing.NamedTuple):
@@ -102,6 +104,12 @@
             },
         )
 
+    async def crash_later(self, target: bytes) -> None:
+        """Crash after the work, whether anybody waits for it or not."""
+        await trio.sleep(self.fleet.behaviour.crash_after_s)
+        if not self.gone.is_set():
+            self.fleet.crash(self, target)
+
     async def run(self, target: bytes) -> None:
         """Do the work of a request; raise an error if the leaf crashes."""
         behaviour = self.fleet.behaviour
@@ -149,7 +157,14 @@
         """Return the reply once the leaf has done the work."""
         if not self._request_id:
             await trio.sleep_forever()
-        await self._leaf.run(self._target)
+        leaf = self._leaf
+        if (
+            leaf.fleet.behaviour.finishes_abandoned
+            and CRASHING in self._target
+        ):
+            leaf.fleet.nursery.start_soon(leaf.crash_later, self._target)
+            await leaf.gone.wait()
+        await leaf.run(self._target)
         request_id, self._request_id = self._request_id, b""
         return (
             b"HTTP/1.1 200 OK\r\nServer-Stamp: %s.%s\r\nRequest-Id: %s\r\n"
--- a/tests/test_crashfleet.py
+++ b/tests/test_crashfleet.py
@@ -93,6 +93,38 @@
             self.assertEqual({}, daemon.process.board.quarantine_until_s)
             self.assertEqual({}, daemon.process.board.suspicions)
 
+    def test_leaf_that_accepts_connections_after_its_crash(self) -> None:
+        """Guard against a crash that no check confirms, and no entry soon."""
+        behaviour = crashfleet.Behaviour(closes_late_s=1.0, expiry_s=5.5)
+        fleet = crashfleet.run(
+            "abcabca",
+            functools.partial(play, crashing_pause_s=0.7),
+            behaviour,
+        )
+        self.assertLessEqual(len(fleet.late_arrivals()), LATE_MAX_COUNT)
+
+    def test_callers_that_leave_before_the_crash(self) -> None:
+        """Guard against crashes of runs that nobody waits for."""
+
+        async def send_and_leave(fleet: crashfleet.Fleet) -> None:
+            while True:
+                with trio.move_on_after(0.3):
+                    await fleet.send(crashfleet.CRASHING_PATH)
+                await trio.sleep(0.3)
+
+        async def scenario(fleet: crashfleet.Fleet) -> None:
+            with trio.move_on_after(30.0):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(fleet.send_often, SOUND_PATHS, 0.05)
+                    nursery.start_soon(send_and_leave, fleet)
+
+        behaviour = crashfleet.Behaviour(
+            crash_after_s=0.5, finishes_abandoned=True
+        )
+        fleet = crashfleet.run("abcabca", scenario, behaviour)
+        self.assertGreaterEqual(len(fleet.crashes), 2)
+        self.assertLessEqual(len(fleet.late_arrivals()), LATE_MAX_COUNT)
+
     def test_other_host(self) -> None:
         """Guard against the quarantine of a path at other hosts."""
         requests = [
