Accept only plausible quarantines of peers and of the store

Daemons sent expired suspicions to and fro for ever, and such a one hid fresh crashes. A daemon whose clock was 150 s ahead deleted the entry of a quarantine in force, or prolonged it each 1.5 s.

Messages and objects have bounds. Suspicions older than 600 s are neither sent nor accepted, and tables hold 10,000. The end of a quarantine follows from its crash and is not moved by later messages. An entry is deleted only when it has ended by any clock, and unchanged (by revision).

Tests: test_malformed_entries, test_clock_that_is_ahead and -behind, MergeTest.

--- a/plantainhook/objectsource.py
+++ b/plantainhook/objectsource.py
@@ -121,8 +121,11 @@
     async def put(self, name: str, spec: object) -> WriteResult:
         """Create an object, or replace its spec if it exists."""
 
-    async def delete(self, name: str) -> WriteResult:
-        """Remove an object; one that does not exist counts as removed."""
+    async def delete(self, name: str, revision: int) -> WriteResult:
+        """Remove an object unless it has changed since a revision.
+
+        One that does not exist counts as removed.
+        """
 
 
 class Consumer(typing.Protocol):
--- a/plantainhook/platform/store.py
+++ b/plantainhook/platform/store.py
@@ -189,9 +189,14 @@
             written = await self._write("PUT", f"{path}/{name}", body)
         return self._check_write(written)
 
-    async def delete(self, name: str) -> objectsource.WriteResult:
-        """Remove an object; one that does not exist counts as removed."""
-        path = f"{names.OBJECTS_PATH}/{self.kind}/{name}"
+    async def delete(
+        self, name: str, revision: int
+    ) -> objectsource.WriteResult:
+        """Remove an object unless it has changed since a revision.
+
+        One that does not exist counts as removed.
+        """
+        path = f"{names.OBJECTS_PATH}/{self.kind}/{name}?revision={revision}"
         deleted = await self._write("DELETE", path, b"")
         if deleted == result.Ok(STATUS_NOT_FOUND):
             return result.Ok(None)
--- a/plantainhook/quarantinestore.py
+++ b/plantainhook/quarantinestore.py
@@ -32,6 +32,7 @@
     objectsource,
     quarantine,
     quarantinesync,
+    wire,
 )
 
 LOGGER: typing.Final = logs.part_logger("quarantine")
@@ -41,7 +42,7 @@
 SUBSTITUTE_DELAY_S: typing.Final = 1.5
 RETRY_FIRST_S: typing.Final = 0.5
 RETRY_MAX_S: typing.Final = 30.0
-# An expired entry is kept for this long, because clocks differ.
+# An entry is deleted so long after it must have ended.
 EXPIRED_KEEP_S: typing.Final = 60.0
 # Smaller differences between the ends of an entry are ignored.
 COMPARE_STEP_S: typing.Final = 5.0
@@ -51,6 +52,9 @@
 NAME_MAX_LENGTH: typing.Final = 100
 
 
+UnixMs = typing.Annotated[int, msgspec.Meta(ge=0, le=1 << 53)]
+
+
 class StoredEntry(msgspec.Struct, rename="kebab"):
     """Represent an entry as it is stored; its name is the fingerprint.
 
@@ -59,9 +63,9 @@
     are for operators.
     """
 
-    since_ms: int
-    until_ms: int
-    crashes_count: int = 2
+    since_ms: UnixMs
+    until_ms: UnixMs
+    crashes_count: wire.CrashesCount = 2
     request: str = ""
     leaf: str = ""
 
@@ -96,6 +100,9 @@
         self._wall_s = wall_s
         # The ends of the entries in the store, and of those written since.
         self._stored_s: dict[str, float] = {}
+        # When the entries in the store have ended by any clock.
+        self._deletable_s: dict[str, float] = {}
+        self._revisions: dict[str, int] = {}
         self._written_s: dict[str, float] = {}
         # What this daemon writes without leaving it to others, and which of
         # it are suspicions.
@@ -189,8 +196,13 @@
         now_s = trio.current_time()
         wall_s = self._wall_s()
         left_s = entry.until_ms / 1000.0 - wall_s
-        left_s = min(left_s, quarantinesync.ENTRY_MAX_S)
+        # The clock of the writer or of this daemon may be wrong.
+        length_s = (entry.until_ms - entry.since_ms) / 1000.0
+        length_s = min(max(0.0, length_s), quarantinesync.ENTRY_MAX_S)
+        left_s = min(left_s, length_s)
         self._stored_s[item.name] = now_s + left_s
+        self._revisions[item.name] = item.revision
+        self._deletable_s[item.name] = now_s + length_s + EXPIRED_KEEP_S
         # Clocks differ, and the crash is not in the future.
         crashed_s = now_s - max(0.0, wall_s - entry.since_ms / 1000.0)
         crash = quarantine.Crash(
@@ -219,13 +231,18 @@
         A store that came back from an older copy has lost the object instead,
         and it is written again.
         """
-        self._stored_s.pop(name, None)
-        self._written_s.pop(name, None)
+        self._forget(name)
         if self._is_restoring or self._left_s(name) <= 0.0:
             return
         LOGGER.warning("The quarantine of request {} was deleted.", name)
         self._sync.clear(name, trio.current_time())
 
+    def _forget(self, name: str) -> None:
+        self._stored_s.pop(name, None)
+        self._written_s.pop(name, None)
+        self._deletable_s.pop(name, None)
+        self._revisions.pop(name, None)
+
     # Writing
 
     async def run(self) -> None:
@@ -256,10 +273,7 @@
             if difference.due_s <= now_s:
                 await self._write(name, is_active, difference)
         # An entry that expires makes a difference later.
-        expiries_s = [
-            end_s + EXPIRED_KEEP_S for end_s in self._stored_s.values()
-        ]
-        times_s = [at_s for at_s in expiries_s if at_s > now_s]
+        times_s = [at_s for at_s in self._deletable_s.values() if at_s > now_s]
         times_s += [each.due_s for each in self._differences.values()]
         return min(times_s, default=float("inf"))
 
@@ -276,7 +290,7 @@
             if until_s > now_s and until_s > known_s + COMPARE_STEP_S:
                 differing[name] = True
         for name, end_s in self._stored_s.items():
-            is_expired = now_s >= end_s + EXPIRED_KEEP_S
+            is_expired = now_s >= self._deletable_s[name]
             was_ended = now_s < end_s - ENDED_EARLY_S
             if (is_expired or was_ended) and self._left_s(name) <= 0.0:
                 differing[name] = False
@@ -302,7 +316,8 @@
         if is_active:
             written = await self._writer.put(name, self._spec_of(name))
         else:
-            written = await self._writer.delete(name)
+            revision = self._revisions.get(name, 0)
+            written = await self._writer.delete(name, revision)
         now_s = trio.current_time()
         if isinstance(written, result.Err):
             LOGGER.info("Entry {} not written: {}", name, written.err_value)
@@ -318,7 +333,7 @@
                 name, now_s
             )
         else:
-            self._stored_s.pop(name, None)
+            self._forget(name)
             self._own.discard(name)
 
     def _spec_of(self, name: str) -> dict[str, typing.Any]:
--- a/plantainhook/quarantinesync.py
+++ b/plantainhook/quarantinesync.py
@@ -28,6 +28,9 @@
 ENTRY_MAX_S: typing.Final = max(quarantine.QUARANTINE_STEPS_S)
 CRASH_FINGERPRINTS_LIMIT_COUNT: typing.Final = 64
 CRASHES_LIMIT_COUNT: typing.Final = 256
+SEEN_LONGER_S: typing.Final = 60.0
+# Limits the memory for requests whose callers never repeat them.
+TRACKED_MAX_COUNT: typing.Final = 10_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -69,12 +72,17 @@
             for key in [k for k, until in entries.items() if until <= now_s]:
                 del entries[key]
         oldest_s = now_s - quarantine.SUSPICION_S
+        _drop_oldest(self.board.exonerated_s)
+        _drop_oldest(self.seen_s)
+        _drop_oldest(self.board.suspicions)
         crashes = self.board.suspicions
         for key in [k for k, c in crashes.items() if c.at_s < oldest_s]:
             del crashes[key]
         answers = self.board.exonerated_s
         for key in [k for k, at_s in answers.items() if at_s < oldest_s]:
             del answers[key]
+        # Peers may still send a suspicion that has expired here.
+        oldest_s -= SEEN_LONGER_S
         for seen in [p for p, at_s in self.seen_s.items() if at_s < oldest_s]:
             del self.seen_s[seen]
 
@@ -112,7 +120,7 @@
         crashes = [
             _crash_entry(key, crash, now_s)
             for key, crash in board.suspicions.items()
-            if only is None or key in only
+            if (only is None or key in only) and _is_young(crash, now_s)
         ]
         # Of too many, those with the most crashes matter most.
         crashes.sort(key=lambda entry: -entry.count)
@@ -148,19 +156,23 @@
         """Merge the entries of a peer; return whether any was new."""
         changed: set[str] = set()
         for key, left_s in message.cleared_left_s.items():
+            left_s = min(left_s, CLEARED_KEEP_S)
             if _extend(self.cleared_until_s, key, now_s + left_s):
                 changed.add(key)
         for key, age_s in message.answered_age_s.items():
-            if self._adopt_answer(key, now_s - age_s):
+            if age_s < quarantine.SUSPICION_S and self._adopt_answer(
+                key, now_s - age_s
+            ):
                 changed.add(key)
         crashes = {
             entry.fingerprint: _crash_of(entry, now_s)
             for entry in message.crashes[:CRASHES_LIMIT_COUNT]
         }
         for key, crash in crashes.items():
-            if self._adopt_crash(key, crash):
+            if _is_young(crash, now_s) and self._adopt_crash(key, crash):
                 changed.add(key)
         for key, left_s in message.left_s.items():
+            left_s = min(left_s, ENTRY_MAX_S)
             if self._adopt_entry(key, now_s + left_s, crashes.get(key)):
                 LOGGER.info(
                     "Request {} is in quarantine for {:.0f} s, says a peer.",
@@ -201,12 +213,21 @@
     def _adopt_entry(
         self, key: str, until_s: float, crash: quarantine.Crash | None
     ) -> bool:
-        if crash is not None and self._is_hidden(key, crash):
-            return False
+        if crash is not None:
+            known = self.board.suspicions.get(key)
+            is_known = known is not None and _rank(known) >= _rank(crash)
+            # The end follows from the crash. Clocks and delays move it.
+            if is_known and known is not crash and self._has_entry(key):
+                return False
+            if self._is_hidden(key, crash):
+                return False
         if self._is_cleared(key, until_s):
             return False
         return _extend(self.board.quarantine_until_s, key, until_s)
 
+    def _has_entry(self, key: str) -> bool:
+        return key in self.board.quarantine_until_s
+
     def _is_hidden(self, key: str, crash: quarantine.Crash) -> bool:
         """Return whether a clearing or a reply came after a crash."""
         answered_s = self.board.exonerated_s.get(key, float("-inf"))
@@ -238,11 +259,22 @@
         return hidden | suspected
 
 
+def _is_young(crash: quarantine.Crash, now_s: float) -> bool:
+    """Return whether a suspicion has not expired."""
+    return now_s - crash.at_s < quarantine.SUSPICION_S
+
+
 def _rank(crash: quarantine.Crash) -> tuple[int, str]:
     """Return by what one of two suspicions of a request is kept."""
     return crash.count, crash.leaf
 
 
+def _drop_oldest(entries: dict[typing.Any, typing.Any]) -> None:
+    """Drop what was added first beyond ``TRACKED_MAX_COUNT``."""
+    while len(entries) > TRACKED_MAX_COUNT:
+        del entries[next(iter(entries))]
+
+
 def _crash_entry(
     fingerprint: str, crash: quarantine.Crash, now_s: float
 ) -> wire.CrashEntry:
--- a/plantainhook/wire.py
+++ b/plantainhook/wire.py
@@ -34,6 +34,10 @@
 # Rates and counts of peers are checked, because a granter adds them up.
 RatePerS = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
 TokenCount = typing.Annotated[int, msgspec.Meta(ge=0, le=1 << 20)]
+# Ages and remaining times of quarantines; NaN fulfils no bound.
+QuarantineS = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1e6)]
+CrashesCount = typing.Annotated[int, msgspec.Meta(ge=1, le=1 << 20)]
+Fingerprint = typing.Annotated[str, msgspec.Meta(max_length=100)]
 AgeMs = typing.Annotated[int, msgspec.Meta(ge=0, le=COUNTER_MAX)]
 
 
@@ -201,14 +205,14 @@
     crashes in a row. Times are sent as ages, so that clocks need not agree.
     """
 
-    fingerprint: str
+    fingerprint: Fingerprint
     leaf: str
-    age_s: float
-    confirmed_age_s: float
-    fingerprints: list[str]
-    count: int = 1
+    age_s: QuarantineS
+    confirmed_age_s: QuarantineS
+    fingerprints: list[Fingerprint]
+    count: CrashesCount = 1
     # Age of the start of the suspect's run; None if the sender is older.
-    began_age_s: float | None = None
+    began_age_s: QuarantineS | None = None
 
 
 class QuarantineSync(Body, frozen=True, tag=True, array_like=True):
@@ -221,10 +225,10 @@
     entries of the receiver.
     """
 
-    left_s: dict[str, float]
-    cleared_left_s: dict[str, float]
+    left_s: dict[Fingerprint, QuarantineS]
+    cleared_left_s: dict[Fingerprint, QuarantineS]
     crashes: list[CrashEntry] = []
-    answered_age_s: dict[str, float] = {}
+    answered_age_s: dict[Fingerprint, QuarantineS] = {}
     is_push: bool = False
 
 
--- a/tests/test_forwardquarantine.py
+++ b/tests/test_forwardquarantine.py
@@ -1,17 +1,84 @@
 """Test that forwarding daemons share what they know of crashing requests."""
 
+import math
 import typing
 
 import testtools
 import trio
 
-from plantainhook import forwarddaemon, options, quarantine, wire
+from plantainhook import (
+    blackboard,
+    forwarddaemon,
+    options,
+    quarantine,
+    quarantinesync,
+    steps,
+    wire,
+)
 from plantainhook.platform import adapters
 from tests import virtualtime
 
 FINGERPRINT: typing.Final = "request that crashes leafs"
 
 
+def build_sync() -> quarantinesync.QuarantineSync:
+    """Return the entries of a daemon that has none."""
+    return quarantinesync.QuarantineSync(blackboard.Blackboard(1))
+
+
+def crash_entry(age_s: float) -> wire.CrashEntry:
+    """Return a suspicion of some age, as a peer sends it."""
+    return wire.CrashEntry(FINGERPRINT, "leaf", age_s, age_s, [], 4, age_s)
+
+
+class MergeTest(testtools.TestCase):
+    """Check what a daemon accepts of its peers."""
+
+    def test_malformed_numbers(self) -> None:
+        """Guard against a message that ends a process or holds for ever."""
+        for number in (math.nan, math.inf, -1.0, 1e300):
+            bodies = [
+                wire.QuarantineSync({FINGERPRINT: number}, {}),
+                wire.QuarantineSync({}, {FINGERPRINT: number}),
+                wire.QuarantineSync({}, {}, [crash_entry(number)]),
+                wire.QuarantineSync({}, {}, [], {FINGERPRINT: number}),
+            ]
+            for body in bodies:
+                frame = wire.encode_frame(wire.RequestFrame(1, body))
+                content = frame[wire.FRAME_HEADER.size :]
+                decoded = wire.decode_body(
+                    content, "peer", steps.Step.MEMBERS_SPREAD
+                )
+                self.assertTrue(decoded.is_err())
+
+    def test_far_end(self) -> None:
+        """Guard against a quarantine that a peer sets for days."""
+        sync = build_sync()
+        sync.merge(wire.QuarantineSync({FINGERPRINT: 1e6}, {}), 0.0)
+        (end_s,) = sync.board.quarantine_until_s.values()
+        self.assertEqual(quarantinesync.ENTRY_MAX_S, end_s)
+
+    def test_expired_suspicion(self) -> None:
+        """Guard against a suspicion that daemons send to and fro for ever."""
+        sync = build_sync()
+        old = crash_entry(quarantine.SUSPICION_S + 1.0)
+        self.assertFalse(sync.merge(wire.QuarantineSync({}, {}, [old]), 0.0))
+        young = crash_entry(1.0)
+        self.assertTrue(sync.merge(wire.QuarantineSync({}, {}, [young]), 0.0))
+        message = sync.message(quarantine.SUSPICION_S)
+        self.assertEqual([], message.crashes)
+
+    def test_same_crash(self) -> None:
+        """Guard against an end that moves out with each message."""
+        sync = build_sync()
+        for now_s in (0.0, 10.0, 20.0):
+            message = wire.QuarantineSync(
+                {FINGERPRINT: 60.0}, {}, [crash_entry(1.0)]
+            )
+            sync.merge(message, now_s)
+        self.assertEqual(60.0, sync.board.quarantine_until_s[FINGERPRINT])
+
+
 class SharedQuarantineTest(testtools.TestCase):
     """Check the quarantine of a daemon that ``forward`` runs."""
 
--- a/tests/test_quarantinestore.py
+++ b/tests/test_quarantinestore.py
@@ -1,5 +1,6 @@
 """Test quarantines that are kept in the store."""
 
+import time
 import typing
 from collections import abc
 
@@ -137,6 +138,62 @@
 
         self.run_fleet(scenario)
 
+    def test_malformed_entries(self) -> None:
+        """Guard against an object that ends the processes of all daemons."""
+        huge = 10**400
+        specs: list[dict[str, typing.Any]] = [
+            {"since-ms": 1, "until-ms": huge},
+            {"since-ms": huge, "until-ms": huge},
+            {"since-ms": -huge, "until-ms": 1},
+            {"since-ms": 1, "until-ms": 2, "crashes-count": 10**30},
+            {"since-ms": "x", "until-ms": None},
+            {},
+        ]
+
+        async def scenario(fleet: crashfleet.Fleet) -> None:
+            for number, spec in enumerate(specs):
+                fleet.model.put(names.QUARANTINE_KIND, f"bad{number}", spec)
+            await trio.sleep(KNOWN_S)
+            self.assertFalse(any(map(is_quarantined, fleet.daemons)))
+            self.assertEqual(200, await fleet.send(b"/one/x"))
+
+        self.run_fleet(scenario)
+
+    def check_clock(self, ahead_s: float) -> None:
+        """Start a daemon again whose time of day is wrong."""
+
+        async def scenario(fleet: crashfleet.Fleet) -> None:
+            await send_until_quarantined(fleet)
+            ends_s = [
+                max(daemon.process.board.quarantine_until_s.values())
+                for daemon in fleet.daemons[:-1]
+            ]
+            writes_count = fleet.model.writes_count
+            last = fleet.daemons[-1]
+            last.kill()
+            last.start()
+            store = last.process.quarantine_store
+            store._wall_s = lambda: time.time() + ahead_s
+            await trio.sleep(20.0)
+            for end_s, daemon in zip(ends_s, fleet.daemons, strict=False):
+                (now_ends_s,) = (
+                    daemon.process.board.quarantine_until_s.values()
+                )
+                self.assertEqual(end_s, now_ends_s)
+            self.assertEqual(1, len(entries_of(fleet)))
+            # At most one daemon writes once: POST, which finds it, and PUT.
+            self.assertLessEqual(fleet.model.writes_count, writes_count + 2)
+
+        self.run_fleet(scenario)
+
+    def test_clock_that_is_ahead(self) -> None:
+        """Guard against an entry that a daemon with a wrong clock deletes."""
+        self.check_clock(150.0)
+
+    def test_clock_that_is_behind(self) -> None:
+        """Guard against a quarantine that a wrong clock prolongs."""
+        self.check_clock(-150.0)
+
     def test_number_of_writes(self) -> None:
         """Guard against a write of the same entry by each daemon."""
 
