--- a/tests/forwardfleet.py
+++ b/tests/forwardfleet.py
@@ -211,6 +211,7 @@
         self.run_name = ""
         self.is_up = False
         self.is_cut_off = False
+        self.connect_s = 0.001
         self.ended = trio.Event()
         self.scope = trio.CancelScope()
         self.forward: forwarddaemon.ForwardDaemon
@@ -253,7 +254,7 @@
         self.is_up = True
 
     async def _connect(self, address: str) -> LeafConnection:
-        await trio.sleep(0.001)
+        await trio.sleep(self.connect_s)
         return LeafConnection(self.fleet.leaf_at[address], self)
 
     async def run(
@@ -271,7 +272,8 @@
                 nursery.start_soon(forward.directory.run)
                 nursery.start_soon(forward.tokens.run)
                 nursery.start_soon(forward._update_fleet_counts)
-                self.fleet.configure(forward)
+                if self.fleet.configures:
+                    self.fleet.configure(forward)
                 task_status.started()
                 await trio.sleep_forever()
 
@@ -288,6 +290,21 @@
         self.forward.stop_admission.begin(now_s, now_s + duration_s)
 
 
+def build_request(
+    request_id: str, left_ms: float | None, path: bytes = SINGLE_PREFIX
+) -> forwardtypes.ForwardRequest:
+    """Return a request of a caller, on a target of its own."""
+    return forwardtypes.ForwardRequest(
+        b"GET",
+        path + request_id.encode(),
+        HOST,
+        [(b"request-id", request_id.encode())],
+        b"",
+        request_id,
+        left_ms,
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Sent:
     """Record a request of a caller: when it was sent and its deadline."""
@@ -343,6 +360,8 @@
         ]
         self.by_address = {each.address: each for each in self.daemons}
         self.sent: dict[str, Sent] = {}
+        # Whether a daemon has the configuration when it starts.
+        self.configures = True
 
     def _is_reachable(self, sender: str, receiver: str) -> bool:
         return not (
@@ -454,15 +473,7 @@
         gathered = path == GATHER_PREFIX
         self.sent[request_id] = Sent(at_s, deadline_s, gathered, 0)
         response = forwardtypes.Response(0, [], b"")
-        forwarded = forwardtypes.ForwardRequest(
-            b"GET",
-            path + request_id.encode(),
-            HOST,
-            [(b"request-id", request_id.encode())],
-            b"",
-            request_id,
-            left_ms,
-        )
+        forwarded = build_request(request_id, left_ms, path)
         scope = trio.CancelScope()
         async with trio.open_nursery() as nursery:
 
--- a/tests/test_branches.py
+++ b/tests/test_branches.py
@@ -371,6 +371,27 @@
 
         run_scenario(scenario)
 
+    def test_copy_of_the_first_message(self) -> None:
+        """Guard against a branch that is run twice by the same helper.
+
+        Pattern: the reply to the first message is late, so its sender repeats
+        the message.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            for daemon in fleet.daemons[1:]:
+                daemon.worker.work_s = 0.15
+            replies = iter((False, True))
+            fleet.network.is_reachable = lambda sender, receiver: (
+                sender == "d0:1" or next(replies, True)
+            )
+            outcome = await fleet.gather()
+            assert isinstance(outcome, gathertypes.Gathered)
+            counts = fleet.started_counts()
+            self.assertEqual((0, 1), (counts[0], sum(counts[1:])))
+
+        run_scenario(scenario)
+
     def test_branch_of_a_lost_sender_ends(self) -> None:
         """Guard against leafs that work for a daemon that was killed."""
 
--- a/tests/test_gatherers.py
+++ b/tests/test_gatherers.py
@@ -95,6 +95,7 @@
     def __init__(self, count: int, nursery: trio.Nursery) -> None:
         self.network = memorynet.MemoryNetwork(nursery, random.Random(1))
         self.ran_on: list[int] = []
+        self.elapsed_s: list[float] = []
         self.cancelled_on: list[int] = []
         self.stops = [stopadmission.StopAdmission() for _ in range(count)]
         members = {n: member(n, 215 if n < 2 else 52) for n in range(count)}
@@ -130,6 +131,7 @@
             forwarded: forwardtypes.ForwardRequest, elapsed_s: float
         ) -> forwardtypes.Response:
             self.ran_on.append(number)
+            self.elapsed_s.append(elapsed_s)
             try:
                 await trio.sleep(self.hang_s)
             except trio.Cancelled:
@@ -175,6 +177,21 @@
 
         run_scenario(20, scenario)
 
+    def test_time_since_the_arrival(self) -> None:
+        """Guard against leafs that get more time than the caller has left.
+
+        Pattern: a request waited for the start of its daemon.
+        """
+
+        async def scenario(fleet: Fleet) -> None:
+            await fleet.daemons[9].answer(
+                request(1), ROUTE, trio.current_time() - 0.3
+            )
+            (elapsed_s,) = fleet.elapsed_s
+            self.assertTrue(0.3 <= elapsed_s < 0.31, elapsed_s)
+
+        run_scenario(20, scenario)
+
     def test_small_fleet_runs_here(self) -> None:
         """Guard against a hop that a small fleet does not need."""
 
--- a/tests/test_leafload.py
+++ b/tests/test_leafload.py
@@ -139,6 +139,67 @@
         self.assertEqual([], casefiles.failures("leafload", check))
 
 
+class DeadlineTest(testtools.TestCase):
+    """Check the time that leafs get for a request that has waited."""
+
+    def run_request(
+        self, scenario: abc.Callable[[forwardfleet.Fleet], typing.Any]
+    ) -> tuple[float, float | None]:
+        """Run a scenario that sends one request; return both deadlines."""
+        fleet = forwardfleet.run(scenario, count=1)
+        (arrival,) = fleet.arrivals()
+        (sent,) = fleet.sent.values()
+        return sent.deadline_s, arrival.deadline_s
+
+    def test_request_of_a_peer(self) -> None:
+        """Guard against the time that a request took to its gatherer."""
+
+        async def scenario(fleet: forwardfleet.Fleet) -> None:
+            now_s = trio.current_time()
+            fleet.sent["q"] = forwardfleet.Sent(
+                now_s - 2.0, now_s + 2.0, False, 0
+            )
+            await fleet.daemons[0].forward.service.answer_for_peer(
+                forwardfleet.build_request("q", 4_000.0), 2.0
+            )
+
+        allowed_s, given_s = self.run_request(scenario)
+        assert given_s is not None
+        self.assertTrue(allowed_s - 0.1 < given_s <= allowed_s)
+
+    def test_request_during_the_start(self) -> None:
+        """Guard against the time that a request waits for the start."""
+
+        async def scenario(fleet: forwardfleet.Fleet) -> None:
+            daemon = fleet.daemons[0]
+            daemon.kill()
+            daemon.build()
+            fleet.configures = False
+            await fleet.nursery.start(daemon.run)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    fleet.send, daemon, forwardfleet.SINGLE_PREFIX
+                )
+                await trio.sleep(0.25)
+                fleet.configure(daemon.forward)
+
+        allowed_s, given_s = self.run_request(scenario)
+        assert given_s is not None
+        self.assertTrue(allowed_s - 0.1 < given_s <= allowed_s)
+
+    def test_request_that_waits_for_a_connection(self) -> None:
+        """Guard against the time that a request waits for a connection."""
+
+        async def scenario(fleet: forwardfleet.Fleet) -> None:
+            daemon = fleet.daemons[0]
+            daemon.connect_s = 0.6
+            await fleet.send(daemon, forwardfleet.SINGLE_PREFIX)
+
+        allowed_s, given_s = self.run_request(scenario)
+        assert given_s is not None
+        self.assertTrue(allowed_s - 0.1 < given_s <= allowed_s)
+
+
 class SlowCaller:
     """Send a request in pieces; implements ``SocketTransport``."""
 
