--- a/tests/budgetfleet.py
+++ b/tests/budgetfleet.py
@@ -6,6 +6,7 @@
 
 import random
 import typing
+from collections import abc
 
 from plantainhook import (
     blackboard,
@@ -38,6 +39,8 @@
         self.is_draining = False
         # Whether it learns of the others, and they of it.
         self.is_known = True
+        # Daemons on different sides of a cut don't reach each other.
+        self.side = 0
         self.requests_per_s = 0.0
 
     def start(self) -> None:
@@ -47,12 +50,11 @@
         self.board = blackboard.Blackboard(self.number)
         self.board.routes = fleet.routes
         self.size = fleetsize.FleetSize(self.board, fleet.clock, 9)
+        self.choice = gatherers.GathererChoice(
+            self.board, gatherers.GathererOptions()
+        )
         self.shares = callershares.CallerShares(
-            self.board,
-            self.place,
-            gatherers.GathererChoice(self.board, gatherers.GathererOptions()),
-            True,
-            fleet.clock,
+            self.board, self.place, self.choice, True, fleet.clock
         )
         self.budgets = windowbudget.WindowBudgets(
             RULES, self.shares.divisor, fleet.clock.now_s()
@@ -63,7 +65,9 @@
         self.board.settings = self.fleet.settings
         self.board.members = self.fleet.members_seen_by(self)
         self.shares.counts = callershares.FleetCounts(
-            self.size.count(), 0, self.size.unknown_count()
+            self.size.count(),
+            self.choice.count(),
+            self.size.unknown_count(),
         )
         self.shares.refresh((SERVICE,))
 
@@ -124,10 +128,22 @@
                 daemon.is_draining,
             )
             for daemon in self.daemons
-            if daemon is viewer
-            or (daemon.is_up and daemon.is_known and viewer.is_known)
+            if daemon is viewer or self._knows(viewer, daemon)
         }
 
+    def _knows(self, viewer: Daemon, daemon: Daemon) -> bool:
+        return (
+            daemon.is_up
+            and daemon.is_known
+            and viewer.is_known
+            and daemon.side == viewer.side
+        )
+
+    def cut(self, side_of: abc.Callable[[int], int]) -> None:
+        """Divide the daemons, by number, into sides without links."""
+        for daemon in self.daemons:
+            daemon.side = side_of(daemon.number)
+
     def set_load(self, requests_per_s: float, places: str = "abc") -> None:
         """Divide the requests among the daemons of some data centres."""
         takers = [daemon for daemon in self.daemons if daemon.place in places]
--- a/tests/test_budgetfleet.py
+++ b/tests/test_budgetfleet.py
@@ -1,5 +1,8 @@
 """Test that the extra calls of all daemons together keep the budget."""
 
+import typing
+from collections import abc
+
 import testtools
 
 from tests import budgetfleet
@@ -110,3 +113,62 @@
         fleet.fails = True
         fleet.run(11.0)
         self.assertTrue(fleet.worst_ratio <= 1.0, fleet.worst_ratio)
+
+
+SideOf = abc.Callable[[int], int]
+# Cuts of a fleet, by what they separate.
+CUTS: typing.Final[dict[str, SideOf]] = {
+    "each from all": lambda number: number,
+    "one from all": lambda number: int(number == 0),
+    "half from half": lambda number: number % 2,
+    "data centres": lambda number: number % 3,
+}
+
+
+class CutFleetTest(testtools.TestCase):
+    """Check cuts between daemons that all reach leafs and callers.
+
+    Pattern: leafs refuse, and daemons take the others for dead.
+    """
+
+    def play(
+        self,
+        count: int,
+        side_of: SideOf,
+        before_s: float = 30.0,
+        requests_per_s: float = 60.0,
+    ) -> float:
+        """Cut a fleet; return the worst part of the allowed calls."""
+        fleet = budgetfleet.Fleet(("abc" * count)[:count])
+        fleet.set_load(requests_per_s)
+        fleet.run(before_s)
+        fleet.fails = True
+        fleet.cut(side_of)
+        fleet.run(35.0)
+        return fleet.worst_ratio
+
+    def test_cuts_of_small_fleets(self) -> None:
+        """Guard against daemons that each use the budget of lost ones."""
+        for count in (7, 16):
+            for name, side_of in CUTS.items():
+                for requests_per_s in (20.0, 60.0):
+                    worst = self.play(count, side_of, 30.0, requests_per_s)
+                    self.assertTrue(worst <= 1.0, (count, name, worst))
+
+    def test_cut_just_after_the_start(self) -> None:
+        """Guard against daemons that count only whom they met at first."""
+        for count in (7, 16):
+            worst = self.play(count, CUTS["each from all"], 1.0)
+            self.assertTrue(worst <= 1.0, (count, worst))
+
+    def test_cut_that_heals(self) -> None:
+        """Guard against an excess while the members come back."""
+        fleet = budgetfleet.Fleet("abcabca")
+        fleet.set_load(60.0)
+        fleet.run(30.0)
+        fleet.fails = True
+        fleet.cut(CUTS["each from all"])
+        fleet.run(25.0)
+        fleet.cut(lambda number: 0)
+        fleet.run(20.0)
+        self.assertTrue(fleet.worst_ratio <= 1.0, fleet.worst_ratio)
