--- a/tests/budgetfleet.py
+++ b/tests/budgetfleet.py
@@ -172,11 +172,24 @@
         count = int(expected) + (self._rng.random() < expected % 1.0)
         for _ in range(count):
             self._requests_s.append(now_s)
-            daemon.budgets.earn(SERVICE, 1, 0.0, now_s)
+            budgets = self._caller_for(daemon).budgets
+            budgets.earn(SERVICE, 1, 0.0, now_s)
             for _ in range(WANTED_COUNT * self.fails):
-                if daemon.budgets.spend_retry(SERVICE, now_s, 0.0, 0.0):
+                if budgets.spend_retry(SERVICE, now_s, 0.0, 0.0):
                     self._extras_s.append(now_s)
 
+    def _caller_for(self, daemon: Daemon) -> Daemon:
+        """Return the daemon that gathers a request for another."""
+        if not daemon.choice.is_large_fleet():
+            return daemon
+        chosen = daemon.choice.by_data_centre().get(daemon.place, [])
+        reached = [
+            self.daemons[member.incarnation]
+            for member in chosen
+            if self._knows(daemon, self.daemons[member.incarnation])
+        ]
+        return self._rng.choice(reached) if reached else daemon
+
     def _judge(self, now_s: float) -> None:
         """Compare the window that ends now with what is allowed."""
         counted = max(
--- a/tests/test_budgetfleet.py
+++ b/tests/test_budgetfleet.py
@@ -155,6 +155,12 @@
                     worst = self.play(count, side_of, 30.0, requests_per_s)
                     self.assertTrue(worst <= 1.0, (count, name, worst))
 
+    def test_cuts_of_a_large_fleet(self) -> None:
+        """Guard against sides that each choose gatherers for the fleet."""
+        for name in ("half from half", "data centres"):
+            worst = self.play(77, CUTS[name])
+            self.assertTrue(worst <= 1.0, (name, worst))
+
     def test_cut_just_after_the_start(self) -> None:
         """Guard against daemons that count only whom they met at first."""
         for count in (7, 16):
