Divide limits among the sides of a cut by their parts of the fleet

Cause: in a large fleet the parts of a limit follow the number of gatherers, which a daemon counts among those that it sees, so each side of a cut had gatherers for all.

--- a/plantainhook/callershares.py
+++ b/plantainhook/callershares.py
@@ -9,12 +9,17 @@
 a query is complete. If the limit were divided among all daemons, the parts of
 those that hardly ever call the service would be wasted.
 
+Pattern: some members can't be reached. They may be alive on the other side of
+a cut, where they choose helpers and gatherers of their own. Each side then
+divides only its own part of the limit, in proportion to its daemons.
+
 The parts add up to the limit at any moment, but a limit holds for a window.
 The calls that others made with their earlier parts still count in it, so a
 larger part is used only after it has been due for ``RETENTION_S``.
 """
 
 import collections
+import math
 import typing
 from collections import abc
 
@@ -36,16 +41,27 @@
 
     ``gatherers_count`` is 0 if all daemons gather. ``unknown_count`` is how
     many of the fleet are only assumed, because this daemon has just started or
-    has met no other.
+    has met no other. ``lost_count`` is how many can't be reached but may be
+    alive. ``gatherers_count`` has neither.
     """
 
     fleet_count: int
     gatherers_count: int
     unknown_count: int = 0
+    lost_count: int = 0
 
     def callers_count(self) -> int:
-        """Return the number of daemons that call shards."""
-        return self.gatherers_count or self.fleet_count
+        """Return the number of daemons that call shards.
+
+        Lost members are taken to choose as many gatherers as this side.
+        """
+        if not self.gatherers_count:
+            return self.fleet_count
+        return math.ceil(self.gatherers_count * self.sides_ratio())
+
+    def sides_ratio(self) -> float:
+        """Return how many times larger the fleet is than this side of it."""
+        return self.fleet_count / max(1, self.fleet_count - self.lost_count)
 
 
 class RecentMaximum:
@@ -104,14 +120,16 @@
         they are assumed.
         """
         counts = self.counts
-        known = counts.fleet_count - counts.unknown_count
+        known = counts._replace(
+            fleet_count=counts.fleet_count - counts.unknown_count
+        )
         maximum = self._maxima.setdefault(service, RecentMaximum())
         recent = maximum.update(
             self._due_divisor(service, known), self._clock.now_s()
         )
         if not counts.unknown_count:
             return recent
-        return max(recent, self._due_divisor(service, counts.fleet_count))
+        return max(recent, self._due_divisor(service, counts))
 
     def refresh(self, services: abc.Collection[str]) -> None:
         """Record the parts that are due; forget all other services."""
@@ -123,10 +141,15 @@
         for service in services:
             self.divisor(service)
 
-    def _due_divisor(self, service: str, fleet_count: int) -> float:
+    def _due_divisor(self, service: str, counts: FleetCounts) -> float:
         """Return the divisor that belongs to a fleet and the present leafs."""
         if service not in self._board.routes.gathered_services:
-            return fleet_count
+            return counts.fleet_count
+        side_count = counts.fleet_count - counts.lost_count
+        return self._side_divisor(service, side_count) * counts.sides_ratio()
+
+    def _side_divisor(self, service: str, fleet_count: int) -> float:
+        """Return the divisor among the members that can be reached."""
         callers = self._choice.by_data_centre()
         known_count = sum(len(members) for members in callers.values())
         used_ratio = 1.0
--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -435,6 +435,7 @@
                 self.fleet.count(),
                 self.gatherer_choice.count(),
                 self.fleet.unknown_count(),
+                self.fleet.lost_count(),
             )
             is_changed = fleet_counts != self.shares.counts
             self.shares.counts = fleet_counts
--- a/tests/budgetfleet.py
+++ b/tests/budgetfleet.py
@@ -68,6 +68,7 @@
             self.size.count(),
             self.choice.count(),
             self.size.unknown_count(),
+            self.size.lost_count(),
         )
         self.shares.refresh((SERVICE,))
 
--- a/tests/test_callershares.py
+++ b/tests/test_callershares.py
@@ -103,6 +103,17 @@
         fleet.clock.advance(callershares.RETENTION_S + 0.1)
         self.assertTrue(shares.divisor("s") < before)
 
+    def test_gatherers_of_lost_members(self) -> None:
+        """Guard against connections that each side of a cut uses fully.
+
+        Pattern: 39 of 77 daemons reach one another and have 6 gatherers; the
+        others have as many of their own.
+        """
+        counts = callershares.FleetCounts(77, 6, lost_count=38)
+        self.assertEqual(12, counts.callers_count())
+        whole = callershares.FleetCounts(77, 12)
+        self.assertEqual(12, whole.callers_count())
+
 
 class PoorLeafTest(testtools.TestCase):
     """Check which leafs make their shards go to another data centre."""
