--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -445,9 +445,11 @@
             )
             if is_changed:
                 LOGGER.info(
-                    "The fleet has {} daemons, of which {} gather (0: all).",
+                    "The fleet has {} daemons, of which {} gather (0: all) "
+                    "and {} can't be reached.",
                     fleet_counts.fleet_count,
                     fleet_counts.gatherers_count,
+                    fleet_counts.lost_count,
                 )
                 self.board.notify(blackboard.Topic.SHARES)
             await trio.sleep(0.2)
