Assume the least fleet only if half of it is lost soon after the start

A daemon that loses one of few members in its first minute counted the least fleet of the options and gave up parts without need. Only the loss of half of the members shows that others may never have become known.

--- a/plantainhook/callershares.py
+++ b/plantainhook/callershares.py
@@ -19,7 +19,6 @@
 """
 
 import collections
-import math
 import typing
 from collections import abc
 
@@ -57,7 +56,7 @@
         """
         if not self.gatherers_count:
             return self.fleet_count
-        return math.ceil(self.gatherers_count * self.sides_ratio())
+        return round(self.gatherers_count * self.sides_ratio())
 
     def sides_ratio(self) -> float:
         """Return how many times larger the fleet is than this side of it."""
