--- a/tests/test_budgetfleet.py
+++ b/tests/test_budgetfleet.py
@@ -178,3 +178,45 @@
         fleet.cut(lambda number: 0)
         fleet.run(20.0)
         self.assertTrue(fleet.worst_ratio <= 1.0, fleet.worst_ratio)
+
+    def test_kills_at_a_cut(self) -> None:
+        """Guard against daemons that start while others count the lost."""
+        for name, side_of in CUTS.items():
+            fleet = budgetfleet.Fleet("abcabca")
+            fleet.set_load(60.0)
+            fleet.run(30.0)
+            fleet.fails = True
+            fleet.cut(side_of)
+            for daemon in fleet.daemons[5:]:
+                daemon.start()
+            fleet.run(35.0)
+            self.assertTrue(
+                fleet.worst_ratio <= 1.0, (name, fleet.worst_ratio)
+            )
+
+    def test_restart_of_half_in_a_cut(self) -> None:
+        """Guard against daemons that learn only of their side of a cut.
+
+        Pattern: a release or a crash restarts daemons while data centres
+        don't reach one another.
+        """
+        fleet = budgetfleet.Fleet("abcabca")
+        fleet.set_load(60.0)
+        fleet.run(30.0)
+        fleet.fails = True
+        fleet.cut(CUTS["data centres"])
+        fleet.run(30.0)
+        for daemon in fleet.daemons[3:]:
+            daemon.start()
+        fleet.run(35.0)
+        self.assertTrue(fleet.worst_ratio <= 1.0, fleet.worst_ratio)
+
+    def test_many_daemons_that_find_no_seed(self) -> None:
+        """Guard against more daemons than each assumes."""
+        fleet = budgetfleet.Fleet("abc" * 8)
+        for daemon in fleet.daemons:
+            daemon.is_known = False
+        fleet.set_load(60.0)
+        fleet.fails = True
+        fleet.run(35.0)
+        self.assertTrue(fleet.worst_ratio <= 1.0, fleet.worst_ratio)
