--- a/plantainhook/leafpool.py
+++ b/plantainhook/leafpool.py
@@ -31,6 +31,8 @@
 )
 
 BUSY_PEAK_WINDOW_S: typing.Final = 30.0
+# A proxy before a leaf that has ended accepts connections and closes them.
+CLOSED_UNUSED_COUNT: typing.Final = 2
 
 
 class LeafPool:
@@ -76,6 +78,9 @@
         self._nursery: trio.Nursery | None = None
         self._backoff_s = 0.0
         self._next_connect_s = 0.0
+        # What ``check`` looks at; a used connection says nothing.
+        self._last_opened: leafclient.LeafClient | None = None
+        self._closed_unused_count = 0
         self._is_warmed_up = False
         self._busy_peak_count = 0
         self._busy_peak_s = 0.0
@@ -222,8 +227,16 @@
     def check(self) -> None:
         """Open a connection, unless an idle one shows that the leaf is up.
 
-        If the leaf refuses it, ``PoolOptions.on_nothing_listens`` is called.
+        If the leaf refuses it, or closes several unused ones in a row,
+        ``PoolOptions.on_nothing_listens`` is called.
         """
+        if self._last_opened in self._idle:
+            is_closed = self._last_opened.is_stale()
+            self._closed_unused_count += 1
+            if not is_closed:
+                self._closed_unused_count = 0
+            if self._closed_unused_count >= CLOSED_UNUSED_COUNT:
+                self._options.on_nothing_listens(self.leaf)
         self._close_stale()
         if (
             self._nursery is None
@@ -313,6 +326,8 @@
             if not client.is_stale():
                 self.busy_count += 1
                 self._record_busy_peak()
+                if client is self._last_opened:
+                    self._last_opened = None
                 return client
             self._close(client)
         return None
@@ -422,6 +437,8 @@
         self._metrics.count_connect("ok")
         self.busy_count += 1
         self.release(client)
+        if client in self._idle:
+            self._last_opened = client
         self._open_more()
 
     def _on_connect_failed(self, error: errors.LeafError) -> None:
--- a/tests/test_crashfleet.py
+++ b/tests/test_crashfleet.py
@@ -95,7 +95,7 @@
 
     def test_leaf_that_accepts_connections_after_its_crash(self) -> None:
         """Guard against a crash that no check confirms, and no entry soon."""
-        behaviour = crashfleet.Behaviour(closes_late_s=1.0, expiry_s=5.5)
+        behaviour = crashfleet.Behaviour(closes_late_s=5.0, expiry_s=5.5)
         fleet = crashfleet.run(
             "abcabca",
             functools.partial(play, crashing_pause_s=0.7),
