Clear a new suspicion by a reply soon after another

On real processes (15 requests a second over three paths of 1 s work, one leaf of twelve crashes each 1.5 s, no crashing request) a sound request was quarantined for 60 s. Cause: a reply that a peer reported counted only if its run began 5 s later than the last one, a step meant for repeated messages. The second suspicion of a popular request stayed, and its next crash counted as the second in a row. A reply that clears a suspicion now always counts. test_repeated_answers failed before.

--- a/plantainhook/quarantinesync.py
+++ b/plantainhook/quarantinesync.py
@@ -188,12 +188,13 @@
 
     def _adopt_answer(self, key: str, began_s: float) -> bool:
         """Clear a suspicion because of a reply that a peer got."""
-        known_s = self.board.exonerated_s.get(key)
-        if known_s is not None and began_s <= known_s + COMPARE_STEP_S:
-            return False
-        self.board.exonerated_s[key] = began_s
         crash = self.board.suspicions.get(key)
-        if crash is not None and crash.began_s <= began_s:
+        is_cleared = crash is not None and crash.began_s <= began_s
+        known_s = self.board.exonerated_s.get(key, float("-inf"))
+        if not is_cleared and began_s <= known_s + COMPARE_STEP_S:
+            return False
+        self.board.exonerated_s[key] = max(known_s, began_s)
+        if is_cleared:
             del self.board.suspicions[key]
             self.board.quarantine_until_s.pop(key, None)
         return True
--- a/tests/test_forwardquarantine.py
+++ b/tests/test_forwardquarantine.py
@@ -68,6 +68,23 @@
         message = sync.message(quarantine.SUSPICION_S)
         self.assertEqual([], message.crashes)
 
+    def test_repeated_answers(self) -> None:
+        """Guard against a suspicion that a second reply does not clear.
+
+        Pattern: leafs crash each second, and a popular request that runs on
+        them is answered by others each time.
+        """
+        sync = build_sync()
+        for number, now_s in enumerate((10.0, 12.0, 14.0)):
+            suspicion = wire.CrashEntry(
+                FINGERPRINT, f"leaf{number}", 0.5, 0.4, [], 1, 0.6
+            )
+            sync.merge(wire.QuarantineSync({}, {}, [suspicion]), now_s)
+            self.assertIn(FINGERPRINT, sync.board.suspicions)
+            answer = wire.QuarantineSync({}, {}, [], {FINGERPRINT: 0.3})
+            sync.merge(answer, now_s + 0.1)
+            self.assertEqual({}, sync.board.suspicions)
+
     def test_same_crash(self) -> None:
         """Guard against an end that moves out with each message."""
         sync = build_sync()
