Probe the store for leafs and configurations as often as before

And a store that fails for the new kind alone made its reader count as out of date for all.

A kind without which a daemon is up to date is neither probed nor counted.

--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -285,7 +285,11 @@
             self._on_routes,
         )
         replicas = {
-            source.kind: storereplica.StoreReplica(source.kind, consumer)
+            source.kind: storereplica.StoreReplica(
+                source.kind,
+                consumer,
+                is_vital=source is not adapters.quarantines,
+            )
             for source, consumer in (
                 (adapters.leafs, self.directory),
                 (adapters.configurations, self.routes),
--- a/plantainhook/storereader.py
+++ b/plantainhook/storereader.py
@@ -65,7 +65,7 @@
         if self._scope is None:
             LOGGER.info("Started reading the store.")
             self._scope = trio.CancelScope()
-            self.unavailable_kinds = set(self._replicas)
+            self.unavailable_kinds = set(self._vital_kinds())
             nursery.start_soon(self._follow_all, self._scope)
 
     def stop(self) -> None:
@@ -78,7 +78,8 @@
     def restart(self, kind: str, reason: str) -> None:
         """Give up a read, and read again on a new connection."""
         LOGGER.warning("Reading {} again: {}.", kind, reason)
-        self.unavailable_kinds.add(kind)
+        if self._replicas[kind].is_vital:
+            self.unavailable_kinds.add(kind)
         self._follow_scopes[kind].cancel()
 
     async def _follow_all(self, scope: trio.CancelScope) -> None:
@@ -93,14 +94,14 @@
 
         A cancelled call closes its connection.
         """
+        replica = self._replicas[kind]
+        unavailable = self.unavailable_kinds if replica.is_vital else set()
         while True:
             scope = self._follow_scopes[kind] = trio.CancelScope()
             with scope:
                 await objectsource.follow(
                     self._sources[kind],
-                    AvailabilityRecorder(
-                        self._replicas[kind], self.unavailable_kinds
-                    ),
+                    AvailabilityRecorder(replica, unavailable),
                     self._options,
                     self._rng,
                 )
@@ -108,7 +109,7 @@
     async def _probe_loop(self) -> None:
         """Read again whenever a watch has lost its connection or changes."""
         pause_s = PROBE_INTERVAL_S
-        for kind in itertools.cycle(self._replicas):
+        for kind in itertools.cycle(self._vital_kinds()):
             await trio.sleep(pause_s)
             if self.unavailable_kinds:
                 continue
@@ -120,6 +121,17 @@
             for silent_kind in silent:
                 self.restart(silent_kind, "its watch is silent")
 
+    def _vital_kinds(self) -> list[str]:
+        """Return the kinds that are probed, and without which none is read.
+
+        A further kind would make the probes of these rarer.
+        """
+        return [
+            kind
+            for kind, replica in self._replicas.items()
+            if replica.is_vital
+        ]
+
     async def _find_silent_watches(self, kind: str) -> list[str]:
         """Return the kinds whose watches are silent, as a probe shows."""
         replica = self._replicas[kind]
--- a/plantainhook/storereplica.py
+++ b/plantainhook/storereplica.py
@@ -38,15 +38,23 @@
     each new position. ``last_change`` is the position of the last known
     change; the position of the copy rises without a change too.
     ``confirmed_s`` is when the store, or a peer that it answers, replied last.
+    ``is_vital`` is False for a kind without which a daemon is up to date.
     """
 
     kind: str
+    is_vital: bool
     position: objectsource.Position
     last_change: objectsource.Position
     confirmed_s: float
 
-    def __init__(self, kind: str, consumer: objectsource.Consumer) -> None:
+    def __init__(
+        self,
+        kind: str,
+        consumer: objectsource.Consumer,
+        is_vital: bool = True,
+    ) -> None:
         self.kind = kind
+        self.is_vital = is_vital
         self.position = objectsource.NO_POSITION
         self.last_change = objectsource.NO_POSITION
         self.confirmed_s = float("-inf")
