Accept only names of quarantined requests that the store can have

Found in review: an expired object whose name has a blank or a character beyond ASCII raised in the call that deletes it and ended the processes; a peer could send such a name too. Names are checked at both borders. Runs of leafs that are gone are dropped from the tables, and gathered requests are named to operators as others are. test_malformed_name and the names in test_malformed_entries were written with the fix.

--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -227,6 +227,8 @@
             gathered = await self.dependencies.branches.gather(
                 forwarded, route, arrived_s
             )
+        if isinstance(gathered, errors.RefusalError):
+            self._label(forwarded, request, gathered)
         if gathered is not None:
             return self._answer_gathered(
                 forwarded, route, services, gathered, arrived_s
--- a/plantainhook/quarantine.py
+++ b/plantainhook/quarantine.py
@@ -207,6 +207,8 @@
         run.count -= 1
         if run.count == 0:
             del runs[fingerprint]
+        if not runs:
+            del self.running[leaf]
 
     def record_abandoned(
         self, leaf: str, fingerprint: str, sent_s: float, now_s: float
@@ -216,6 +218,9 @@
         Pattern: the caller leaves before the leaf crashes.
         """
         self.record_end(leaf, fingerprint)
+        if len(self.abandoned) >= TRACKED_MAX_COUNT:
+            # Leafs that have ended are never asked for again.
+            self.abandoned.clear()
         runs = self.abandoned.setdefault(leaf, {})
         runs.pop(fingerprint, None)
         runs[fingerprint] = AbandonedRun(sent_s, now_s)
--- a/plantainhook/quarantinestore.py
+++ b/plantainhook/quarantinestore.py
@@ -49,7 +49,6 @@
 ENDED_EARLY_S: typing.Final = 2 * COMPARE_STEP_S
 LABELS_MAX_COUNT: typing.Final = 1000
 LABEL_MAX_LENGTH: typing.Final = 200
-NAME_MAX_LENGTH: typing.Final = 100
 
 
 UnixMs = typing.Annotated[int, msgspec.Meta(ge=0, le=1 << 53)]
@@ -188,11 +187,10 @@
         """Adopt an entry unless a clearing or a reply came after it."""
         try:
             entry = msgspec.convert(item.spec, StoredEntry)
+            msgspec.convert(item.name, wire.Fingerprint)
         except msgspec.ValidationError as error:
             LOGGER.warning("Cannot decode entry {}: {}", item.name, error)
             return
-        if len(item.name) > NAME_MAX_LENGTH:
-            return
         now_s = trio.current_time()
         wall_s = self._wall_s()
         left_s = entry.until_ms / 1000.0 - wall_s
--- a/plantainhook/wire.py
+++ b/plantainhook/wire.py
@@ -37,7 +37,10 @@
 # Ages and remaining times of quarantines; NaN fulfils no bound.
 QuarantineS = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1e6)]
 CrashesCount = typing.Annotated[int, msgspec.Meta(ge=1, le=1 << 20)]
-Fingerprint = typing.Annotated[str, msgspec.Meta(max_length=100)]
+# It is also the name of an object in the store.
+Fingerprint = typing.Annotated[
+    str, msgspec.Meta(pattern="^[A-Za-z0-9._~-]{1,100}\\Z")
+]
 AgeMs = typing.Annotated[int, msgspec.Meta(ge=0, le=COUNTER_MAX)]
 
 
--- a/tests/test_forwardquarantine.py
+++ b/tests/test_forwardquarantine.py
@@ -18,7 +18,7 @@
 from plantainhook.platform import adapters
 from tests import virtualtime
 
-FINGERPRINT: typing.Final = "request that crashes leafs"
+FINGERPRINT: typing.Final = "request-that-crashes-leafs"
 
 
 def build_sync() -> quarantinesync.QuarantineSync:
@@ -51,6 +51,18 @@
                 )
                 self.assertTrue(decoded.is_err())
 
+    def test_malformed_name(self) -> None:
+        """Guard against a name that no object of the store can have."""
+        for name in ("a b", "\u00e9", "a/b", "a?b", "", "a\n", "x" * 101):
+            body = wire.QuarantineSync({name: 60.0}, {})
+            frame = wire.encode_frame(wire.RequestFrame(1, body))
+            decoded = wire.decode_body(
+                frame[wire.FRAME_HEADER.size :],
+                "peer",
+                steps.Step.MEMBERS_SPREAD,
+            )
+            self.assertTrue(decoded.is_err(), name)
+
     def test_far_end(self) -> None:
         """Guard against a quarantine that a peer sets for days."""
         sync = build_sync()
--- a/tests/test_quarantinestore.py
+++ b/tests/test_quarantinestore.py
@@ -153,8 +153,13 @@
         async def scenario(fleet: crashfleet.Fleet) -> None:
             for number, spec in enumerate(specs):
                 fleet.model.put(names.QUARANTINE_KIND, f"bad{number}", spec)
+            ended = {"since-ms": 1, "until-ms": 2}
+            for name in ("a b", "a\u00e9", "a?b"):
+                fleet.model.put(names.QUARANTINE_KIND, name, ended)
             await trio.sleep(KNOWN_S)
             self.assertFalse(any(map(is_quarantined, fleet.daemons)))
+            # After this time daemons delete entries that have ended.
+            await trio.sleep(70.0)
             self.assertEqual(200, await fleet.send(b"/one/x"))
 
         self.run_fleet(scenario)
