Don't take an idle timeout of a leaf for its end

A leaf may close idle connections after a second. Two checks in a row that find such a connection closed reported a crash. Only connections that were closed within 0.6 s count.

--- a/plantainhook/leafpool.py
+++ b/plantainhook/leafpool.py
@@ -33,6 +33,7 @@
 BUSY_PEAK_WINDOW_S: typing.Final = 30.0
 # A proxy before a leaf that has ended accepts connections and closes them.
 CLOSED_UNUSED_COUNT: typing.Final = 2
+CLOSED_UNUSED_S: typing.Final = 0.6
 
 
 class LeafPool:
@@ -230,13 +231,9 @@
         If the leaf refuses it, or closes several unused ones in a row,
         ``PoolOptions.on_nothing_listens`` is called.
         """
-        if self._last_opened in self._idle:
-            is_closed = self._last_opened.is_stale()
-            self._closed_unused_count += 1
-            if not is_closed:
-                self._closed_unused_count = 0
-            if self._closed_unused_count >= CLOSED_UNUSED_COUNT:
-                self._options.on_nothing_listens(self.leaf)
+        self._count_closed_unused()
+        if self._closed_unused_count >= CLOSED_UNUSED_COUNT:
+            self._options.on_nothing_listens(self.leaf)
         self._close_stale()
         if (
             self._nursery is None
@@ -248,6 +245,20 @@
         self.connecting_count += 1
         self._nursery.start_soon(self._connect)
 
+    def _count_closed_unused(self) -> None:
+        """Count a new connection that the leaf has closed before its use.
+
+        One that was idle for longer may have reached its timeout.
+        """
+        opened = self._last_opened
+        if opened is None or opened not in self._idle:
+            return
+        idle_s = trio.current_time() - opened.last_used_s
+        if not opened.is_stale():
+            self._closed_unused_count = 0
+        elif idle_s < CLOSED_UNUSED_S:
+            self._closed_unused_count += 1
+
     def _refusal_without_wait(self) -> errors.LeafError | None:
         """Return the error if waiting for a connection is of no use."""
         if self._nursery is None:
