Remove what nothing uses from the quarantine and its store

Quarantine.clear and entries had no caller; entries would have replaced the mapping that the blackboard shares with gossip, so the quarantine and its peers would no longer have seen the same entries. QuarantineSync.clear and expire do both for all daemons. _Difference.found_s was never read, and the lower bound of crashes-count is checked by its type already.

No behaviour changes.

--- a/plantainhook/quarantine.py
+++ b/plantainhook/quarantine.py
@@ -316,22 +316,6 @@
         self.until_s[fingerprint] = max(known_s, until_s)
         self.on_change(fingerprint)
 
-    def clear(self, fingerprint: str) -> None:
-        """Remove the quarantine and any suspicion of a fingerprint."""
-        self.until_s.pop(fingerprint, None)
-        self.suspicions.pop(fingerprint, None)
-        self.lost_connections.pop(fingerprint, None)
-        self.held_until_s.pop(fingerprint, None)
-
-    def entries(self, now_s: float) -> dict[str, float]:
-        """Drop expired entries; return the others with the seconds left."""
-        self.until_s = {
-            name: until_s
-            for name, until_s in self.until_s.items()
-            if until_s > now_s
-        }
-        return {name: t - now_s for name, t in self.until_s.items()}
-
     def _count_lost_leafs(self, fingerprint: str, now_s: float) -> int:
         lost_connections = self.lost_connections.get(fingerprint)
         if (
--- a/plantainhook/quarantinestore.py
+++ b/plantainhook/quarantinestore.py
@@ -50,7 +50,6 @@
 LABELS_MAX_COUNT: typing.Final = 1000
 LABEL_MAX_LENGTH: typing.Final = 200
 
-
 UnixMs = typing.Annotated[int, msgspec.Meta(ge=0, le=1 << 53)]
 
 
@@ -73,7 +72,6 @@
 class _Difference:
     """Track an entry that differs from the store, and when to write it."""
 
-    found_s: float
     due_s: float
     retry_s: float = RETRY_FIRST_S
 
@@ -209,7 +207,7 @@
             crashed_s,
             frozenset((item.name,)),
             crashed_s,
-            max(1, entry.crashes_count),
+            entry.crashes_count,
         )
         if now_s - crashed_s > quarantine.SUSPICION_S:
             return
@@ -265,9 +263,7 @@
             difference = self._differences.get(name)
             if difference is None:
                 due_s = now_s + self._delay_s(name)
-                difference = self._differences[name] = _Difference(
-                    now_s, due_s
-                )
+                difference = self._differences[name] = _Difference(due_s)
             if difference.due_s <= now_s:
                 await self._write(name, is_active, difference)
         # An entry that expires makes a difference later.
