Quarantine: tell the requests of different tenants apart

Cause: the fingerprint of a request consisted of method, host, target and body. Leafs are told the tenant too, so the sound requests of another tenant are other requests. Their replies cleared the suspicion, and a reply in the last 2 s prevented one.

Change: the fingerprint contains the tenant, and the text of the entry for operators names it. Daemons compute it from the tenant that HttpWork and BranchWork carry already, so gatherers and branches use the same one.

Tests: SharedPathTest in tests/test_crashfleet.py, on virtual time.

--- a/plantainhook/forwardoutcomes.py
+++ b/plantainhook/forwardoutcomes.py
@@ -71,9 +71,10 @@
         ):
             method = forwarded.method.decode("latin-1")
             target = forwarded.target.decode("latin-1")
-            self._quarantines.label(
-                request.fingerprint, f"{method} {forwarded.host}{target}"
-            )
+            text = f"{method} {forwarded.host}{target}"
+            if forwarded.tenant is not None:
+                text += f" of tenant {forwarded.tenant}"
+            self._quarantines.label(request.fingerprint, text)
 
 
 def describe_outcome(
--- a/plantainhook/forwardplanner.py
+++ b/plantainhook/forwardplanner.py
@@ -253,11 +253,16 @@
 
 
 def fingerprint_of(forwarded: forwardtypes.ForwardRequest) -> str:
-    """Return a hash that is equal for repetitions of a request."""
+    """Return a hash that is equal for repetitions of a request.
+
+    Leafs are told the tenant, so the same request of another tenant differs.
+    """
     digest = xxhash.xxh3_64(forwarded.method)
     digest.update(forwarded.host.encode("latin-1"))
     digest.update(forwarded.target)
     digest.update(forwarded.body)
+    if forwarded.tenant is not None:
+        digest.update(b"\0" + forwarded.tenant.encode())
     return digest.hexdigest()
 
 
--- a/tests/crashfleet.py
+++ b/tests/crashfleet.py
@@ -1,9 +1,10 @@
 """Fleets of forwarding daemons whose leafs crash on some requests.
 
 The daemons are complete; peers, leafs and the store are in memory, on virtual
-time. A leaf that begins to run a request whose path contains ``CRASHING``
-crashes: all its connections are reset, its address refuses connections, and
-its entry expires later. After some time it starts again.
+time. A leaf that begins to run a request whose path or a header of which
+contains ``CRASHING`` crashes: all its connections are reset, its address
+refuses connections, and its entry expires later. After some time it starts
+again.
 """
 
 import dataclasses
@@ -63,6 +64,7 @@
     target: bytes
     request_id: str
     leaf: str
+    is_crashing: bool
 
 
 class Answer(typing.NamedTuple):
@@ -72,6 +74,21 @@
     target: bytes
     status: int
     headers: forwardtypes.Headers
+    is_crashing: bool
+
+
+class Caller(typing.NamedTuple):
+    """Describe who sends a request: a key, and headers that leafs get.
+
+    ``is_crashing`` states that the requests crash leafs whatever their path.
+    """
+
+    key: str | None = None
+    headers: forwardtypes.Headers = []
+    is_crashing: bool = False
+
+
+ANYONE: typing.Final = Caller()
 
 
 class Leaf:
@@ -110,10 +127,9 @@
         if not self.gone.is_set():
             self.fleet.crash(self, target)
 
-    async def run(self, target: bytes) -> None:
+    async def run(self, target: bytes, is_crashing: bool) -> None:
         """Do the work of a request; raise an error if the leaf crashes."""
         behaviour = self.fleet.behaviour
-        is_crashing = CRASHING in target
         wait_s = behaviour.crash_after_s if is_crashing else behaviour.work_s
         with trio.move_on_after(wait_s):
             await self.gone.wait()
@@ -131,6 +147,7 @@
         self._is_closed = False
         self._target = b""
         self._request_id = b""
+        self._is_crashing = False
 
     async def send_some(self, data: bytes) -> int:
         """Receive a request."""
@@ -138,6 +155,7 @@
         if self._leaf.gone.is_set():
             raise ConnectionResetError("the leaf crashed")
         self._target = data.split(b" ")[1]
+        self._is_crashing = CRASHING in data
         (self._request_id,) = (
             line.partition(b":")[2].strip()
             for line in data.split(b"\r\n")
@@ -149,6 +167,7 @@
                 self._target,
                 self._request_id.decode(),
                 self._leaf.name,
+                self._is_crashing,
             )
         )
         return len(data)
@@ -158,13 +177,10 @@
         if not self._request_id:
             await trio.sleep_forever()
         leaf = self._leaf
-        if (
-            leaf.fleet.behaviour.finishes_abandoned
-            and CRASHING in self._target
-        ):
+        if leaf.fleet.behaviour.finishes_abandoned and self._is_crashing:
             leaf.fleet.nursery.start_soon(leaf.crash_later, self._target)
             await leaf.gone.wait()
-        await leaf.run(self._target)
+        await leaf.run(self._target, self._is_crashing)
         request_id, self._request_id = self._request_id, b""
         return (
             b"HTTP/1.1 200 OK\r\nServer-Stamp: %s.%s\r\nRequest-Id: %s\r\n"
@@ -363,8 +379,14 @@
             leaf.address if behaviour.keeps_address else "",
         )
 
-    def configure(self) -> None:
-        """Write routes to one service and to all shards."""
+    def configure(
+        self, tenants: abc.Mapping[str, list[str]] | None = None
+    ) -> None:
+        """Write routes to one service and to all shards.
+
+        ``tenants`` maps the names of tenants to their keys; without it no
+        request needs a key.
+        """
         shards = [f"shard-{number}" for number in range(SHARDS_COUNT)]
         shared = {"host": HOST, "timeout-ms": 3000, "max-attempts": 2}
         repeated = {**shared, "kind": "idempotent"}
@@ -394,14 +416,26 @@
         services = [
             {"name": service, "max-conns": 100} for service in ("one", *shards)
         ]
+        configuration: platformfleet.Spec = {
+            "version": 1,
+            "routes": routes,
+            "services": services,
+        }
+        if tenants is not None:
+            configuration["tenants"] = [
+                {"name": name, "api-keys": keys}
+                for name, keys in tenants.items()
+            ]
         self.model.put(
-            names.CONFIGURATION_KIND,
-            names.CONFIGURATION_NAME,
-            {"version": 1, "routes": routes, "services": services},
+            names.CONFIGURATION_KIND, names.CONFIGURATION_NAME, configuration
         )
 
     async def send(
-        self, target: bytes, number: int | None = None, body: bytes = b""
+        self,
+        target: bytes,
+        number: int | None = None,
+        body: bytes = b"",
+        caller: Caller = ANYONE,
     ) -> int:
         """Send a request to a daemon, by default a random one.
 
@@ -417,27 +451,36 @@
                 b"POST" if body else b"GET",
                 target,
                 HOST,
-                [(b"request-id", request_id.encode())],
+                [(b"request-id", request_id.encode()), *caller.headers],
                 body,
                 request_id,
                 2_000.0,
+                caller.key,
             )
         )
         self.answers.append(
             Answer(
-                trio.current_time(), target, response.status, response.headers
+                trio.current_time(),
+                target,
+                response.status,
+                response.headers,
+                CRASHING in target or caller.is_crashing,
             )
         )
         return response.status
 
     async def send_often(
-        self, targets: abc.Sequence[bytes], pause_s: float, body: bytes = b""
+        self,
+        targets: abc.Sequence[bytes],
+        pause_s: float,
+        body: bytes = b"",
+        caller: Caller = ANYONE,
     ) -> None:
         """Send requests at random daemons until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
                 target = self.rng.choice(targets)
-                nursery.start_soon(self.send, target, None, body)
+                nursery.start_soon(self.send, target, None, body, caller)
                 await trio.sleep(pause_s * self.rng.uniform(0.7, 1.3))
 
     def late_arrivals(self, target: bytes = CRASHING_PATH) -> list[Arrival]:
@@ -449,14 +492,16 @@
         return [
             arrival
             for arrival in self.arrivals
-            if arrival.target == target and arrival.at_s > counted_s
+            if arrival.target == target
+            and arrival.is_crashing
+            and arrival.at_s > counted_s
         ]
 
     def statuses(self, from_s: float = 0.0) -> dict[int, int]:
         """Count the answers to sound requests by status."""
         counts: dict[int, int] = {}
         for answer in self.answers:
-            if CRASHING not in answer.target and answer.at_s >= from_s:
+            if not answer.is_crashing and answer.at_s >= from_s:
                 counts[answer.status] = counts.get(answer.status, 0) + 1
         return counts
 
@@ -466,17 +511,18 @@
     scenario: abc.Callable[[Fleet], abc.Awaitable[None]],
     behaviour: Behaviour | None = None,
     leafs_count: int = 12,
+    tenants: abc.Mapping[str, list[str]] | None = None,
 ) -> Fleet:
     """Run a scenario on virtual time; return what was seen.
 
     The service "one" has ``leafs_count`` leafs, and each shard two in one data
-    centre.
+    centre. ``tenants`` are as for ``Fleet.configure``.
     """
 
     async def main() -> Fleet:
         async with trio.open_nursery() as nursery:
             fleet = Fleet(nursery, places, behaviour or Behaviour())
-            fleet.configure()
+            fleet.configure(tenants)
             for number in range(leafs_count):
                 fleet.add_leaf("one", "abc"[number % 3])
             for number in range(2 * SHARDS_COUNT):
--- a/tests/test_crashfleet.py
+++ b/tests/test_crashfleet.py
@@ -133,3 +133,94 @@
         ]
         fingerprints = {forwardplanner.fingerprint_of(r) for r in requests}
         self.assertEqual(2, len(fingerprints))
+
+
+class SharedPathTest(testtools.TestCase):
+    """Check a request that crashes leafs and equals a sound one.
+
+    The sound one is sent by other callers, who go on with it.
+    """
+
+    PATH = b"/one/shared"
+    TENANTS: typing.Final = {
+        "sound": ["sound-1"],
+        "crash-a": ["a-1", "a-2"],
+        "crash-b": ["b-1"],
+    }
+    SOUND: typing.Final = crashfleet.Caller("sound-1")
+
+    def check(
+        self,
+        *crashing: crashfleet.Caller,
+        path: bytes = PATH,
+        pause_s: float = 2.0,
+        body: bytes = b"",
+        sound: crashfleet.Caller = SOUND,
+        tenants: dict[str, list[str]] | None = TENANTS,
+        crashes_max_count: int = CRASHES_MAX_COUNT,
+    ) -> None:
+        """Check that the quarantine holds one request and not the other."""
+
+        async def send_in_turn(fleet: crashfleet.Fleet) -> None:
+            while True:
+                for caller in crashing:
+                    await fleet.send(path, None, body, caller)
+                    await trio.sleep(pause_s)
+
+        async def scenario(fleet: crashfleet.Fleet) -> None:
+            with trio.move_on_after(30.0):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(
+                        fleet.send_often, [path], 0.05, body, sound
+                    )
+                    await trio.sleep(2.0)
+                    nursery.start_soon(send_in_turn, fleet)
+
+        fleet = crashfleet.run("abc", scenario, tenants=tenants)
+        self.assertGreaterEqual(len(fleet.crashes), 2)
+        self.assertLessEqual(len(fleet.crashes), crashes_max_count)
+        self.assertLessEqual(len(fleet.late_arrivals(path)), LATE_MAX_COUNT)
+        counts = fleet.statuses()
+        refused_count = sum(counts.values()) - counts[200]
+        # A leaf that crashes takes the sound requests that it runs with it.
+        self.assertLessEqual(refused_count, len(fleet.crashes))
+
+    def test_one_tenant(self) -> None:
+        """Guard against a quarantine that other tenants' replies end."""
+        self.check(crashfleet.Caller("a-1", is_crashing=True))
+
+    def test_many_requests(self) -> None:
+        """Guard against a quarantine that comes too late for one who hurries.
+
+        Pattern: a caller repeats the request at once on its open connection.
+        """
+        self.check(crashfleet.Caller("a-1", is_crashing=True), pause_s=0.5)
+
+    def test_body(self) -> None:
+        """Guard against equal bodies that make two callers the same."""
+        self.check(
+            crashfleet.Caller("a-1", is_crashing=True), body=b"the same"
+        )
+
+    def test_two_keys_of_one_tenant(self) -> None:
+        """Guard against a quarantine that each key of a tenant evades."""
+        self.check(
+            crashfleet.Caller("a-1", is_crashing=True),
+            crashfleet.Caller("a-2", is_crashing=True),
+        )
+
+    def test_two_tenants(self) -> None:
+        """Guard against two such requests that hide each other."""
+        self.check(
+            crashfleet.Caller("a-1", is_crashing=True),
+            crashfleet.Caller("b-1", is_crashing=True),
+            crashes_max_count=2 * CRASHES_MAX_COUNT,
+        )
+
+    def test_query_over_many_shards(self) -> None:
+        """Guard against branches that mix up the requests of two tenants."""
+        self.check(
+            crashfleet.Caller("a-1", is_crashing=True),
+            path=b"/all/shared",
+            crashes_max_count=crashfleet.SHARDS_COUNT + 3 + 1,
+        )
