Quarantine: tell callers apart once a request is ambiguous

Cause: a reply counts for all who send the request alike, though leafs also get headers that differ.

The daemon that callers reach then adds a hash of their headers to the fingerprint, without those that change with each attempt. HttpWork and BranchWork carry the hash, so gatherers and branches agree.

--- a/plantainhook/branchgather.py
+++ b/plantainhook/branchgather.py
@@ -381,6 +381,7 @@
         tenant=forwarded.tenant,
         urgency=forwarded.ranks,
         rank=forwarded.rank,
+        caller=forwarded.caller,
     )
 
 
--- a/plantainhook/forwardplanner.py
+++ b/plantainhook/forwardplanner.py
@@ -47,6 +47,23 @@
 # Limit on the fraction of optional calls that go to other data centres.
 CROSS_ZONE_RATIO: typing.Final = 0.5
 HEDGE_POLICY: typing.Final = "goal"
+# Headers that callers, or proxies before them, set anew for each attempt.
+ATTEMPT_HEADERS: typing.Final = frozenset(
+    {
+        b"b3",
+        b"baggage",
+        b"date",
+        b"traceparent",
+        b"tracestate",
+        b"x-amzn-trace-id",
+        b"x-b3-parentspanid",
+        b"x-b3-spanid",
+        b"x-b3-traceid",
+        b"x-correlation-id",
+        b"x-request-id",
+        b"x-request-start",
+    }
+)
 # The target of a route has a single version, which is its set of services.
 TARGET_VERSION: typing.Final = 1
 
@@ -140,6 +157,23 @@
         )
         return query.QueryMachine(plan, self.policies, times.started_s)
 
+    def tell_caller(
+        self,
+        forwarded: forwardtypes.ForwardRequest,
+        received: forwardtypes.ForwardRequest,
+    ) -> forwardtypes.ForwardRequest:
+        """Return a request with its caller if it is ambiguous without.
+
+        ``received`` is the request as the caller sent it.
+        """
+        shared = self.policies.quarantine
+        if not (
+            shared.exonerated_s
+            and shared.is_ambiguous(fingerprint_of(forwarded))
+        ):
+            return forwarded
+        return dataclasses.replace(forwarded, caller=caller_of(received))
+
     def _hedge_quantile(
         self, services: tuple[str, ...], now_s: float
     ) -> float:
@@ -256,6 +290,7 @@
     """Return a hash that is equal for repetitions of a request.
 
     Leafs are told the tenant, so the same request of another tenant differs.
+    So does that of another caller if the request is ambiguous.
     """
     digest = xxhash.xxh3_64(forwarded.method)
     digest.update(forwarded.host.encode("latin-1"))
@@ -263,9 +298,26 @@
     digest.update(forwarded.body)
     if forwarded.tenant is not None:
         digest.update(b"\0" + forwarded.tenant.encode())
+    digest.update(forwarded.caller.encode())
     return digest.hexdigest()
 
 
+def caller_of(request: forwardtypes.ForwardRequest) -> str:
+    """Return a hash that differs between callers; empty if none can be told.
+
+    ``request`` has the headers that the caller sent. Those which change from
+    one attempt to the next don't count.
+    """
+    digest = xxhash.xxh3_64()
+    is_told = False
+    for name, value in request.headers:
+        is_request_id = value == request.request_id.encode("latin-1")
+        if not is_request_id and name not in ATTEMPT_HEADERS:
+            digest.update(name + b"\0" + value + b"\0")
+            is_told = True
+    return digest.hexdigest() if is_told else ""
+
+
 def rank_of(request_id: str) -> float:
     """Return the rank, from 0 to 1, at which a query may use the budget.
 
--- a/plantainhook/forwardservice.py
+++ b/plantainhook/forwardservice.py
@@ -196,6 +196,10 @@
             return access
         received = requestaccess.Received(forwarded, table, may_forward)
         forwarded = self._access.rank(access, table, route)
+        if may_forward:
+            forwarded = dependencies.planner.tell_caller(
+                forwarded, received.request
+            )
         request = forwardplanner.build_query_request(
             forwarded, route, arrived_s
         )
--- a/plantainhook/forwardtypes.py
+++ b/plantainhook/forwardtypes.py
@@ -29,6 +29,8 @@
     are sent to a leaf unchanged. ``left_ms`` is how long the caller will wait,
     or None if it did not state a time. ``api_key`` is the caller's key, and
     ``tenant`` the name of the tenant that holds it, once it is verified.
+    ``caller`` is a hash that differs between the callers of an ambiguous
+    request, see ``quarantine``; otherwise it is empty.
     ``ranks`` and ``rank`` are those that ``urgency`` determines for it, or
     None before that.
     """
@@ -44,6 +46,7 @@
     tenant: str | None = None
     ranks: urgency.Urgency | None = None
     rank: float | None = None
+    caller: str = ""
 
     def path(self) -> str:
         """Return the path without the query string."""
--- a/plantainhook/gatherers.py
+++ b/plantainhook/gatherers.py
@@ -199,6 +199,7 @@
             forwarded.rank,
             may_refuse,
             self._board.routes.version,
+            forwarded.caller,
         )
         cores = self._current_gatherers().get(address, 1.0)
         work_s = work_of(route, cores)
@@ -435,6 +436,7 @@
         tenant=body.tenant,
         ranks=urgency.Urgency(*body.urgency) if body.urgency else None,
         rank=body.rank,
+        caller=body.caller,
     )
 
 
--- a/plantainhook/quarantine.py
+++ b/plantainhook/quarantine.py
@@ -17,6 +17,10 @@
 leaf crashed twice, a third one in a row decides. Each further crash prolongs
 the next quarantine. At its end the request is a suspect again.
 
+A request that several callers send alike may crash leafs for one of them and
+be answered for the others. Once a reply has cleared a crash or prevented a
+suspicion, the request is ambiguous, and its callers get a fingerprint each.
+
 Before a crash is confirmed, a fingerprint that lost its connections to two
 leafs is a suspect too, unless a leaf has recently answered it: a query over a
 hundred shards loses several connections whenever leafs lose answers. If a
@@ -152,7 +156,7 @@
     held_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
     suspicions: dict[str, Crash] = dataclasses.field(default_factory=dict)
     until_s: dict[str, float] = dataclasses.field(default_factory=dict)
-    # Start of the answered run that cleared a suspicion.
+    # Start of the answered run that cleared or prevented a suspicion.
     exonerated_s: dict[str, float] = dataclasses.field(default_factory=dict)
     on_change: abc.Callable[[str], None] = _ignore
     on_quarantine: abc.Callable[[str], None] = _ignore
@@ -181,6 +185,10 @@
         """Return the remaining quarantine in seconds; 0 if there is none."""
         return max(0.0, self.until_s.get(fingerprint, 0.0) - now_s)
 
+    def is_ambiguous(self, fingerprint: str) -> bool:
+        """Return whether leafs crash on a request and answer it too."""
+        return fingerprint in self.exonerated_s
+
     def may_run_suspect(self, fingerprint: str, now_s: float) -> bool:
         """Return whether a suspect is neither held back nor running."""
         if now_s < self.held_until_s.get(fingerprint, 0.0):
@@ -337,6 +345,9 @@
         """Suspect or quarantine a request that ran on a crashed leaf."""
         answered_s = self.answered_s.get(fingerprint, -math.inf)
         if answered_s >= crash.began_s - RECENT_ANSWER_S:
+            if not self.is_ambiguous(fingerprint):
+                self.exonerated_s[fingerprint] = answered_s
+                self.on_change(fingerprint)
             return
         first = self.suspicions.get(fingerprint)
         if first is None or crash.at_s - first.at_s > SUSPICION_S:
--- a/plantainhook/wire.py
+++ b/plantainhook/wire.py
@@ -361,6 +361,7 @@
     are None if the sender is older. With ``may_refuse``, a busy receiver may
     refuse the request, because the sender knows another one.
     ``configuration`` is the version that the sender has; 0 if it is older.
+    ``caller`` is as in ``ForwardRequest``.
     """
 
     request_id: str
@@ -376,6 +377,7 @@
     rank: Rank | None = None
     may_refuse: bool = False
     configuration: int = 0
+    caller: str = ""
 
 
 class HttpAnswer(Body, frozen=True, tag=True, array_like=True):
@@ -397,8 +399,8 @@
     all parts are merged or lost, or after ``wait_ms``, or when more than
     ``lost_limit_count`` parts are lost. It sends hedges with regard to
     ``goal_ms`` and ends the branch after ``deadline_ms``. ``tenant`` names the
-    tenant whose key was verified. ``urgency`` and ``rank`` are as in
-    ``HttpWork``.
+    tenant whose key was verified. ``urgency``, ``rank`` and ``caller`` are as
+    in ``HttpWork``.
     """
 
     request_id: str
@@ -419,6 +421,7 @@
     tenant: str | None = None
     urgency: tuple[int, int] | None = None
     rank: Rank | None = None
+    caller: str = ""
 
 
 class BranchMore(Body, frozen=True, tag=True, array_like=True):
--- a/tests/test_crashfleet.py
+++ b/tests/test_crashfleet.py
@@ -135,6 +135,16 @@
         self.assertEqual(2, len(fingerprints))
 
 
+SOUND_AGENT: typing.Final = crashfleet.Caller(
+    headers=[(b"user-agent", b"sound")]
+)
+CRASHING_AGENT: typing.Final = crashfleet.Caller(
+    headers=[(b"user-agent", b"crash")], is_crashing=True
+)
+# Two leafs before callers are told apart.
+AMBIGUOUS_MAX_COUNT: typing.Final = CRASHES_MAX_COUNT + 2
+
+
 class SharedPathTest(testtools.TestCase):
     """Check a request that crashes leafs and equals a sound one.
 
@@ -217,6 +227,58 @@
             crashes_max_count=2 * CRASHES_MAX_COUNT,
         )
 
+    def test_callers_without_keys(self) -> None:
+        """Guard against replies to others that hide who crashes leafs."""
+        self.check(
+            CRASHING_AGENT,
+            sound=SOUND_AGENT,
+            tenants=None,
+            crashes_max_count=AMBIGUOUS_MAX_COUNT,
+        )
+
+    def test_callers_without_keys_on_many_shards(self) -> None:
+        """Guard against branches that mix up the requests of two callers."""
+        self.check(
+            CRASHING_AGENT,
+            sound=SOUND_AGENT,
+            tenants=None,
+            path=b"/all/shared",
+            crashes_max_count=2 * (crashfleet.SHARDS_COUNT + 3) + 1,
+        )
+
+    def test_callers_of_one_tenant(self) -> None:
+        """Guard against a tenant that is its own witness."""
+        self.check(
+            CRASHING_AGENT._replace(key="sound-1"),
+            sound=SOUND_AGENT._replace(key="sound-2"),
+            tenants={"one": ["sound-1", "sound-2"]},
+            crashes_max_count=AMBIGUOUS_MAX_COUNT,
+        )
+
+    def test_attempts_of_one_caller(self) -> None:
+        """Guard against attempts that count as those of other callers."""
+        callers = {
+            forwardplanner.caller_of(
+                forwardtypes.ForwardRequest(
+                    b"GET",
+                    self.PATH,
+                    crashfleet.HOST,
+                    [
+                        (b"request-id", request_id.encode()),
+                        (b"traceparent", b"00-" + request_id.encode()),
+                        *headers,
+                    ],
+                    b"",
+                    request_id,
+                    None,
+                )
+            )
+            for request_id in ("q1", "q2")
+            for headers in ([], SOUND_AGENT.headers, CRASHING_AGENT.headers)
+        }
+        self.assertEqual(3, len(callers))
+        self.assertIn("", callers)
+
     def test_query_over_many_shards(self) -> None:
         """Guard against branches that mix up the requests of two tenants."""
         self.check(
