Decode unreadable entries of the store in linear time, and in turns

Cause: lenientjson split whatever it could not decode, a string too, and scanned from each escaped quote in it to the end of the text. Arrays and objects of many parts took seconds as well, each part decoded by itself. All of it ran in one piece in the loop that serves callers.

Test: test_long_unreadable_entries.

--- a/plantainhook/platform/store.py
+++ b/plantainhook/platform/store.py
@@ -250,7 +250,7 @@
                 )
             )
         try:
-            decoded = lenientjson.decode(raw.body)
+            decoded = await lenientjson.decode_in_steps(raw.body)
             return result.Ok(
                 (msgspec.convert(decoded, reply_type), _parse_era(raw))
             )
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,6 +1,7 @@
 """Tests of the client of the platform's store with a scripted stand-in."""
 
 import json
+import time
 import typing
 
 import result
@@ -12,6 +13,9 @@
 from tests import storebuilders, virtualtime
 
 Reply = tuple[int, object]
+VALUE_MAX_BYTES: typing.Final = 1_048_576
+# Requests have to be answered half a second after their timeout at most.
+PAUSE_MAX_S: typing.Final = 0.5
 
 
 class StoreStandIn:
@@ -83,6 +87,60 @@
     return 200, {"items": items, "more": more, "store-revision": revision}
 
 
+def read_beside(body: bytes) -> tuple[list[str], float]:
+    """Read a reply beside another task.
+
+    Return the names of the objects, and the longest processor time
+    between two turns of the other task.
+    """
+    source = store.PlatformStore(
+        "a:1", "servers", StoreStandIn((200, body)).connect
+    )
+    pauses_s: list[float] = []
+
+    async def take_turns() -> None:
+        while True:
+            began_s = time.process_time()
+            try:
+                await trio.lowlevel.checkpoint()
+            finally:
+                pauses_s.append(time.process_time() - began_s)
+
+    async def main() -> list[str]:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(take_turns)
+            if b'"items"' in body:
+                listing = (await source.list()).unwrap()
+                names = [item.name for item in listing.objects]
+            else:
+                watched = await source.watch(storebuilders.at(7), 1.0)
+                changes, _ = watched.unwrap()
+                names = [change.object.name for change in changes]
+            nursery.cancel_scope.cancel()
+        return names
+
+    return trio.run(main), max(pauses_s)
+
+
+# Begin, repeated part and end of entries that are no JSON text.
+LONG_ENTRIES: typing.Final = (
+    (b'"', b'{\\"shard\\":1},\n', b'"'),
+    (b'"', b'\\"', b'\n"'),
+    (b"[", b",", b"]"),
+    (b"[", b"x,", b"x]"),
+    (b"[", b"1,", b"x]"),
+    (b"[", b"[],", b"x]"),
+    (b"[", b'{"a":x},', b"1]"),
+    (b'{"a":', b'[[x,"y",2],{"z":0}],', b"}"),
+    (b"{", b'"a":x,', b'"b":x}'),
+    (b"{", b'"a",', b"}"),
+    (b"[x,", b"[" * 1000 + b"]" * 1000, b"]"),
+    (b"[x,", b'"\\ud800",', b"1]"),
+    (b"", b"9", b""),
+    (b'"', b"\xff", b'\x01"'),
+)
+
+
 class StoreTest(testtools.TestCase):
     """Check ``list`` and ``watch``."""
 
@@ -141,6 +199,26 @@
             names = [change.object.name for change in changes]
             self.assertEqual(["a", "b"], names)
 
+    def test_long_unreadable_entries(self) -> None:
+        """Guard against an entry that stops all other work of a daemon."""
+        sound = json.dumps(entry("b", 8)).encode()
+        for begin, unit, end in LONG_ENTRIES:
+            size = VALUE_MAX_BYTES - len(begin) - len(end)
+            spec = begin + unit * (size // len(unit)) + end
+            unreadable = b'{"meta":{"name":"a","revision":7},"spec":%s}' % spec
+            page = b'{"items":[%s,%s],"store-revision":8}' % (
+                unreadable,
+                sound,
+            )
+            events = b'{"events":[{"object":%s},{"object":%s}]' % (
+                unreadable,
+                sound,
+            )
+            for body in (page, events + b',"store-revision":8}'):
+                names, pause_s = read_beside(body)
+                self.assertEqual(["a", "b"], names, str(begin + unit))
+                self.assertLess(pause_s, PAUSE_MAX_S, str(begin + unit))
+
     def test_history_expired(self) -> None:
         """Guard against an endless watch from a revision without history."""
         error = self.watch(StoreStandIn((410, {}))).unwrap_err()
