Decode entries of the store without a garbage collection

Cause: the decoder creates 350,000 containers in one call. That triggers collections, each of which looks through all objects of the process.

Change: the collector pauses for the calls of the decoder, as a JSON value has no cycles.

--- a/plantainhook/lenientjson.py
+++ b/plantainhook/lenientjson.py
@@ -14,6 +14,8 @@
 lets other tasks run meanwhile.
 """
 
+import contextlib
+import gc
 import json
 import re
 import time
@@ -83,11 +85,28 @@
             step_end_s = time.perf_counter() + STEP_S
 
 
+@contextlib.contextmanager
+def _paused_collection() -> abc.Iterator[None]:
+    """Don't look for garbage meanwhile.
+
+    A value of many empty containers would cause it often, each time through
+    all objects of the process, and a value has no cycles.
+    """
+    was_enabled = gc.isenabled()
+    gc.disable()
+    try:
+        yield
+    finally:
+        if was_enabled:
+            gc.enable()
+
+
 def _decode(text: bytes) -> Steps:
     """Decode a whole text."""
     decoded = text.decode("utf-8", "replace").strip(" \t\n\r")
     try:
-        value = json.loads(decoded)
+        with _paused_collection():
+            value = json.loads(decoded)
         # A string may have an escaped surrogate that UTF-8 can't express.
         msgspec.json.encode(value)
         return value
@@ -156,7 +175,8 @@
         """
         began = self.at
         try:
-            value, self.at = _SCAN(self.text, began)
+            with _paused_collection():
+                value, self.at = _SCAN(self.text, began)
             self._pass_match(_BLANK)
             if self.text[self.at : self.at + 1] in (",", "]", "}"):
                 msgspec.json.encode(value)
