Treat replies with an invalid status as malformed

On another system a client got a leaf's answer whose status was 000. Here no caller gets one, as only answers of 200 to 299 are passed on. But a reply with a status of 600 to 999 and the header of a refusal counted as "not run", and a request that may run once was sent to another leaf; the pause, the limit and the notice that such a reply states counted too.

Cause: h11 accepts any three digits from 100 on, and HttpConnection returned them like any other status.

Change: a status above 599 makes the reply malformed and closes the connection, for leafs and for the platform's store. HttpAnswer between daemons has a status of 200 to 599.

Tests failed before: the refusal with status 600, the exchange with 600 and 999, and HttpAnswer with all of -20, 0, 99, 600 and 999. Those of answers to callers, of resends and of the store held before.

--- a/plantainhook/httpconnection.py
+++ b/plantainhook/httpconnection.py
@@ -32,6 +32,8 @@
 TIMEOUT_FIELD: typing.Final = b"timeout="
 # A longer announced timeout is ignored; it may not even be a valid number.
 TIMEOUT_DIGITS_MAX_COUNT: typing.Final = 9
+# The highest status that HTTP defines a class for.
+STATUS_MAX: typing.Final = 599
 # A peer that sends more interim replies than this never ends its reply.
 INTERIM_REPLIES_MAX_COUNT: typing.Final = 8
 
@@ -176,7 +178,7 @@
             event = await self._next_event()
             await turns.count()
             if isinstance(event, h11.Response):
-                reply.status = event.status_code
+                reply.status = self._check_status(event.status_code)
                 reply.headers = event.headers
             elif isinstance(event, h11.InformationalResponse):
                 interim_count += 1
@@ -277,6 +279,12 @@
             ):
                 self.idle_limit_s = int(digits) - IDLE_MARGIN_S
 
+    def _check_status(self, status: int) -> int:
+        if status > STATUS_MAX:
+            detail = f"the status {status} is invalid"
+            raise self._error(Failure.MALFORMED, detail)
+        return status
+
     def _check_cost(self, cost_bytes: int) -> None:
         limit_bytes = self.reply_limit_bytes
         if cost_bytes > limit_bytes:
--- a/plantainhook/wire.py
+++ b/plantainhook/wire.py
@@ -380,13 +380,17 @@
     caller: str = ""
 
 
+# Of a final answer; others would not be answers for callers.
+HttpStatus = typing.Annotated[int, msgspec.Meta(ge=200, le=599)]
+
+
 class HttpAnswer(Body, frozen=True, tag=True, array_like=True):
     """Carry the answer to an ``HttpWork``.
 
     ``queued_ms`` is the CPU time that the gathered queries of the sender need.
     """
 
-    status: int
+    status: HttpStatus
     headers: list[tuple[bytes, bytes]]
     body: bytes
     queued_ms: QueuedMs = 0.0
--- a/tests/test_damaged_peers.py
+++ b/tests/test_damaged_peers.py
@@ -41,6 +41,7 @@
     querytypes,
     routetable,
     shardmap,
+    steps,
     storereader,
     storerelay,
     storereplica,
@@ -48,7 +49,13 @@
     wire,
 )
 from plantainhook.platform import dialect, documents, store
-from tests import eventcount, storebuilders, virtualtime, wiretransport
+from tests import (
+    eventcount,
+    forwardrig,
+    storebuilders,
+    virtualtime,
+    wiretransport,
+)
 
 KINDS: typing.Final = errors.LeafFailureKind
 ENTRY: typing.Final = {
@@ -237,6 +244,60 @@
         self.assertTrue(virtualtime.run(main).is_err())
 
 
+class InvalidStatusTest(testtools.TestCase):
+    """Check replies whose status is no status."""
+
+    STATUSES: typing.Final = (b"000", b"099", b"600", b"999")
+
+    def test_refusal_with_an_invalid_status(self) -> None:
+        """Guard against work that runs again on the word of a damaged leaf."""
+        for status in self.STATUSES:
+            refusal = NOT_RUN.replace(b"503", status)
+            case = LeafCase([answer_to("one", refusal)])
+            (outcome,) = case.run("one", idempotent=False)
+            self.assertIs(KINDS.MALFORMED, outcome.unwrap_err().kind)
+            self.assertIs(errors.Ran.MAYBE, outcome.unwrap_err().ran)
+
+    def test_other_leafs_answer(self) -> None:
+        """Guard against such an answer that a caller gets.
+
+        A request that may be repeated is answered by another leaf, which
+        may also be that of a hedge.
+        """
+        for status in self.STATUSES:
+            damaged = forwardrig.Leaf(status + b" X\r\nServer-Stamp: x")
+            leafs = {"a": damaged, "b": forwardrig.Leaf()}
+            for service_s in (0.0, 0.3):
+                damaged.service_s = service_s
+                responses: list[forwardtypes.Response] = []
+                rig = forwardrig.ForwardRig(leafs)
+
+                async def scenario(
+                    rig: forwardrig.ForwardRig = rig,
+                    responses: list[forwardtypes.Response] = responses,
+                ) -> None:
+                    await trio.sleep(2.0)
+                    for _ in range(6):
+                        responses.append(await rig.send())
+
+                forwardrig.run(rig, scenario)
+                statuses = {response.status for response in responses}
+                self.assertEqual({200}, statuses)
+            self.assertGreater(damaged.requests_count, 0)
+
+    def test_peer(self) -> None:
+        """Guard against such an answer that another daemon passes on."""
+        for status in (-20, 0, 99, 600, 999):
+            body = wire.HttpAnswer(status, [], b"")
+            frame = wire.encode_frame(wire.ReplyFrame(1, body))
+            decoded = wire.decode_body(
+                frame[wire.FRAME_HEADER.size :],
+                "peer",
+                steps.Step.QUERY_WAIT,
+            )
+            self.assertTrue(decoded.is_err(), str(status))
+
+
 class EndlessTest(testtools.TestCase):
     """Check peers that send bytes without end."""
 
--- a/tests/test_httpconnection.py
+++ b/tests/test_httpconnection.py
@@ -36,6 +36,10 @@
     b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nRequest-Id: abc\r\n"
     b"Content-Length: 4\r\n\r\nbody"
 )
+INVALID_STATUSES: typing.Final = (
+    *(b"000", b"099", b"600", b"999"),
+    *(b"0200", b"20", b"-20", b"2OO", b"1e2"),
+)
 UNFRAMED: typing.Final = b"HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n\r\nbody"
 Exchanged = tuple[
     result.Result[httpconnection.RawReply, errors.LeafError], bool
@@ -107,6 +111,18 @@
         self.assertIs(errors.LeafFailureKind.MALFORMED, kind)
         self.assertFalse(reusable)
 
+    def test_invalid_status(self) -> None:
+        """Guard against a status that no reply can have.
+
+        Whatever else such a reply states does not count either.
+        """
+        for status in INVALID_STATUSES:
+            outcome, reusable = exchange(COMPLETE.replace(b"200", status))
+            error = outcome.unwrap_err()
+            self.assertIs(errors.LeafFailureKind.MALFORMED, error.kind)
+            self.assertIs(errors.Ran.MAYBE, error.ran)
+            self.assertFalse(reusable)
+
     def test_announced_idle_timeout(self) -> None:
         """Guard against a request on a connection that is about to close."""
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -12,7 +12,7 @@
 from plantainhook.platform import store
 from tests import storebuilders, virtualtime
 
-Reply = tuple[int, object]
+Reply = tuple[int | str, object]
 VALUE_MAX_BYTES: typing.Final = 1_048_576
 # Requests have to be answered half a second after their timeout at most.
 PAUSE_MAX_S: typing.Final = 0.5
@@ -226,13 +226,15 @@
 
     def test_failures(self) -> None:
         """Guard against a failure that is read as an empty listing."""
-        for reply in (
+        replies: list[Reply | None] = [
             (503, {}),
             (429, {}),
             (200, b"\xff\xfe no json"),
             (200, {"items": 3}),
+            *((status, {}) for status in ("000", "099", 600, 999)),
             None,
-        ):
+        ]
+        for reply in replies:
             listed = self.list(StoreStandIn(reply))
             self.assertIsInstance(listed, result.Err, str(reply))
             error = listed.unwrap_err()
