Object API: report writes with an invalid status as unknown

In `serve`, a write to the object API that was answered with an invalid status counted as refused, though it may have taken effect.

Cause: the client reported 500 to 599 as an unknown outcome, and all other statuses that it does not know as a plain error.

Change: statuses outside 100 to 599 are an unknown outcome too. The test, with 0, 99, 600 and 999, failed before.

--- a/plantainhook/objectapihttp.py
+++ b/plantainhook/objectapihttp.py
@@ -25,6 +25,8 @@
 BURST_S: typing.Final = 2.0
 CONNECTIONS_COUNT: typing.Final = 32
 HTTP_CONFLICT: typing.Final = httpx.codes.PRECONDITION_FAILED
+# A reply with another status is damaged.
+STATUSES: typing.Final = range(100, 600)
 NOT_SENT_ERRORS: typing.Final = (
     httpx.ConnectError,
     httpx.ConnectTimeout,
@@ -212,7 +214,7 @@
             return self._no_effect_error(
                 key, f"{detail}: the object API is down"
             )
-        if reply.is_server_error:
+        if reply.is_server_error or reply.status_code not in STATUSES:
             return self._lost_reply_error(key, is_write, detail)
         return errors.ObjectApiError(objectapi.step_of(key), self.url, detail)
 
--- a/tests/test_objectapi.py
+++ b/tests/test_objectapi.py
@@ -267,6 +267,22 @@
 
         virtualtime.run(main)
 
+    def test_invalid_status(self) -> None:
+        """Guard against a damaged reply that counts as a refused write."""
+
+        async def main(status: int) -> None:
+            transport = httpx.MockTransport(lambda _: httpx.Response(status))
+            async with objectapihttp.open_object_api(
+                "http://x", "", TIMEOUT_S, 9.0, clock.TrioClock(), transport
+            ) as api:
+                read = (await api.get("k")).unwrap_err()
+                wrote = (await api.put("k", 1, 0, "r")).unwrap_err()
+            self.assertIsInstance(read, errors.ObjectApiUnavailableError)
+            self.assertIsInstance(wrote, errors.ObjectOutcomeUnknownError)
+
+        for status in (0, 99, 600, 999):
+            virtualtime.run(functools.partial(main, status))
+
     def test_token(self) -> None:
         """Guard against a token that is not sent or not checked."""
 
