Quarantine: make a request ambiguous without proof for 5 s only

A popular request that begins to crash leafs for all its callers, because data change, would have counted for each of its callers alone, with two or three crashes for each. Seen while reading; the test failed before.

Cause: a reply less than 2 s before a crash made the request ambiguous for 600 s, though it does not show that others are still answered.

Change: without a reply to a run that began after the crash, the request is ambiguous for 5 s, at this daemon only. The fingerprint of a caller has that of the request as its first part, so the replies to any caller give the proof.

--- a/plantainhook/forwardplanner.py
+++ b/plantainhook/forwardplanner.py
@@ -19,6 +19,7 @@
     forwardtypes,
     gatheradmission,
     gatherers,
+    quarantine,
     query,
     queryplan,
     querytypes,
@@ -166,13 +167,11 @@
 
         ``received`` is the request as the caller sent it.
         """
-        shared = self.policies.quarantine
-        if not (
-            shared.exonerated_s
-            and shared.is_ambiguous(fingerprint_of(forwarded))
+        if self.policies.quarantine.is_ambiguous(
+            fingerprint_of(forwarded), self.clock.now_s()
         ):
-            return forwarded
-        return dataclasses.replace(forwarded, caller=caller_of(received))
+            return dataclasses.replace(forwarded, caller=caller_of(received))
+        return forwarded
 
     def _hedge_quantile(
         self, services: tuple[str, ...], now_s: float
@@ -298,8 +297,7 @@
     digest.update(forwarded.body)
     if forwarded.tenant is not None:
         digest.update(b"\0" + forwarded.tenant.encode())
-    digest.update(forwarded.caller.encode())
-    return digest.hexdigest()
+    return quarantine.caller_fingerprint(digest.hexdigest(), forwarded.caller)
 
 
 def caller_of(request: forwardtypes.ForwardRequest) -> str:
--- a/plantainhook/quarantine.py
+++ b/plantainhook/quarantine.py
@@ -18,8 +18,11 @@
 the next quarantine. At its end the request is a suspect again.
 
 A request that several callers send alike may crash leafs for one of them and
-be answered for the others. Once a reply has cleared a crash or prevented a
-suspicion, the request is ambiguous, and its callers get a fingerprint each.
+be answered for the others. Such a request is ambiguous, and its callers get a
+fingerprint each: that of the request and one of the caller. A run that is
+answered and began after one that crashed a leaf proves it. A request that was
+answered just before it crashed a leaf is ambiguous for some seconds without
+proof; it may as well have begun to crash leafs for all its callers.
 
 Before a crash is confirmed, a fingerprint that lost its connections to two
 leafs is a suspect too, unless a leaf has recently answered it: a query over a
@@ -125,6 +128,16 @@
     leafs: set[str] = dataclasses.field(default_factory=set)
 
 
+def caller_fingerprint(request: str, caller: str) -> str:
+    """Return the fingerprint of one caller of an ambiguous request."""
+    return f"{request}.{caller}" if caller else request
+
+
+def request_part(fingerprint: str) -> str:
+    """Return the fingerprint of a request for all its callers."""
+    return fingerprint.partition(".")[0]
+
+
 def _ignore(name: str) -> None:
     """Ignore a change or a loss."""
 
@@ -156,7 +169,10 @@
     held_until_s: dict[str, float] = dataclasses.field(default_factory=dict)
     suspicions: dict[str, Crash] = dataclasses.field(default_factory=dict)
     until_s: dict[str, float] = dataclasses.field(default_factory=dict)
-    # Start of the answered run that cleared or prevented a suspicion.
+    # Start of a run that crashed a leaf without a suspicion, because of a
+    # recent reply.
+    doubted_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    # Start of the answered run that cleared a suspicion or a doubt.
     exonerated_s: dict[str, float] = dataclasses.field(default_factory=dict)
     on_change: abc.Callable[[str], None] = _ignore
     on_quarantine: abc.Callable[[str], None] = _ignore
@@ -185,9 +201,14 @@
         """Return the remaining quarantine in seconds; 0 if there is none."""
         return max(0.0, self.until_s.get(fingerprint, 0.0) - now_s)
 
-    def is_ambiguous(self, fingerprint: str) -> bool:
+    def is_ambiguous(self, fingerprint: str, now_s: float) -> bool:
         """Return whether leafs crash on a request and answer it too."""
-        return fingerprint in self.exonerated_s
+        if not (self.exonerated_s or self.doubted_s):
+            return False
+        doubted_s = self.doubted_s.get(fingerprint, -math.inf)
+        return (
+            fingerprint in self.exonerated_s or now_s - doubted_s <= CONFIRM_S
+        )
 
     def may_run_suspect(self, fingerprint: str, now_s: float) -> bool:
         """Return whether a suspect is neither held back nor running."""
@@ -252,6 +273,8 @@
             self.held_until_s.pop(fingerprint, None)
         if self.suspicions:
             self.exonerate(fingerprint, sent_s)
+        if self.doubted_s:
+            self._clear_doubt(request_part(fingerprint), sent_s)
 
     def exonerate(self, fingerprint: str, began_s: float) -> bool:
         """Clear a suspicion after a reply to a run that began at a time.
@@ -267,6 +290,15 @@
         self.on_change(fingerprint)
         return True
 
+    def _clear_doubt(self, fingerprint: str, began_s: float) -> None:
+        """Record the proof that a request is ambiguous, if a run gives it."""
+        if began_s < self.doubted_s.get(fingerprint, math.inf):
+            return
+        del self.doubted_s[fingerprint]
+        if fingerprint not in self.exonerated_s:
+            self.exonerated_s[fingerprint] = began_s
+            self.on_change(fingerprint)
+
     def record_connection_loss(
         self, leaf: str, fingerprint: str, now_s: float
     ) -> None:
@@ -345,9 +377,9 @@
         """Suspect or quarantine a request that ran on a crashed leaf."""
         answered_s = self.answered_s.get(fingerprint, -math.inf)
         if answered_s >= crash.began_s - RECENT_ANSWER_S:
-            if not self.is_ambiguous(fingerprint):
-                self.exonerated_s[fingerprint] = answered_s
-                self.on_change(fingerprint)
+            if len(self.doubted_s) >= TRACKED_MAX_COUNT:
+                self.doubted_s.clear()
+            self.doubted_s[fingerprint] = crash.began_s
             return
         first = self.suspicions.get(fingerprint)
         if first is None or crash.at_s - first.at_s > SUSPICION_S:
--- a/tests/test_forwardquarantine.py
+++ b/tests/test_forwardquarantine.py
@@ -108,6 +108,43 @@
         self.assertEqual(60.0, sync.board.quarantine_until_s[FINGERPRINT])
 
 
+class AmbiguousTest(testtools.TestCase):
+    """Check which requests are told apart by their callers."""
+
+    def crash(self, shared: quarantine.Quarantine, at_s: float) -> None:
+        """Record a run that crashes its leaf."""
+        leaf = f"leaf-{at_s}"
+        shared.record_start(leaf, FINGERPRINT, at_s)
+        shared.record_connection_loss(leaf, FINGERPRINT, at_s)
+        self.assertTrue(shared.record_leaf_down(leaf, at_s))
+
+    def test_request_that_begins_to_crash_leafs(self) -> None:
+        """Guard against crashes that count for one caller only.
+
+        Pattern: data change, and a popular request crashes leafs whoever
+        sends it.
+        """
+        shared = quarantine.Quarantine()
+        shared.record_reply("other", FINGERPRINT, 0.0)
+        self.crash(shared, 1.0)
+        shared.record_reply("other", FINGERPRINT, 0.5)
+        self.assertTrue(shared.is_ambiguous(FINGERPRINT, 5.0))
+        for at_s in (7.0, 8.0):
+            self.assertFalse(shared.is_ambiguous(FINGERPRINT, at_s))
+            self.crash(shared, at_s)
+        state = shared.request_state(FINGERPRINT, 8.0)
+        self.assertIs(quarantine.RequestState.QUARANTINED, state)
+
+    def test_reply_after_a_crash(self) -> None:
+        """Guard against a caller that hides behind the replies to others."""
+        shared = quarantine.Quarantine()
+        shared.record_reply("other", FINGERPRINT, 0.0)
+        self.crash(shared, 1.0)
+        caller = quarantine.caller_fingerprint(FINGERPRINT, "c")
+        shared.record_reply("other", caller, 1.1)
+        self.assertTrue(shared.is_ambiguous(FINGERPRINT, 100.0))
+
+
 class SharedQuarantineTest(testtools.TestCase):
     """Check the quarantine of a daemon that ``forward`` runs."""
 
