--- a/review/rig3.py
+++ b/review/rig3.py
@@ -6,11 +6,13 @@
 """
 
 import asyncio
+import atexit
 import json
 import os
 import pathlib
 import random
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -400,6 +402,8 @@
         self.command = role["run"].split()
         self.command[-1] = str(self.config)
         self.process = None
+        # Also if the script ends by an error.
+        atexit.register(self.stop)
 
     def start(self):
         """Start the process."""
@@ -507,6 +511,7 @@
     """End all processes and exit."""
     for daemon in daemons:
         daemon.stop()
+        shutil.rmtree(daemon.folder, ignore_errors=True)
     sys.stdout.flush()
     os._exit(code)
 
