--- a/review/rig3.py
+++ b/review/rig3.py
@@ -24,6 +24,11 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 STARTED_S = time.monotonic()
 HEARTBEAT_S = 1.2
+# contract-params.stable-window-ms.
+STABLE_S = 4.0
+MEMORY_MB = 300
+# The ids of the requests that leafs have begun to run.
+BEGUN = set()
 
 
 class Record:
@@ -325,6 +330,7 @@
         if request_id is None:
             return message(400, {"Not-Executed": "1"})
         self.runs += 1
+        BEGUN.add(request_id)
         self.record.line(f"leaf {self.name} runs {request_id}")
         await asyncio.sleep(self.work_s)
         return message(
@@ -402,6 +408,7 @@
         self.command = role["run"].split()
         self.command[-1] = str(self.config)
         self.process = None
+        self.started_s = 0.0
         # Also if the script ends by an error.
         atexit.register(self.stop)
 
@@ -419,6 +426,7 @@
             stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL,
         )
         log.close()
+        self.started_s = time.monotonic()
 
     def log_text(self):
         """Return what the process has written."""
@@ -492,6 +500,97 @@
         return None, {}, b""
 
 
+async def call_kept(daemon, number, record, counts, cuts):
+    """Send requests one after the other on a connection that is kept.
+
+    A cut is a request that a leaf has begun to run and whose connection, which
+    had served a request before, is closed by the daemon without an answer. It
+    counts only if the process had run for the stable window.
+    """
+    host, _, port = daemon.fields["listen"]["front"].rpartition(":")
+    name = f"{daemon.fields['node-name']}-caller{number}"
+    sent_count = 0
+    while True:
+        started_s = daemon.started_s
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            counts["no connection"] = counts.get("no connection", 0) + 1
+            await asyncio.sleep(0.2)
+            continue
+        served_count = 0
+        while True:
+            sent_count += 1
+            request_id = f"{name}-{sent_count}"
+            sent_s = time.monotonic()
+            try:
+                writer.write((
+                    "GET /x/1 HTTP/1.1\r\nHost: a.example\r\n"
+                    f"Request-Id: {request_id}\r\nDeadline-Ms: 3000\r\n\r\n"
+                ).encode())
+                head = await asyncio.wait_for(read_head(reader), 4.0)
+                if head is not None:
+                    await read_body(reader, head[1])
+            except asyncio.TimeoutError:
+                record.line(f"client {request_id} left after 4 s")
+                counts["left"] = counts.get("left", 0) + 1
+                break
+            except (ConnectionError, asyncio.IncompleteReadError):
+                head = None
+            if head is None:
+                is_cut = (
+                    served_count > 0
+                    and request_id in BEGUN
+                    and sent_s - started_s >= STABLE_S
+                )
+                record.line(
+                    f"client {request_id}: its connection was closed without "
+                    f"an answer{', a leaf had begun' if is_cut else ''}"
+                )
+                counts["closed"] = counts.get("closed", 0) + 1
+                if is_cut:
+                    node = daemon.fields["node-name"]
+                    cuts[node] = cuts.get(node, 0) + 1
+                break
+            status = int(head[0].split(" ")[1])
+            record.line(f"client {request_id} got {status}")
+            counts[status] = counts.get(status, 0) + 1
+            served_count += status == 200
+            if status != 200:
+                await asyncio.sleep(0.1)
+            if head[1].get("connection", "").lower() == "close":
+                break
+        writer.close()
+        await asyncio.sleep(0.05)
+
+
+async def play_platform(daemon, record, ends):
+    """Do what the platform does with a process.
+
+    One that exceeds the memory of its machine is killed, and one that has
+    ended is started again after a short delay.
+    """
+    node = daemon.fields["node-name"]
+    while True:
+        await asyncio.sleep(0.1)
+        resident = daemon.status_kb("VmRSS") * 1024
+        code = daemon.process.poll()
+        if code is None and resident > MEMORY_MB * 2**20:
+            record.line(
+                f"{node} takes {resident / 1e6:.0f} MB resident of "
+                f"{MEMORY_MB} MB and is killed"
+            )
+            daemon.stop()
+            ends.append((node, "memory"))
+        elif code is not None:
+            record.line(f"{node} ended by itself with code {code}")
+            ends.append((node, code))
+        else:
+            continue
+        await asyncio.sleep(0.5)
+        daemon.start()
+
+
 def route(name, host, prefix, service, **more):
     """Return a route of a configuration."""
     return {"name": name, "host": host, "path-prefix": prefix,
