--- a/plantainhook/knownleaf.py
+++ b/plantainhook/knownleaf.py
@@ -10,6 +10,8 @@
 
 # A leaf that leaves has ended this long after it said so.
 WORD_MAX_S: typing.Final = 30.0
+# A leaf that states a longer time to warm up is taken to be faulty.
+COLD_MAX_S: typing.Final = 3600.0
 
 
 class LeavingWord(typing.NamedTuple):
@@ -55,7 +57,8 @@
 
     def warm_s(self) -> float:
         """Return when the leaf has warmed up, as far as is known."""
-        return max(self.cold_until_s, self.seen_s + self.entry.cold_left_s)
+        cold_left_s = min(self.entry.cold_left_s, COLD_MAX_S)
+        return max(self.cold_until_s, self.seen_s + cold_left_s)
 
     def state(self, now_s: float) -> blackboard.LeafState:
         """Return the state that follows from the entry at a time."""
--- a/plantainhook/leafdirectory.py
+++ b/plantainhook/leafdirectory.py
@@ -30,6 +30,7 @@
     forwardtypes,
     knownleaf,
     logs,
+    objectguard,
     objectsource,
     shardmap,
 )
@@ -42,8 +43,6 @@
 AFTER_OUTAGE_S: typing.Final = 1.0
 # An entry that nobody renews expires this long after the store came back.
 RESTORED_EXPIRY_S: typing.Final = 5.0
-# A leaf that states a longer time to warm up is taken to be faulty.
-COLD_MAX_S: typing.Final = 3600.0
 # A starting daemon publishes no leafs until it has read the evacuations, for
 # this long after the first leafs. A store may not have that kind of objects.
 EVACUATIONS_WAIT_S: typing.Final = 1.0
@@ -71,6 +70,7 @@
         self._board = board
         self._wall_s = wall_s
         self._read_leaf = read_leaf
+        self._guard = objectguard.ObjectGuard("leaf entry")
         self.on_restart = lambda name: None
         self._known: dict[str, knownleaf.KnownLeaf] = {}
         # The order of the latest entry by leaf, kept after a leaf is removed
@@ -187,7 +187,7 @@
             return
         now_s = trio.current_time()
         was_cold = now_s < known.warm_s()
-        known.cold_until_s = now_s + min(left_s, COLD_MAX_S)
+        known.cold_until_s = now_s + min(left_s, knownleaf.COLD_MAX_S)
         if not was_cold:
             LOGGER.info("Leaf {} is cold for {:.1f} s.", name, left_s)
             self._publish()
@@ -206,14 +206,15 @@
         if rules is None:
             return float("-inf")
         age_s = max(0.0, self._wall_s() - entry.born_ms / 1000)
-        return trio.current_time() + rules.warmup_s - age_s
+        warmup_s = min(rules.warmup_s, knownleaf.COLD_MAX_S)
+        return trio.current_time() + warmup_s - age_s
 
     def _apply(self, item: objectsource.SourceObject) -> None:
-        try:
-            entry = self._read_leaf(item.name, item.spec)
-        except ValueError as error:
-            LOGGER.warning("Cannot decode leaf entry {}: {}", item.name, error)
-            return
+        """Apply an entry; one that fails leaves its leaf as it was."""
+        self._guard.handle(item, self._apply_entry)
+
+    def _apply_entry(self, item: objectsource.SourceObject) -> None:
+        entry = self._read_leaf(item.name, item.spec)
         order = (entry.born_ms, entry.sequence)
         if order < self._latest_order.get(item.name, order):
             LOGGER.info(
@@ -221,11 +222,18 @@
                 item.name,
             )
             return
+        known = self._known.get(item.name)
+        applied = knownleaf.KnownLeaf(
+            entry,
+            trio.current_time(),
+            leaving_since_s=self._leaving_since_s(known, entry),
+            cold_until_s=self._cold_until_s(known, entry),
+        )
         latest_born_ms, _ = self._latest_order.get(item.name, order)
         if entry.born_ms > latest_born_ms:
             self.on_restart(item.name)
         self._latest_order[item.name] = order
-        known = self._known.get(item.name)
+        self._known[item.name] = applied
         if known is None or known.entry.draining != entry.draining:
             LOGGER.info(
                 "Leaf {} of service {} at {} {}.",
@@ -234,12 +242,6 @@
                 entry.info.address,
                 "drains" if entry.draining else "is ready",
             )
-        self._known[item.name] = knownleaf.KnownLeaf(
-            entry,
-            trio.current_time(),
-            leaving_since_s=self._leaving_since_s(known, entry),
-            cold_until_s=self._cold_until_s(known, entry),
-        )
 
     def _leaving_since_s(
         self, known: knownleaf.KnownLeaf | None, entry: forwardtypes.LeafEntry
--- a/plantainhook/objectsource.py
+++ b/plantainhook/objectsource.py
@@ -16,6 +16,7 @@
 import random
 import typing
 
+import msgspec
 import result
 import trio
 
@@ -25,6 +26,10 @@
 # time, which is longer than any that the users' platform allows for a change.
 REWRITE_LIMIT_S: typing.Final = 30.0
 LOGGER: typing.Final = logs.part_logger("store")
+# Larger numbers don't fit the arithmetic with floats, nor the messages to
+# peers. A time of day in Unix milliseconds, and a count, are far below.
+INTEGER_MAX: typing.Final = 1 << 53
+REVISION_MAX: typing.Final = (1 << 63) - 1
 RETRY_FIRST_S: typing.Final = 0.1
 RETRY_MAX_S: typing.Final = 0.8
 # The first watch after a failure is short, so that the recovery is seen soon:
@@ -88,6 +93,9 @@
     SILENT = "silent"
 
 
+UnixMs = typing.Annotated[int, msgspec.Meta(ge=0, le=INTEGER_MAX)]
+Count = typing.Annotated[int, msgspec.Meta(ge=0, le=INTEGER_MAX)]
+Revision = typing.Annotated[int, msgspec.Meta(ge=0, le=REVISION_MAX)]
 ListResult = result.Result[Listing, errors.ObjectApiError]
 WatchResult = result.Result[Changes, errors.ObjectApiError]
 WriteResult = result.Result[None, errors.ObjectApiError]
--- a/plantainhook/platform/dialect.py
+++ b/plantainhook/platform/dialect.py
@@ -28,6 +28,9 @@
 # Running and waiting requests, slots and pace.
 LOAD_PARTS_COUNT: typing.Final = 4
 NORMAL_PACE: typing.Final = 100.0
+# Larger numbers in headers count as this. It is more than any rate, time in
+# milliseconds or number of requests, and their sums stay finite.
+NUMBER_MAX: typing.Final = 1e9
 _DROPPED_REPLY_HEADERS: typing.Final = names.CONNECTION_HEADERS | {
     b"content-length"
 }
@@ -163,7 +166,7 @@
     """Parse whole milliseconds; None if the header is absent or invalid."""
     if value is None or not value.strip().isdigit():
         return None
-    return float(value)
+    return min(float(value), NUMBER_MAX)
 
 
 def _parse_key(value: bytes | None) -> str | None:
@@ -204,4 +207,4 @@
     except ValueError:
         return None
     valid = math.isfinite(number) and number >= 0.0
-    return number if valid else None
+    return min(number, NUMBER_MAX) if valid else None
--- a/plantainhook/platform/documents.py
+++ b/plantainhook/platform/documents.py
@@ -5,17 +5,29 @@
 entries; it implements ``forwardtypes.Documents``.
 """
 
+import re
 import typing
 
 import msgspec
 
-from plantainhook import forwardtypes, routetable, shardmap
+from plantainhook import forwardtypes, objectsource, routetable, shardmap
 from plantainhook.platform import names
 
 MS_PER_S: typing.Final = 1000.0
 PORT_MAX: typing.Final = 65_535
-# A larger number of another writer may not even fit a float.
-SLOTS_MAX_COUNT: typing.Final = 1_000_000
+# The id of a leaf is sent as a header.
+_LEAF_NAME: typing.Final = re.compile(r"[!-~]{1,256}")
+_ADDRESS: typing.Final = re.compile(r"[!-~]{1,256}:([0-9]{1,5})")
+# Numbers beyond what they can mean are replaced by these bounds, because the
+# operator's store has accepted the configuration.
+TIME_MAX_MS: typing.Final = 86_400_000.0
+COUNT_MAX: typing.Final = 1_000_000
+BYTES_MAX: typing.Final = 1 << 30
+RATE_MAX_PER_S: typing.Final = 1e9
+WEIGHT_MAX: typing.Final = 1e9
+
+
+Number = typing.TypeVar("Number", int, float)
 
 
 class Backend(msgspec.Struct):
@@ -88,7 +100,7 @@
     valid, because all tenants may be removed by one version.
     """
 
-    version: int
+    version: objectsource.Revision
     routes: list[RouteDocument]
     services: list[ServiceDocument] = []
     limits: LimitsDocument = msgspec.field(default_factory=LimitsDocument)
@@ -109,8 +121,8 @@
     max_concurrency: int
     state: typing.Literal["ready", "draining"]
     warmup_left_ms: float = 0.0
-    seq: int = 0
-    born: int = 0
+    seq: objectsource.Count = 0
+    born: objectsource.UnixMs = 0
 
 
 class PlatformDocuments:
@@ -129,17 +141,17 @@
             [
                 routetable.ServiceRules(
                     service.name,
-                    service.max_conns,
-                    max(0.0, service.cold_per_s or 0.0),
-                    max(0.0, service.warmup_s or 0.0),
+                    _clamp(service.max_conns, -COUNT_MAX, COUNT_MAX),
+                    _clamp(service.cold_per_s or 0.0, 0.0, RATE_MAX_PER_S),
+                    _clamp(service.warmup_s or 0.0, 0.0, TIME_MAX_MS),
                 )
                 for service in document.services
             ],
             routetable.ClientLimits(
-                head_bytes=limits.max_header_bytes,
-                body_bytes=limits.max_body_bytes,
-                head_timeout_s=limits.header_timeout_ms / MS_PER_S,
-                idle_timeout_s=limits.idle_timeout_ms / MS_PER_S,
+                head_bytes=_clamp(limits.max_header_bytes, 0, BYTES_MAX),
+                body_bytes=_clamp(limits.max_body_bytes, 0, BYTES_MAX),
+                head_timeout_s=_to_seconds(limits.header_timeout_ms),
+                idle_timeout_s=_to_seconds(limits.idle_timeout_ms),
             ),
             None
             if document.tenants is None
@@ -149,8 +161,10 @@
     def read_leaf(self, name: str, spec: object) -> forwardtypes.LeafEntry:
         """Return the entry of the leaf that an object describes."""
         document = msgspec.convert(spec, LeafDocument)
-        host, _, port = document.address.rpartition(":")
-        if not host or not port.isdigit() or int(port[:6]) > PORT_MAX:
+        if _LEAF_NAME.fullmatch(name) is None:
+            raise ValueError(f"{name!r} is not the id of a leaf")
+        address = _ADDRESS.fullmatch(document.address)
+        if address is None or int(address[1]) > PORT_MAX:
             raise ValueError(f"{document.address!r} is not host:port")
         info = shardmap.LeafInfo(
             name=name,
@@ -158,25 +172,34 @@
             data_centre=document.zone,
             group=document.service,
             service=document.service,
-            slot_count=min(max(1, document.max_concurrency), SLOTS_MAX_COUNT),
+            slot_count=_clamp(document.max_concurrency, 1, COUNT_MAX),
             connection_limit_count=1,
         )
         return forwardtypes.LeafEntry(
             info,
             draining=document.state == names.STATE_DRAINING,
-            cold_left_s=document.warmup_left_ms / MS_PER_S,
+            cold_left_s=_to_seconds(document.warmup_left_ms),
             born_ms=document.born,
             sequence=document.seq,
         )
 
 
+def _clamp(value: Number, least: Number, most: Number) -> Number:
+    """Return the value of a range that is nearest to a number."""
+    return min(max(least, value), most)
+
+
+def _to_seconds(time_ms: float) -> float:
+    return _clamp(time_ms, 0.0, TIME_MAX_MS) / MS_PER_S
+
+
 def _build_tenant(document: TenantDocument) -> routetable.Tenant:
     return routetable.Tenant(
         document.name,
         tuple(document.api_keys),
-        document.priority,
-        max(0.0, document.rate_per_s or 0.0),
-        max(0.0, document.burst or 0.0),
+        _clamp(document.priority, -COUNT_MAX, COUNT_MAX),
+        _clamp(document.rate_per_s or 0.0, 0.0, RATE_MAX_PER_S),
+        _clamp(document.burst or 0.0, 0.0, RATE_MAX_PER_S),
     )
 
 
@@ -186,23 +209,29 @@
         services = (routetable.WeightedService(document.service, 1.0),)
     elif document.backends:
         services = tuple(
-            routetable.WeightedService(backend.service, backend.weight)
+            routetable.WeightedService(
+                backend.service, _clamp(backend.weight, 0.0, WEIGHT_MAX)
+            )
             for backend in document.backends
         )
     gather = None
     if document.gather is not None:
         gather = routetable.Gather(
-            tuple(document.gather), document.top_k, document.min_coverage
+            tuple(document.gather),
+            _clamp(document.top_k, -COUNT_MAX, COUNT_MAX),
+            _clamp(document.min_coverage, 0.0, 1.0),
         )
     return routetable.Route(
         name=document.name,
         host=document.host.lower(),
         path_prefix=document.path_prefix,
         idempotent=document.kind == names.KIND_IDEMPOTENT,
-        timeout_ms=document.timeout_ms,
-        goal_ms=document.latency_goal_ms or document.timeout_ms,
-        max_leafs_count=document.max_attempts,
-        urgency_rank=document.priority,
+        timeout_ms=_clamp(document.timeout_ms, 0.0, TIME_MAX_MS),
+        goal_ms=_clamp(
+            document.latency_goal_ms or document.timeout_ms, 0.0, TIME_MAX_MS
+        ),
+        max_leafs_count=_clamp(document.max_attempts, -COUNT_MAX, COUNT_MAX),
+        urgency_rank=_clamp(document.priority, -COUNT_MAX, COUNT_MAX),
         services=services,
         gather=gather,
         is_public=document.public,
--- a/plantainhook/quarantinestore.py
+++ b/plantainhook/quarantinestore.py
@@ -29,6 +29,7 @@
     hashing,
     leafpools,
     logs,
+    objectguard,
     objectsource,
     quarantine,
     quarantinesync,
@@ -50,8 +51,6 @@
 LABELS_MAX_COUNT: typing.Final = 1000
 LABEL_MAX_LENGTH: typing.Final = 200
 
-UnixMs = typing.Annotated[int, msgspec.Meta(ge=0, le=1 << 53)]
-
 
 class StoredEntry(msgspec.Struct, rename="kebab"):
     """Represent an entry as it is stored; its name is the fingerprint.
@@ -61,8 +60,8 @@
     are for operators.
     """
 
-    since_ms: UnixMs
-    until_ms: UnixMs
+    since_ms: objectsource.UnixMs
+    until_ms: objectsource.UnixMs
     crashes_count: wire.CrashesCount = 2
     request: str = ""
     leaf: str = ""
@@ -110,6 +109,7 @@
             collections.OrderedDict()
         )
         self._is_restoring = False
+        self._guard = objectguard.ObjectGuard("quarantine entry")
         self._changed = trio.Event()
 
     def label(self, fingerprint: str, request: str) -> None:
@@ -157,7 +157,7 @@
         for name in self._stored_s.keys() - present:
             self._on_deleted(name)
         for item in listing.objects:
-            self._adopt(item)
+            self._guard.handle(item, self._adopt)
         self._end_update()
 
     def on_changes(self, changes: list[objectsource.Change]) -> None:
@@ -166,7 +166,7 @@
             if change.deleted:
                 self._on_deleted(change.object.name)
             else:
-                self._adopt(change.object)
+                self._guard.handle(change.object, self._adopt)
         self._end_update()
 
     def on_unavailable(self, error: errors.ObjectApiError) -> None:
@@ -182,13 +182,12 @@
         self._changed.set()
 
     def _adopt(self, item: objectsource.SourceObject) -> None:
-        """Adopt an entry unless a clearing or a reply came after it."""
-        try:
-            entry = msgspec.convert(item.spec, StoredEntry)
-            msgspec.convert(item.name, wire.Fingerprint)
-        except msgspec.ValidationError as error:
-            LOGGER.warning("Cannot decode entry {}: {}", item.name, error)
-            return
+        """Adopt an entry unless a clearing or a reply came after it.
+
+        Raises ValueError if the entry is invalid.
+        """
+        entry = msgspec.convert(item.spec, StoredEntry)
+        msgspec.convert(item.name, wire.Fingerprint)
         now_s = trio.current_time()
         wall_s = self._wall_s()
         left_s = entry.until_ms / 1000.0 - wall_s
--- a/plantainhook/routecontroller.py
+++ b/plantainhook/routecontroller.py
@@ -20,6 +20,7 @@
     blackboard,
     errors,
     logs,
+    objectguard,
     objectsource,
     routetable,
 )
@@ -49,6 +50,7 @@
         self._name = name
         self._read_routes = read_routes
         self._on_adopted = on_adopted
+        self._guard = objectguard.ObjectGuard("configuration")
         # When a lower version in the store is adopted, if the store came back.
         self._rewrite_due_s = float("inf")
         # The lower version that the store has since it came back.
@@ -64,13 +66,13 @@
     def on_listing(self, listing: objectsource.Listing) -> None:
         """Apply the configuration if the store contains one."""
         for item in listing.objects:
-            self._apply(item)
+            self._guard.handle(item, self._apply)
 
     def on_changes(self, changes: list[objectsource.Change]) -> None:
         """Apply a changed configuration; a deletion changes nothing."""
         for change in changes:
             if not change.deleted:
-                self._apply(change.object)
+                self._guard.handle(change.object, self._apply)
 
     def on_unavailable(self, error: errors.ObjectApiError) -> None:
         """Do nothing: the configuration in force stays."""
@@ -91,11 +93,7 @@
     def _apply(self, item: objectsource.SourceObject) -> None:
         if item.name != self._name:
             return
-        try:
-            table = self._read_routes(item.spec)
-        except ValueError as error:
-            LOGGER.error("Cannot decode the configuration: {}", error)
-            return
+        table = self._read_routes(item.spec)
         if table.version < self._board.routes.version:
             if self._rewrite_due_s < float("inf"):
                 self._restored = table
--- a/plantainhook/schema.py
+++ b/plantainhook/schema.py
@@ -23,6 +23,11 @@
 Name = typing.Annotated[str, pydantic.Field(pattern=NAME_PATTERN)]
 Address = typing.Annotated[str, pydantic.Field(pattern=ADDRESS_PATTERN)]
 Ratio = typing.Annotated[float, pydantic.Field(ge=0.0, le=1.0)]
+# Upper bounds keep numbers within the range of floats and of messages.
+Count = typing.Annotated[int, pydantic.Field(ge=1, le=1_000_000)]
+TimeMs = typing.Annotated[int, pydantic.Field(ge=1, le=600_000)]
+RatePerS = typing.Annotated[float, pydantic.Field(ge=0.0, le=1e9)]
+Version = typing.Annotated[int, pydantic.Field(ge=1, le=1 << 53)]
 
 
 class RequestClass(enum.StrEnum):
@@ -57,13 +62,13 @@
     below_min: BelowMin | None = None
     hedge_policy: str | None = None
     hedge_quantile: Ratio | None = None
-    hedge_delay_ms: int | None = pydantic.Field(default=None, ge=1)
+    hedge_delay_ms: TimeMs | None = None
     max_hedges_count: int | None = pydantic.Field(default=None, ge=0, le=4)
     max_retries_count: int | None = pydantic.Field(default=None, ge=0, le=5)
     extra_load_ratio: Ratio | None = None
-    extra_load_floor_per_s: float | None = pydantic.Field(default=None, ge=0)
+    extra_load_floor_per_s: RatePerS | None = None
     cross_zone_max_ratio: Ratio | None = None
-    queue_limit_count: int | None = pydantic.Field(default=None, ge=1)
+    queue_limit_count: Count | None = None
 
 
 class Defaults(Rules):
@@ -76,13 +81,13 @@
     below_min: BelowMin = BelowMin.PARTIAL
     hedge_policy: str = "adaptive"
     hedge_quantile: Ratio = 0.95
-    hedge_delay_ms: int = pydantic.Field(default=20, ge=1)
+    hedge_delay_ms: TimeMs = 20
     max_hedges_count: int = pydantic.Field(default=2, ge=0, le=4)
     max_retries_count: int = pydantic.Field(default=2, ge=0, le=5)
     extra_load_ratio: Ratio = 0.03
-    extra_load_floor_per_s: float = pydantic.Field(default=1.0, ge=0)
+    extra_load_floor_per_s: RatePerS = 1.0
     cross_zone_max_ratio: Ratio = 0.2
-    queue_limit_count: int = pydantic.Field(default=1000, ge=1)
+    queue_limit_count: Count = 1000
 
 
 class DataCentre(Model):
@@ -113,9 +118,9 @@
     name: Name
     address: Address
     data_centre: Name
-    slot_count: int = pydantic.Field(ge=1)
-    connection_limit_count: int = pydantic.Field(ge=1)
-    connect_ms: float = pydantic.Field(default=1.0, ge=0)
+    slot_count: Count
+    connection_limit_count: Count
+    connect_ms: float = pydantic.Field(default=1.0, ge=0, le=600_000)
 
 
 class Group(Model):
@@ -141,7 +146,7 @@
     name: Name
     group: Name
     leafs: list[Name] = pydantic.Field(min_length=1)
-    weight: float = pydantic.Field(default=1.0, gt=0)
+    weight: float = pydantic.Field(default=1.0, gt=0, le=1e9)
     tiles: list[str] = []
 
 
@@ -149,7 +154,7 @@
     """Describe one version of the index of a target."""
 
     target: Name
-    version: int = pydantic.Field(ge=1)
+    version: Version
     shards: list[Shard] = pydantic.Field(min_length=1)
 
 
@@ -162,10 +167,10 @@
     """
 
     scope: typing.Literal["deployment", "data_centre"] = "deployment"
-    generation: int = pydantic.Field(default=1, ge=1)
+    generation: Version = 1
     share_count: int = pydantic.Field(default=8, ge=1, le=10_000)
-    holders_per_leaf: int = pydantic.Field(default=8, ge=1)
-    cells_per_group: int = pydantic.Field(default=1, ge=1)
+    holders_per_leaf: Count = 8
+    cells_per_group: Count = 1
 
 
 class Measure(enum.StrEnum):
--- a/tests/test_leafdirectory.py
+++ b/tests/test_leafdirectory.py
@@ -2,18 +2,22 @@
 
 import typing
 
+import loguru
 import testtools
 import trio
 
 from plantainhook import (
     blackboard,
     errors,
+    forwardtypes,
     leafdirectory,
+    objectguard,
     objectsource,
     routecontroller,
     routetable,
     steps,
 )
+from plantainhook.platform import documents
 from tests import storebuilders, virtualtime
 
 STORE_ERROR: typing.Final = errors.ObjectApiUnavailableError(
@@ -210,3 +214,128 @@
         controller.on_changes([storebuilders.changed("other", 1, v=9)])
         controller.on_changes([storebuilders.deleted("main", 1)])
         self.assertEqual([3, 7], adopted)
+
+
+HUGE: typing.Final = 10**400
+ENTRY: typing.Final[storebuilders.Spec] = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "dc-1",
+    "max-concurrency": 2,
+    "state": "ready",
+    "warmup-left-ms": 0,
+    "seq": 1,
+    "born": 1,
+}
+
+
+def build_cold_routes() -> routetable.RouteTable:
+    """Return routes whose service limits the requests to cold leafs."""
+    rules = routetable.ServiceRules("s", 8, cold_per_s=5.0, warmup_s=4.0)
+    return routetable.build_route_table(
+        1, [], [rules], routetable.ClientLimits()
+    )
+
+
+class OtherWriterTest(testtools.TestCase):
+    """Check that an object that fails affects no other object."""
+
+    def publish(
+        self,
+        read_leaf: leafdirectory.ReadLeaf,
+        *changes: objectsource.Change,
+    ) -> list[str]:
+        """Return the leafs in use after changes, and after a listing."""
+
+        async def main() -> list[str]:
+            board = blackboard.Blackboard(1, routes=build_cold_routes())
+            directory = leafdirectory.LeafDirectory(board, read_leaf)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(directory.run)
+                directory.on_changes(list(changes))
+                await trio.sleep(10.0)
+                listed = [change.object for change in changes]
+                directory.on_listing(
+                    objectsource.Listing(listed, storebuilders.at(9))
+                )
+                await trio.sleep(10.0)
+                nursery.cancel_scope.cancel()
+            return [
+                name
+                for name, view in board.leafs.items()
+                if view.state is blackboard.LeafState.LIVE
+            ]
+
+        return virtualtime.run(main)
+
+    def test_numbers_without_a_bound(self) -> None:
+        """Guard against a number of an entry that ends the process.
+
+        It was a start time of 400 digits, of a service that limits the
+        requests to cold leafs (review/14).
+        """
+        for field in ("born", "seq", "max-concurrency", "warmup-left-ms"):
+            for number in (HUGE, -HUGE, 1e308, -1e308, 1 << 64, 1 << 53):
+                spec = {**ENTRY, field: number}
+                live = self.publish(
+                    documents.PlatformDocuments().read_leaf,
+                    storebuilders.changed("odd", 2, **spec),
+                    storebuilders.changed("sound", 3, **ENTRY),
+                )
+                self.assertIn("sound", live, f"{field}: {number}")
+
+    def test_fault_in_the_handling(self) -> None:
+        """Guard against a fault that one entry reveals and all daemons have.
+
+        The entry is handled again when it changes.
+        """
+
+        def read_leaf(name: str, spec: object) -> forwardtypes.LeafEntry:
+            if name == "odd":
+                raise OverflowError("the number is too large")
+            entry = storebuilders.read_leaf(name, spec)
+            if name == "mended" and entry.sequence == 1:
+                raise RuntimeError("the first entry reveals a fault")
+            return entry
+
+        live = self.publish(
+            read_leaf,
+            storebuilders.changed("odd", 2, service="s"),
+            storebuilders.changed("mended", 3, service="s"),
+            storebuilders.changed("mended", 4, service="s", seq=2),
+            storebuilders.changed("sound", 5, service="s"),
+        )
+        self.assertEqual(["mended", "sound"], live)
+
+    def test_failure_is_logged_once(self) -> None:
+        """Guard against a log that an entry fills at each listing."""
+        lines: list[str] = []
+        sink = loguru.logger.add(
+            lambda line: lines.append(str(line)), level="WARNING"
+        )
+        self.addCleanup(loguru.logger.remove, sink)
+        guard = objectguard.ObjectGuard("leaf entry")
+
+        def fail(item: objectsource.SourceObject) -> None:
+            raise ValueError("the spec is not that of a leaf entry")
+
+        for revision in (2, 2, 2, 3):
+            guard.handle(storebuilders.item("odd", revision), fail)
+        self.assertEqual(2, len(lines))
+
+    def test_configuration_that_fails(self) -> None:
+        """Guard against a configuration that ends the process."""
+        board = blackboard.Blackboard(1)
+
+        def read_routes(spec: object) -> routetable.RouteTable:
+            if not isinstance(spec, dict):
+                raise OverflowError("the number is too large")
+            return build_cold_routes()
+
+        controller = routecontroller.RouteController(
+            board, "main", read_routes, lambda: None
+        )
+        odd = objectsource.SourceObject("main", 1, HUGE)
+        controller.on_changes([objectsource.Change(odd, False)])
+        controller.on_changes([storebuilders.changed("main", 2, v=1)])
+        self.assertEqual(1, board.routes.version)
--- a/tests/test_platform_messages.py
+++ b/tests/test_platform_messages.py
@@ -1,5 +1,6 @@
 """Test the platform's formats: headers, configurations, leaf entries."""
 
+import dataclasses
 import pathlib
 import re
 import typing
@@ -92,6 +93,87 @@
         reader = documents.PlatformDocuments()
         self.assertRaises(ValueError, reader.read_routes, {"routes": []})
 
+    def test_numbers_without_a_bound(self) -> None:
+        """Guard against a number that no arithmetic or message bears.
+
+        What the operator's store has accepted is applied with the bound.
+        """
+        huge: typing.Any = 10**400
+        for whole, number in ((huge, 1e308), (-huge, -1e308)):
+            table = documents.PlatformDocuments().read_routes(
+                {
+                    "version": 7,
+                    "routes": [
+                        {
+                            "name": "r",
+                            "host": "h.example",
+                            "path-prefix": "/a/",
+                            "kind": "idempotent",
+                            "timeout-ms": number,
+                            "latency-goal-ms": number,
+                            "priority": whole,
+                            "max-attempts": whole,
+                            "gather": ["s", "t"],
+                            "top-k": whole,
+                            "min-coverage": number,
+                        },
+                        {
+                            "name": "q",
+                            "host": "h.example",
+                            "path-prefix": "/b/",
+                            "kind": "idempotent",
+                            "timeout-ms": 5,
+                            "backends": [{"service": "s", "weight": number}],
+                        },
+                    ],
+                    "services": [
+                        {
+                            "name": "s",
+                            "max-conns": whole,
+                            "cold-per-s": number,
+                            "warmup-s": number,
+                        }
+                    ],
+                    "limits": {
+                        "max-header-bytes": whole,
+                        "max-body-bytes": whole,
+                        "header-timeout-ms": number,
+                        "idle-timeout-ms": number,
+                    },
+                    "tenants": [
+                        {
+                            "name": "t",
+                            "priority": whole,
+                            "rate-per-s": number,
+                            "burst": number,
+                        }
+                    ],
+                }
+            )
+            route = table.match("h.example", "/a/b")
+            assert route is not None and route.gather is not None
+            tenant = (table.tenants or {})["t"]
+            numbers = [
+                route.timeout_ms,
+                route.goal_ms,
+                route.urgency_rank,
+                route.max_leafs_count,
+                route.gather.record_limit_count,
+                route.gather.min_coverage_ratio,
+                *dataclasses.astuple(table.services["s"])[1:],
+                *dataclasses.astuple(table.limits),
+                tenant.urgency_rank,
+                tenant.rate_per_s,
+                tenant.burst_count,
+            ]
+            self.assertEqual(
+                [], [each for each in numbers if abs(each) > 1 << 53]
+            )
+        reader = documents.PlatformDocuments()
+        self.assertRaises(
+            ValueError, reader.read_routes, {"version": huge, "routes": []}
+        )
+
 
 class DialectTest(testtools.TestCase):
     """Check the headers."""
