--- a/plantainhook/lenientjson.py
+++ b/plantainhook/lenientjson.py
@@ -54,6 +54,7 @@
     rf'(?:[^"\[\]{{}},]++|{_STRING})*+', re.DOTALL
 )
 
+T = typing.TypeVar("T")
 # A generator yields where other tasks may run.
 Steps = abc.Generator[None, None, typing.Any]
 
@@ -73,13 +74,18 @@
 
 async def decode_in_steps(text: bytes) -> typing.Any:
     """Return the same as ``decode``, and let other tasks run meanwhile."""
-    steps = _decode(text)
+    return await run_in_steps(_decode(text))
+
+
+async def run_in_steps(steps: abc.Generator[None, None, T]) -> T:
+    """Return the result of a generator; let other tasks run meanwhile."""
     step_end_s = time.perf_counter() + STEP_S
     while True:
         try:
             next(steps)
         except StopIteration as end:
-            return end.value
+            value: T = end.value
+            return value
         if time.perf_counter() >= step_end_s:
             await trio.lowlevel.checkpoint()
             step_end_s = time.perf_counter() + STEP_S
--- a/plantainhook/platform/store.py
+++ b/plantainhook/platform/store.py
@@ -8,7 +8,6 @@
 import math
 import typing
 import urllib.parse
-from collections import abc
 
 import h11
 import msgspec
@@ -19,12 +18,11 @@
     errors,
     httpconnection,
     leaftransport,
-    lenientjson,
     logs,
     objectsource,
     steps,
 )
-from plantainhook.platform import names
+from plantainhook.platform import names, storelisting, storereplies
 
 LOGGER: typing.Final = logs.part_logger("store")
 CALL_TIMEOUT_S: typing.Final = 2.0
@@ -37,51 +35,6 @@
 ERA_DIGITS: typing.Final = 19
 
 
-class Meta(msgspec.Struct):
-    """Describe an object's name and the revision of its last change."""
-
-    name: str
-    revision: int
-
-
-class StoredDocument(msgspec.Struct):
-    """Represent an object; ``spec`` is not validated yet."""
-
-    meta: Meta
-    spec: typing.Any = None
-
-
-class ListReply(msgspec.Struct, rename="kebab"):
-    """Represent one page of a listing; ``more`` if others follow.
-
-    ``items`` are converted to ``StoredDocument`` one by one.
-    """
-
-    items: list[typing.Any]
-    store_revision: int
-    more: bool = False
-
-
-class Event(msgspec.Struct):
-    """Represent a change; a deleted object comes with its last state."""
-
-    object: StoredDocument
-    deleted: bool = False
-
-
-class WatchReply(msgspec.Struct, rename="kebab"):
-    """Represent the changes after a revision.
-
-    ``events`` are converted to ``Event`` one by one.
-    """
-
-    events: list[typing.Any]
-    store_revision: int
-
-
-T = typing.TypeVar("T")
-
-
 class PlatformStore:
     """Use one kind of objects over one connection that it keeps open."""
 
@@ -97,29 +50,13 @@
         self._connection: httpconnection.HttpConnection | None = None
         self._probe: PlatformStore | None = None
         self._era = 0
+        self._listing = storelisting.ListingReader(
+            kind, self._read_page, self._read_object, self._unavailable
+        )
 
     async def list(self) -> objectsource.ListResult:
         """Return all objects and the position at which they were read."""
-        objects: list[objectsource.SourceObject] = []
-        query: dict[str, str] = {}
-        position: objectsource.Position | None = None
-        while True:
-            read = await self._get(query, CALL_TIMEOUT_S, ListReply)
-            if isinstance(read, result.Err):
-                return read
-            page, era = read.ok_value
-            items = _convert_each(self.kind, page.items, StoredDocument)
-            objects += [_to_source_object(item) for item in items]
-            # The position of the first page: a watch from there also returns
-            # the changes made between two pages.
-            if position is None:
-                position = objectsource.Position(era, page.store_revision)
-            if era != position.era:
-                detail = "the store was restored between two pages"
-                return result.Err(self._unavailable(detail))
-            if not page.more or not items:
-                return result.Ok(objectsource.Listing(objects, position))
-            query = {"after": items[-1].meta.name}
+        return await self._listing.read()
 
     async def watch(
         self, position: objectsource.Position, wait_s: float
@@ -133,25 +70,31 @@
             "watch": str(position.revision),
             "wait-ms": str(int(wait_s * 1000)),
         }
-        read = await self._get(query, wait_s + CALL_TIMEOUT_S, WatchReply)
+        read = await self._read_reply(
+            query, wait_s + CALL_TIMEOUT_S, storereplies.WATCH_ARRAY
+        )
         if isinstance(read, result.Err):
             return read
         reply, era = read.ok_value
         if era != position.era:
             detail = f"the store is in era {era}, not in era {position.era}"
             return result.Err(self._history_expired(detail))
-        if reply.store_revision < position.revision:
+        if reply.rest or reply.revision is None:
+            detail = "the changes can't be told apart"
+            return result.Err(self._history_expired(detail))
+        if reply.revision < position.revision:
             self._close()
             return result.Err(
                 self._unavailable("the reply belongs to an earlier call")
             )
         changes = [
-            objectsource.Change(_to_source_object(event.object), event.deleted)
-            for event in _convert_each(self.kind, reply.events, Event)
+            change
+            for part in reply.parts
+            if (change := await storereplies.read_change(part)) is not None
         ]
         return result.Ok(
             objectsource.Changes(
-                changes, objectsource.Position(era, reply.store_revision)
+                changes, objectsource.Position(era, reply.revision)
             )
         )
 
@@ -169,7 +112,9 @@
             "allow-stale": "1",
         }
         with trio.move_on_after(timeout_s):
-            read = await self._probe._get(query, math.inf, WatchReply)
+            read = await self._probe._read_reply(
+                query, math.inf, storereplies.WATCH_ARRAY
+            )
             return _read_probe(read, position)
         return objectsource.ProbeOutcome.SILENT
 
@@ -229,13 +174,57 @@
             return called
         return result.Ok(called.ok_value.status)
 
-    async def _get(
-        self, query: dict[str, str], timeout_s: float, reply_type: type[T]
-    ) -> result.Result[tuple[T, int], errors.ObjectApiError]:
-        """Call the store; return the decoded reply and the store's era."""
-        path = f"{names.OBJECTS_PATH}/{self.kind}"
+    async def _read_page(
+        self, after: str | None
+    ) -> result.Result[storelisting.Page, errors.ObjectApiError]:
+        """Return the page of a listing after a name, or the first one."""
+        query = {} if after is None else {"after": after}
+        return await self._read_reply(
+            query, CALL_TIMEOUT_S, storereplies.LIST_ARRAY
+        )
+
+    async def _read_object(
+        self, name: str
+    ) -> result.Result[
+        objectsource.SourceObject | None, errors.ObjectApiError
+    ]:
+        """Return one object; None if it does not exist."""
+        path = f"{self.kind}/{urllib.parse.quote(name, safe='')}"
+        called = await self._get(path, CALL_TIMEOUT_S)
+        if isinstance(called, result.Err):
+            return called
+        raw = called.ok_value
+        if raw.status == STATUS_NOT_FOUND:
+            return result.Ok(None)
+        item = await storereplies.read_object(raw.body)
+        if item is None or item.name != name:
+            # Its writer may have put another description into its text.
+            item = objectsource.SourceObject(name, 0, None)
+        return result.Ok(item)
+
+    async def _read_reply(
+        self, query: dict[str, str], timeout_s: float, array: str
+    ) -> result.Result[storelisting.Page, errors.ObjectApiError]:
+        """Call the store; return the reply and the store's era."""
+        path = self.kind
         if query:
             path += "?" + urllib.parse.urlencode(query)
+        called = await self._get(path, timeout_s)
+        if isinstance(called, result.Err):
+            return called
+        raw = called.ok_value
+        if raw.status == STATUS_NOT_FOUND:
+            return result.Err(self._unavailable("the kind is not known"))
+        reply = await storereplies.read_reply(raw.body, array)
+        if reply is None:
+            return result.Err(self._unavailable("the reply can't be decoded"))
+        return result.Ok(storelisting.Page(reply, _parse_era(raw)))
+
+    async def _get(
+        self, path: str, timeout_s: float
+    ) -> result.Result[httpconnection.RawReply, errors.ObjectApiError]:
+        """Read a path below the objects; its status is 200 or 404."""
+        path = f"{names.OBJECTS_PATH}/{path}"
         called = await self._call("GET", path, [], b"", timeout_s)
         if isinstance(called, result.Err):
             return called
@@ -243,21 +232,13 @@
         if raw.status == STATUS_HISTORY_EXPIRED:
             detail = "the store has no history after the revision"
             return result.Err(self._history_expired(detail))
-        if raw.status != STATUS_OK:
+        if raw.status not in (STATUS_OK, STATUS_NOT_FOUND):
             return result.Err(
                 self._unavailable(
                     f"the store replied with status {raw.status}"
                 )
             )
-        try:
-            decoded = await lenientjson.decode_in_steps(raw.body)
-            return result.Ok(
-                (msgspec.convert(decoded, reply_type), _parse_era(raw))
-            )
-        except msgspec.ValidationError as error:
-            return result.Err(
-                self._unavailable(f"the reply cannot be decoded: {error}")
-            )
+        return result.Ok(raw)
 
     async def _call(
         self,
@@ -335,7 +316,7 @@
 
 
 def _read_probe(
-    read: result.Result[tuple[WatchReply, int], errors.ObjectApiError],
+    read: result.Result[storelisting.Page, errors.ObjectApiError],
     position: objectsource.Position,
 ) -> objectsource.ProbeOutcome:
     """Return what the reply to a probe shows of the watch after a position."""
@@ -344,7 +325,7 @@
             return objectsource.ProbeOutcome.CHANGED
         return objectsource.ProbeOutcome.FAILED
     reply, era = read.ok_value
-    if reply.events or era != position.era:
+    if reply.parts or reply.rest or era != position.era:
         return objectsource.ProbeOutcome.CHANGED
     return objectsource.ProbeOutcome.CURRENT
 
@@ -356,26 +337,3 @@
     """
     value = raw.header(names.ERA) or b""
     return int(value) if value.isdigit() and len(value) < ERA_DIGITS else 0
-
-
-def _convert_each(
-    kind: str, parts: abc.Iterable[typing.Any], part_type: type[T]
-) -> list[T]:
-    """Convert the parts of a reply; leave out and log invalid ones."""
-    converted = []
-    for part in parts:
-        try:
-            converted.append(msgspec.convert(part, part_type))
-        except msgspec.ValidationError as error:
-            LOGGER.warning(
-                "A part of a reply of the store of {} is invalid: {}",
-                kind,
-                error,
-            )
-    return converted
-
-
-def _to_source_object(stored: StoredDocument) -> objectsource.SourceObject:
-    return objectsource.SourceObject(
-        stored.meta.name, stored.meta.revision, stored.spec
-    )
