--- a/plantainhook/leafdirectory.py
+++ b/plantainhook/leafdirectory.py
@@ -46,6 +46,8 @@
 # A starting daemon publishes no leafs until it has read the evacuations, for
 # this long after the first leafs. A store may not have that kind of objects.
 EVACUATIONS_WAIT_S: typing.Final = 1.0
+# Of so many leafs that have left, late entries are told from new ones.
+LEFT_MAX_COUNT: typing.Final = 10_000
 
 ReadLeaf = abc.Callable[[str, object], forwardtypes.LeafEntry]
 
@@ -234,6 +236,7 @@
             self.on_restart(item.name)
         self._latest_order[item.name] = order
         self._known[item.name] = applied
+        self._forget_left()
         if known is None or known.entry.draining != entry.draining:
             LOGGER.info(
                 "Leaf {} of service {} at {} {}.",
@@ -243,6 +246,15 @@
                 "drains" if entry.draining else "is ready",
             )
 
+    def _forget_left(self) -> None:
+        """Forget the leafs that came first of too many that have left."""
+        most_count = len(self._known) + 2 * LEFT_MAX_COUNT
+        if len(self._latest_order) <= most_count:
+            return
+        left = [name for name in self._latest_order if name not in self._known]
+        for name in left[:-LEFT_MAX_COUNT]:
+            del self._latest_order[name]
+
     def _leaving_since_s(
         self, known: knownleaf.KnownLeaf | None, entry: forwardtypes.LeafEntry
     ) -> float | None:
--- a/plantainhook/platform/storelisting.py
+++ b/plantainhook/objectlisting.py
@@ -9,7 +9,6 @@
 """
 
 import dataclasses
-import itertools
 import typing
 from collections import abc
 
@@ -17,7 +16,6 @@
 import trio
 
 from plantainhook import errors, logs, objectsource
-from plantainhook.platform import storereplies
 
 LOGGER: typing.Final = logs.part_logger("store")
 # Sorts after the names of all objects.
@@ -26,17 +24,25 @@
 # would have to be read again.
 TRIES_COUNT: typing.Final = 3
 RETRY_S: typing.Final = 0.1
-# How many names without an object are tried in one page.
-MISSING_NAMES_MAX_COUNT: typing.Final = 32
+# How many names that have no object are tried in one page.
+HIDDEN_NAMES_MAX_COUNT: typing.Final = 32
 
 T = typing.TypeVar("T")
 ApiResult = result.Result[T, errors.ObjectApiError]
 
 
 class Page(typing.NamedTuple):
-    """Represent a page of a listing, and the era of the store."""
+    """Represent a page of a listing; ``more`` if others follow.
 
-    reply: storereplies.Reply
+    ``hidden_names`` are names that text may contain which can't be told apart,
+    in order. It is None if all of the page was read. ``revision`` is None if
+    it can't be read.
+    """
+
+    items: list[objectsource.SourceObject]
+    hidden_names: list[str] | None
+    revision: int | None
+    more: bool
     era: int
 
 
@@ -63,12 +69,9 @@
     repeated: set[str] = dataclasses.field(default_factory=set)
     last: str | None = None
 
-    async def add(self, parts: list[bytes]) -> None:
+    def add(self, items: list[objectsource.SourceObject]) -> None:
         """Add the objects of a page."""
-        for part in parts:
-            item = await storereplies.read_object(part)
-            if item is None:
-                continue
+        for item in items:
             if item.name in self.objects:
                 self.repeated.add(item.name)
             self.objects[item.name] = item
@@ -110,10 +113,10 @@
         passed: set[str | None] = {None}
         while True:
             after = found.last
-            await found.add(page.reply.parts)
-            if page.reply.rest:
-                await self._read_rest(page.reply.rest, found)
-            elif not page.reply.more or found.last == after:
+            found.add(page.items)
+            if page.hidden_names is not None:
+                await self._read_hidden(page.hidden_names, found)
+            elif not page.more or found.last == after:
                 break
             if found.last in passed:
                 raise self._make_error("its objects can't be told apart")
@@ -130,10 +133,9 @@
         self._record(found.hiding)
         return objectsource.Listing(list(found.objects.values()), position)
 
-    async def _read_rest(self, rest: bytes, found: _Found) -> None:
-        """Read the first object of a text that can't be split."""
-        names = storereplies.names_in(rest)
-        for name in itertools.islice(names, MISSING_NAMES_MAX_COUNT):
+    async def _read_hidden(self, names: list[str], found: _Found) -> None:
+        """Read the first object of those that can't be told apart."""
+        for name in names:
             single = await self._single(name)
             if single is not None and name not in found.hiding:
                 found.hiding[name] = single.revision
@@ -147,11 +149,11 @@
         A watch from there also returns the changes made between two pages.
         """
         page = await self._page(None)
-        revision = page.reply.revision
+        revision = page.revision
         if revision is None:
             # An empty page shows the revision; what follows is read later.
             end = await self._page(LAST_NAME, is_repeated=True)
-            revision = end.reply.revision
+            revision = end.revision
             page = await self._page(None, is_repeated=True)
         if revision is None:
             raise self._make_error("its revision can't be read")
--- a/plantainhook/platform/adapters.py
+++ b/plantainhook/platform/adapters.py
@@ -1,8 +1,25 @@
 """Objects through which a forwarding daemon uses the platform."""
 
-from plantainhook import leaftransport, options, platformadapters
+import typing
+
+from plantainhook import (
+    leaftransport,
+    options,
+    platformadapters,
+    quarantinestore,
+    specreader,
+)
 from plantainhook.platform import dialect, documents, names, store
 
+SPEC_READERS: typing.Final = {
+    names.LEAF_KIND: specreader.SpecReader(documents.LeafDocument),
+    names.CONFIGURATION_KIND: specreader.SpecReader(
+        documents.ConfigurationDocument
+    ),
+    names.QUARANTINE_KIND: specreader.SpecReader(quarantinestore.StoredEntry),
+    names.EVACUATION_KIND: specreader.UNUSED,
+}
+
 
 def build_adapters(
     forward: options.ForwardOptions,
@@ -11,7 +28,9 @@
     """Build the adapters for the platform's store named in the options."""
 
     def build_store(kind: str) -> store.PlatformStore:
-        return store.PlatformStore(forward.store_address, kind, connector)
+        return store.PlatformStore(
+            forward.store_address, kind, connector, SPEC_READERS[kind]
+        )
 
     return platformadapters.PlatformAdapters(
         dialect=dialect.PlatformDialect(),
@@ -22,4 +41,5 @@
         quarantines=build_store(names.QUARANTINE_KIND),
         quarantine_writer=build_store(names.QUARANTINE_KIND),
         evacuations=build_store(names.EVACUATION_KIND),
+        spec_readers=SPEC_READERS,
     )
--- a/plantainhook/platform/documents.py
+++ b/plantainhook/platform/documents.py
@@ -10,7 +10,13 @@
 
 import msgspec
 
-from plantainhook import forwardtypes, objectsource, routetable, shardmap
+from plantainhook import (
+    forwardtypes,
+    objectsource,
+    routetable,
+    shardmap,
+    specreader,
+)
 from plantainhook.platform import names
 
 MS_PER_S: typing.Final = 1000.0
@@ -115,9 +121,9 @@
     milliseconds, and ``seq`` counts its registrations since then.
     """
 
-    service: str
-    address: str
-    zone: str
+    service: specreader.Name
+    address: specreader.Name
+    zone: specreader.Name
     max_concurrency: int
     state: typing.Literal["ready", "draining"]
     warmup_left_ms: float = 0.0
--- a/plantainhook/platform/store.py
+++ b/plantainhook/platform/store.py
@@ -5,6 +5,7 @@
 ``ObjectApiError``.
 """
 
+import itertools
 import math
 import typing
 import urllib.parse
@@ -19,10 +20,12 @@
     httpconnection,
     leaftransport,
     logs,
+    objectlisting,
     objectsource,
+    specreader,
     steps,
 )
-from plantainhook.platform import names, storelisting, storereplies
+from plantainhook.platform import names, storereplies
 
 LOGGER: typing.Final = logs.part_logger("store")
 CALL_TIMEOUT_S: typing.Final = 2.0
@@ -43,15 +46,20 @@
         address: str,
         kind: str,
         connector: leaftransport.Connector = leaftransport.connect_for_watches,
+        spec_reader: specreader.SpecReader = specreader.ANY,
     ) -> None:
         self.kind = kind
         self._address = address
         self._connector = connector
+        self._spec_reader = spec_reader
         self._connection: httpconnection.HttpConnection | None = None
         self._probe: PlatformStore | None = None
         self._era = 0
-        self._listing = storelisting.ListingReader(
-            kind, self._read_page, self._read_object, self._unavailable
+        self._listing = objectlisting.ListingReader(
+            kind,
+            self._read_page,
+            self._read_object,
+            self._unavailable,
         )
 
     async def list(self) -> objectsource.ListResult:
@@ -87,11 +95,9 @@
             return result.Err(
                 self._unavailable("the reply belongs to an earlier call")
             )
-        changes = [
-            change
-            for part in reply.parts
-            if (change := await storereplies.read_change(part)) is not None
-        ]
+        changes = await storereplies.read_changes(
+            reply.parts, self._spec_reader
+        )
         return result.Ok(
             objectsource.Changes(
                 changes, objectsource.Position(era, reply.revision)
@@ -176,12 +182,32 @@
 
     async def _read_page(
         self, after: str | None
-    ) -> result.Result[storelisting.Page, errors.ObjectApiError]:
+    ) -> result.Result[objectlisting.Page, errors.ObjectApiError]:
         """Return the page of a listing after a name, or the first one."""
         query = {} if after is None else {"after": after}
-        return await self._read_reply(
+        read = await self._read_reply(
             query, CALL_TIMEOUT_S, storereplies.LIST_ARRAY
         )
+        if isinstance(read, result.Err):
+            return read
+        reply, era = read.ok_value
+        items = [
+            item
+            for part in reply.parts
+            if (
+                item := await storereplies.read_object(part, self._spec_reader)
+            )
+        ]
+        hidden_names = None
+        if reply.rest:
+            found = storereplies.names_in(reply.rest)
+            most_count = objectlisting.HIDDEN_NAMES_MAX_COUNT
+            hidden_names = list(itertools.islice(found, most_count))
+        return result.Ok(
+            objectlisting.Page(
+                items, hidden_names, reply.revision, reply.more, era
+            )
+        )
 
     async def _read_object(
         self, name: str
@@ -196,7 +222,7 @@
         raw = called.ok_value
         if raw.status == STATUS_NOT_FOUND:
             return result.Ok(None)
-        item = await storereplies.read_object(raw.body)
+        item = await storereplies.read_object(raw.body, self._spec_reader)
         if item is None or item.name != name:
             # Its writer may have put another description into its text.
             item = objectsource.SourceObject(name, 0, None)
@@ -204,7 +230,7 @@
 
     async def _read_reply(
         self, query: dict[str, str], timeout_s: float, array: str
-    ) -> result.Result[storelisting.Page, errors.ObjectApiError]:
+    ) -> result.Result[tuple[storereplies.Reply, int], errors.ObjectApiError]:
         """Call the store; return the reply and the store's era."""
         path = self.kind
         if query:
@@ -218,7 +244,7 @@
         reply = await storereplies.read_reply(raw.body, array)
         if reply is None:
             return result.Err(self._unavailable("the reply can't be decoded"))
-        return result.Ok(storelisting.Page(reply, _parse_era(raw)))
+        return result.Ok((reply, _parse_era(raw)))
 
     async def _get(
         self, path: str, timeout_s: float
@@ -316,7 +342,7 @@
 
 
 def _read_probe(
-    read: result.Result[storelisting.Page, errors.ObjectApiError],
+    read: result.Result[tuple[storereplies.Reply, int], errors.ObjectApiError],
     position: objectsource.Position,
 ) -> objectsource.ProbeOutcome:
     """Return what the reply to a probe shows of the watch after a position."""
--- a/plantainhook/platform/storereplies.py
+++ b/plantainhook/platform/storereplies.py
@@ -13,7 +13,13 @@
 
 import msgspec
 
-from plantainhook import jsonparts, lenientjson, logs, objectsource
+from plantainhook import (
+    jsonparts,
+    lenientjson,
+    logs,
+    objectsource,
+    specreader,
+)
 
 LOGGER: typing.Final = logs.part_logger("store")
 LIST_ARRAY: typing.Final = "items"
@@ -143,44 +149,79 @@
 
 
 async def read_object(
-    text: bytes,
+    text: bytes, reader: specreader.SpecReader
 ) -> objectsource.SourceObject | None:
     """Read an object from its own text; its spec may be unreadable.
 
+    Returns None, and logs it, if the text does not describe an object.
+    """
+    stored = await _read_stored(text)
+    if stored is None:
+        return None
+    spec = await reader.read_leniently(bytes(stored.spec))
+    return objectsource.SourceObject(
+        stored.meta.name, stored.meta.revision, spec
+    )
+
+
+async def read_changes(
+    parts: list[bytes], reader: specreader.SpecReader
+) -> list[objectsource.Change]:
+    """Read changes, each from its own text; the last one of each object.
+
+    A deleted object has no spec. Pattern: a storm of changes of one large
+    object, of which only the last is needed.
+    """
+    last: dict[str, tuple[_StoredText, bool]] = {}
+    for part in parts:
+        text, deleted = await _read_event(part)
+        stored = await _read_stored(text)
+        if stored is not None:
+            last.pop(stored.meta.name, None)
+            last[stored.meta.name] = stored, deleted
+    changes = []
+    for stored, deleted in last.values():
+        spec = None
+        if not deleted:
+            spec = await reader.read_leniently(bytes(stored.spec))
+        item = objectsource.SourceObject(
+            stored.meta.name, stored.meta.revision, spec
+        )
+        changes.append(objectsource.Change(item, deleted))
+    return changes
+
+
+async def _read_event(text: bytes) -> tuple[bytes, bool]:
+    """Return the text of an object that changed, and whether it is deleted."""
+    try:
+        event = msgspec.json.decode(text, type=_EventText)
+        return bytes(event.object), event.deleted
+    except (msgspec.DecodeError, RecursionError):
+        members = await lenientjson.run_in_steps(jsonparts.split_members(text))
+    members = members or {}
+    deleted = members.get(b"deleted", b"").strip() == b"true"
+    return members.get(b"object", b""), deleted
+
+
+async def _read_stored(text: bytes) -> _StoredText | None:
+    """Return the description of an object and the text of its spec.
+
     Returns None, and logs it, if the text does not describe an object.
     """
     try:
-        stored = msgspec.json.decode(text, type=_StoredText)
-        spec = msgspec.json.decode(stored.spec)
-        return _to_source_object(stored.meta, spec)
+        return msgspec.json.decode(text, type=_StoredText)
     except (msgspec.DecodeError, RecursionError):
-        pass
-    members = await lenientjson.run_in_steps(jsonparts.split_members(text))
+        members = await lenientjson.run_in_steps(jsonparts.split_members(text))
     if members is None:
         # The spec is cut; only what precedes it can be read.
+        members = {}
         meta = next(_metas_in(text), None)
-        spec = None
     else:
         meta = _read_meta(members.get(b"meta", b""))
-        spec = await lenientjson.decode_in_steps(members.get(b"spec", b""))
     if meta is None:
         LOGGER.warning("A part of a reply of the store is no object.")
         return None
-    return _to_source_object(meta, spec)
-
-
-async def read_change(text: bytes) -> objectsource.Change | None:
-    """Read a change from its own text, see ``read_object``."""
-    try:
-        event = msgspec.json.decode(text, type=_EventText)
-        object_text, deleted = bytes(event.object), event.deleted
-    except (msgspec.DecodeError, RecursionError):
-        members = await lenientjson.run_in_steps(jsonparts.split_members(text))
-        members = members or {}
-        object_text = members.get(b"object", b"")
-        deleted = members.get(b"deleted", b"").strip() == b"true"
-    item = await read_object(object_text)
-    return None if item is None else objectsource.Change(item, deleted)
+    return _StoredText(meta, msgspec.Raw(members.get(b"spec", b"null")))
 
 
 def _count(pattern: re.Pattern[bytes], text: bytes) -> int:
@@ -202,7 +243,3 @@
         return msgspec.convert(value, Meta)
     except (ValueError, RecursionError):
         return None
-
-
-def _to_source_object(meta: Meta, spec: object) -> objectsource.SourceObject:
-    return objectsource.SourceObject(meta.name, meta.revision, spec)
--- a/plantainhook/platformadapters.py
+++ b/plantainhook/platformadapters.py
@@ -1,8 +1,9 @@
 """Objects through which a forwarding daemon uses the platform."""
 
 import typing
+from collections import abc
 
-from plantainhook import forwardtypes, objectsource
+from plantainhook import forwardtypes, objectsource, specreader
 
 
 class PlatformAdapters(typing.NamedTuple):
@@ -11,6 +12,7 @@
     ``leafs``, ``configurations``, ``quarantines`` and ``evacuations`` read the
     platform's store; ``quarantine_writer`` writes to it.
     ``configuration_name`` names the configuration that daemons apply.
+    ``spec_readers`` read the content of each kind.
     """
 
     dialect: forwardtypes.Dialect
@@ -21,3 +23,4 @@
     quarantines: objectsource.ObjectSource
     quarantine_writer: objectsource.ObjectWriter
     evacuations: objectsource.ObjectSource
+    spec_readers: abc.Mapping[str, specreader.SpecReader]
--- a/plantainhook/quarantinestore.py
+++ b/plantainhook/quarantinestore.py
@@ -33,6 +33,7 @@
     objectsource,
     quarantine,
     quarantinesync,
+    specreader,
     wire,
 )
 
@@ -63,8 +64,8 @@
     since_ms: objectsource.UnixMs
     until_ms: objectsource.UnixMs
     crashes_count: wire.CrashesCount = 2
-    request: str = ""
-    leaf: str = ""
+    request: specreader.Name = ""
+    leaf: specreader.Name = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/plantainhook/storereading.py
+++ b/plantainhook/storereading.py
@@ -82,6 +82,7 @@
             source.kind,
             consumer,
             is_vital=source in (adapters.leafs, adapters.configurations),
+            spec_reader=adapters.spec_readers[source.kind],
         )
         for source, consumer in consumers
     }
--- a/plantainhook/storereplica.py
+++ b/plantainhook/storereplica.py
@@ -1,5 +1,8 @@
 """Copy of the store's objects of one kind, updated by the store and by peers.
 
+Objects are kept as text, of what their consumers read (``specreader``). They
+are decoded when they arrive, for the consumer, which keeps what it needs.
+
 Batches of changes arrive from several sources, each in the order of the
 store's positions. A batch is applied if it begins at or before the position
 of the copy and ends after it. It is applied as a whole, so that a change that
@@ -17,7 +20,7 @@
 import msgspec
 import trio
 
-from plantainhook import errors, logs, objectsource, storeupdate
+from plantainhook import errors, logs, objectsource, specreader, storeupdate
 
 LOGGER: typing.Final = logs.part_logger("store")
 # Number of recent batches; a peer whose position is older gets all objects.
@@ -28,7 +31,7 @@
     """Represent the changes after the previous batch up to a position."""
 
     end: objectsource.Position
-    changes: list[objectsource.Change]
+    changes: list[storeupdate.StoreItem]
 
 
 class StoreReplica:
@@ -52,6 +55,7 @@
         kind: str,
         consumer: objectsource.Consumer,
         is_vital: bool = True,
+        spec_reader: specreader.SpecReader = specreader.ANY,
     ) -> None:
         self.kind = kind
         self.is_vital = is_vital
@@ -60,7 +64,8 @@
         self.confirmed_s = float("-inf")
         self.changed = trio.Event()
         self._consumer = consumer
-        self._objects: dict[str, objectsource.SourceObject] = {}
+        self._spec_reader = spec_reader
+        self._objects: dict[str, storeupdate.StoreItem] = {}
         self._log: collections.deque[Batch] = collections.deque()
         # The position after which the log is complete.
         self._log_start = objectsource.NO_POSITION
@@ -78,14 +83,16 @@
             )
             return
         is_restored = self._is_restored_at(listing.position)
+        items = {
+            item.name: storeupdate.build_item(item, deleted=False)
+            for item in listing.objects
+        }
         if is_restored:
-            self._append(
-                Batch(listing.position, self._changes_to(listing.objects))
-            )
+            self._append(Batch(listing.position, self._changes_to(items)))
         else:
             self._log.clear()
             self._log_start = listing.position
-        self._objects = {item.name: item for item in listing.objects}
+        self._objects = items
         last_revision = max(
             (item.revision for item in listing.objects), default=0
         )
@@ -115,14 +122,18 @@
         is_restored = self._is_restored_at(position)
         if is_restored and after != self.position:
             return
-        for change in changes:
-            if change.deleted:
-                self._objects.pop(change.object.name, None)
+        items = [
+            storeupdate.build_item(change.object, change.deleted)
+            for change in changes
+        ]
+        for item in items:
+            if item.deleted:
+                self._objects.pop(item.name, None)
             else:
-                self._objects[change.object.name] = change.object
+                self._objects[item.name] = item
         if changes or is_restored:
             self.last_change = position
-        self._append(Batch(position, changes))
+        self._append(Batch(position, items))
         self._advance(position)
         if is_restored:
             self._consumer.on_restored()
@@ -149,21 +160,15 @@
             return None
         whole = not self._is_in_log(position)
         if whole:
-            items = [
-                storeupdate.build_item(item, deleted=False)
-                for item in self._objects.values()
-            ]
+            items = list(self._objects.values())
         else:
             last = {
-                change.object.name: change
+                item.name: item
                 for batch in self._log
                 if batch.end > position
-                for change in batch.changes
+                for item in batch.changes
             }
-            items = [
-                storeupdate.build_item(change.object, change.deleted)
-                for change in last.values()
-            ]
+            items = list(last.values())
         era, revision = self.position
         return storeupdate.StoreUpdate(self.kind, revision, whole, items, era)
 
@@ -193,7 +198,9 @@
         """
         objects = [
             objectsource.SourceObject(
-                item.name, item.revision, msgspec.json.decode(item.spec)
+                item.name,
+                item.revision,
+                self._spec_reader.read(item.spec),
             )
             for item in update.items
         ]
@@ -214,19 +221,18 @@
         return has_objects and self.position.era < position.era
 
     def _changes_to(
-        self, objects: list[objectsource.SourceObject]
-    ) -> list[objectsource.Change]:
+        self, objects: dict[str, storeupdate.StoreItem]
+    ) -> list[storeupdate.StoreItem]:
         """Return the changes that lead from the copy to other objects."""
-        names = {item.name for item in objects}
         changes = [
-            objectsource.Change(item, True)
+            msgspec.structs.replace(item, deleted=True)
             for name, item in self._objects.items()
-            if name not in names
+            if name not in objects
         ]
-        for item in objects:
+        for item in objects.values():
             known = self._objects.get(item.name)
             if known is None or known.spec != item.spec:
-                changes.append(objectsource.Change(item, False))
+                changes.append(item)
         return changes
 
     def _append(self, batch: Batch) -> None:
--- a/tests/test_leafdirectory.py
+++ b/tests/test_leafdirectory.py
@@ -307,6 +307,33 @@
         )
         self.assertEqual(["mended", "sound"], live)
 
+    def test_leafs_that_come_and_go(self) -> None:
+        """Guard against a record that grows with each leaf that has left.
+
+        A late entry of a leaf that left recently is still told.
+        """
+
+        async def main() -> tuple[int, list[str]]:
+            board = blackboard.Blackboard(1)
+            directory = leafdirectory.LeafDirectory(
+                board, storebuilders.read_leaf
+            )
+            await trio.sleep(10.0)
+            count = 3 * leafdirectory.LEFT_MAX_COUNT
+            for number in range(count):
+                name = f"leaf-{number}"
+                directory._accept(storebuilders.item(name, 1, service="s"))
+                directory._remove(name)
+            late = storebuilders.changed(
+                f"leaf-{count - 1}", 2, service="s", seq=0
+            )
+            directory.on_changes([late])
+            return len(directory._latest_order), list(board.leafs)
+
+        known_count, leafs = virtualtime.run(main)
+        self.assertTrue(known_count <= 2 * leafdirectory.LEFT_MAX_COUNT + 1)
+        self.assertEqual([], leafs)
+
     def test_failure_is_logged_once(self) -> None:
         """Guard against a log that an entry fills at each listing."""
         lines: list[str] = []
