--- a/plantainhook/clientaccount.py
+++ b/plantainhook/clientaccount.py
@@ -17,6 +17,7 @@
 BYTES_PER_MB: typing.Final = 1_000_000
 # The process needs this much in normal work, without the bytes of clients.
 PROCESS_MB: typing.Final = 90
+DEFAULT_MEMORY_MB: typing.Final = 256
 # The allocator and copies on the way to leafs take more than is counted.
 CLIENT_MEMORY_RATIO: typing.Final = 0.4
 CLIENT_MEMORY_MIN_BYTES: typing.Final = 8 * BYTES_PER_MB
--- a/plantainhook/clientguard.py
+++ b/plantainhook/clientguard.py
@@ -14,7 +14,6 @@
 
 from plantainhook import clientaccount, clock, fairturns, logs
 
-DEFAULT_MEMORY_MB: typing.Final = 256
 DEFAULT_DESCRIPTORS_COUNT: typing.Final = 4096
 LOG_LINES_PER_S: typing.Final = 1.0
 # Reasons for which connections are closed; a refused request is counted by
@@ -135,7 +134,7 @@
 
 
 def build_guard(
-    memory_limit_mb: float = DEFAULT_MEMORY_MB,
+    memory_limit_mb: float = clientaccount.DEFAULT_MEMORY_MB,
     descriptor_limit_count: int = DEFAULT_DESCRIPTORS_COUNT,
     registry: prometheus_client.CollectorRegistry | None = None,
 ) -> ClientGuard:
--- a/plantainhook/forwarddaemon.py
+++ b/plantainhook/forwarddaemon.py
@@ -279,6 +279,7 @@
             self.links,
             self.handlers,
             self.forward_metrics,
+            forward.memory_limit_mb,
             self.clock,
             self.rng,
         )
--- a/plantainhook/forwardmetrics.py
+++ b/plantainhook/forwardmetrics.py
@@ -18,6 +18,7 @@
     quarantine,
     recoverypace,
     routetable,
+    storeaccount,
 )
 
 
@@ -55,6 +56,12 @@
             ["kind"],
             registry=registry,
         )
+        self._store_bytes = prometheus_client.Gauge(
+            "plantainhook_forward_store_bytes",
+            "Bytes that the copies of the store's objects take, by kind.",
+            ["kind"],
+            registry=registry,
+        )
         self.crash_evidence = prometheus_client.Gauge(
             "plantainhook_forward_crash_evidence",
             "Leafs that lost runs, and suspected and quarantined requests.",
@@ -102,6 +109,13 @@
                 functools.partial(len, entries)
             )
 
+    def watch_store(self, account: storeaccount.StoreAccount) -> None:
+        """Show what the copies of the store's objects take."""
+        for kind in storeaccount.Kind:
+            self._store_bytes.labels(kind.value).set_function(
+                functools.partial(account.bytes_by_kind.__getitem__, kind)
+            )
+
     def watch_pace(self, pace: recoverypace.RecoveryPace) -> None:
         """Show how many leafs have a ramp, and their shares."""
         self._ramps.set_function(lambda: len(pace.ramps))
--- a/plantainhook/storereading.py
+++ b/plantainhook/storereading.py
@@ -16,6 +16,7 @@
     platformadapters,
     quarantinestore,
     routecontroller,
+    storeaccount,
     storerelay,
     storereplica,
 )
@@ -52,12 +53,15 @@
     links: peers.PeerTransport,
     handlers: peers.Handlers,
     forward_metrics: forwardmetrics.ForwardMetrics,
+    memory_limit_mb: float,
     time_source: clock.Clock,
     rng: random.Random,
 ) -> storerelay.StoreRelay:
     """Return the relay that reads the store, with a copy for each kind."""
-    replicas = build_replicas(adapters, consumers)
+    account = storeaccount.build_account(memory_limit_mb)
+    replicas = build_replicas(adapters, consumers, account)
     watch_age(replicas, forward_metrics)
+    forward_metrics.watch_store(account)
     return storerelay.StoreRelay(
         board,
         data_centre,
@@ -75,6 +79,7 @@
 def build_replicas(
     adapters: platformadapters.PlatformAdapters,
     consumers: Consumers,
+    account: storeaccount.StoreAccount,
 ) -> dict[str, storereplica.StoreReplica]:
     """Return a copy of the store's objects for each kind that is read."""
     return {
@@ -83,6 +88,7 @@
             consumer,
             is_vital=source in (adapters.leafs, adapters.configurations),
             spec_reader=adapters.spec_readers[source.kind],
+            account=account,
         )
         for source, consumer in consumers
     }
--- a/plantainhook/storereplica.py
+++ b/plantainhook/storereplica.py
@@ -7,31 +7,33 @@
 store's positions. A batch is applied if it begins at or before the position
 of the copy and ends after it. It is applied as a whole, so that a change that
 the copy already has cannot undo a later one. The copy passes every batch to
-its consumer and keeps the recent ones for peers.
+its consumer, and records for peers which objects it has changed.
 
 Pattern: the store comes back from an older copy. The next listing has a higher
 era and leads to the state of that copy. What differs is kept as a batch, so
 that peers which were up to date before get the difference and not all objects.
 """
 
-import collections
 import typing
 
 import msgspec
 import trio
 
-from plantainhook import errors, logs, objectsource, specreader, storeupdate
+from plantainhook import (
+    changelog,
+    errors,
+    logs,
+    objectsource,
+    specreader,
+    storeaccount,
+    storeupdate,
+)
 
 LOGGER: typing.Final = logs.part_logger("store")
-# Number of recent batches; a peer whose position is older gets all objects.
-LOG_MAX_COUNT: typing.Final = 500
-
-
-class Batch(typing.NamedTuple):
-    """Represent the changes after the previous batch up to a position."""
-
-    end: objectsource.Position
-    changes: list[storeupdate.StoreItem]
+# Peers that are behind more removed objects than these get all objects.
+REMOVED_MAX_COUNT: typing.Final = 10_000
+# What a removed object has in place of a spec.
+NO_SPEC: typing.Final = b"null"
 
 
 class StoreReplica:
@@ -56,6 +58,7 @@
         consumer: objectsource.Consumer,
         is_vital: bool = True,
         spec_reader: specreader.SpecReader = specreader.ANY,
+        account: storeaccount.StoreAccount | None = None,
     ) -> None:
         self.kind = kind
         self.is_vital = is_vital
@@ -66,11 +69,14 @@
         self._consumer = consumer
         self._spec_reader = spec_reader
         self._objects: dict[str, storeupdate.StoreItem] = {}
-        self._log: collections.deque[Batch] = collections.deque()
-        # The position after which the log is complete.
-        self._log_start = objectsource.NO_POSITION
+        self._log = changelog.ChangeLog()
         # Packed updates to the current position, by the position of the peer.
         self._packed: dict[objectsource.Position, bytes] = {}
+        self._account = account or storeaccount.build_account()
+        self._account.on_full(storeaccount.Kind.PACKED, self._drop_packed)
+        self._account.on_full(
+            storeaccount.Kind.REMOVED, lambda: self._forget_removed(0)
+        )
 
     def on_listing(self, listing: objectsource.Listing) -> None:
         """Replace all objects, unless the listing has a lower position."""
@@ -87,12 +93,11 @@
             item.name: storeupdate.build_item(item, deleted=False)
             for item in listing.objects
         }
-        if is_restored:
-            self._append(Batch(listing.position, self._changes_to(items)))
+        if self.position > objectsource.NO_POSITION:
+            self._record(listing.position, self._changes_to(items))
         else:
-            self._log.clear()
-            self._log_start = listing.position
-        self._objects = items
+            self._log.restart(listing.position)
+        self._replace(items)
         last_revision = max(
             (item.revision for item in listing.objects), default=0
         )
@@ -128,12 +133,12 @@
         ]
         for item in items:
             if item.deleted:
-                self._objects.pop(item.name, None)
+                self._set(item.name, None)
             else:
-                self._objects[item.name] = item
+                self._set(item.name, item)
         if changes or is_restored:
             self.last_change = position
-        self._append(Batch(position, items))
+        self._record(position, items)
         self._advance(position)
         if is_restored:
             self._consumer.on_restored()
@@ -158,17 +163,17 @@
         """
         if position >= self.position:
             return None
-        whole = not self._is_in_log(position)
+        whole = not self._log.reaches(position)
         if whole:
             items = list(self._objects.values())
         else:
-            last = {
-                item.name: item
-                for batch in self._log
-                if batch.end > position
-                for item in batch.changes
-            }
-            items = list(last.values())
+            items = [
+                self._objects[name]
+                for name in self._log.changed_after(position)
+            ] + [
+                storeupdate.StoreItem(name, 0, NO_SPEC, True)
+                for name in self._log.removed_after(position)
+            ]
         era, revision = self.position
         return storeupdate.StoreUpdate(self.kind, revision, whole, items, era)
 
@@ -185,7 +190,9 @@
             update = self.update_after(position)
             if update is None:
                 return None
-            packed = self._packed[position] = storeupdate.pack_update(update)
+            packed = storeupdate.pack_update(update)
+            self._packed[position] = packed
+            self._account.add(storeaccount.Kind.PACKED, len(packed))
         return packed
 
     def apply_update(
@@ -230,31 +237,65 @@
             if name not in objects
         ]
         for item in objects.values():
-            known = self._objects.get(item.name)
-            if known is None or known.spec != item.spec:
+            if self._objects.get(item.name) != item:
                 changes.append(item)
         return changes
 
-    def _append(self, batch: Batch) -> None:
-        self._log.append(batch)
-        if len(self._log) > LOG_MAX_COUNT:
-            self._log_start = self._log.popleft().end
-
-    def _is_in_log(self, position: objectsource.Position) -> bool:
-        """Return whether the log has all that came after a position.
+    def _record(
+        self, end: objectsource.Position, items: list[storeupdate.StoreItem]
+    ) -> None:
+        """Record the changes up to a position for peers."""
+        removed_count = self._log.removed_count
+        self._log.record(
+            end,
+            [item.name for item in items if not item.deleted],
+            [item.name for item in items if item.deleted],
+        )
+        self._count_removed(removed_count)
+        self._forget_removed(REMOVED_MAX_COUNT)
+
+    def _forget_removed(self, most_count: int) -> None:
+        removed_count = self._log.removed_count
+        self._log.forget_removed(most_count)
+        self._count_removed(removed_count)
+
+    def _count_removed(self, before_count: int) -> None:
+        change_count = self._log.removed_count - before_count
+        self._account.add(
+            storeaccount.Kind.REMOVED,
+            change_count * storeaccount.REMOVED_BYTES,
+        )
 
-        A peer may have seen more of an era than this copy, before the store
-        came back. The log does not undo that.
-        """
-        ends = [self._log_start, *(batch.end for batch in self._log)]
-        seen = [end for end in ends if end.era == position.era]
-        return self._log_start <= position and bool(
-            seen and position <= seen[-1]
+    def _replace(self, items: dict[str, storeupdate.StoreItem]) -> None:
+        for name in self._objects.keys() - items.keys():
+            self._set(name, None)
+        for name, item in items.items():
+            self._set(name, item)
+
+    def _set(self, name: str, item: storeupdate.StoreItem | None) -> None:
+        """Replace or remove an object, and count what it takes."""
+        known = self._objects.pop(name, None)
+        if item is not None:
+            self._objects[name] = item
+        self._account.add(
+            storeaccount.Kind.OBJECTS, _size_bytes(item) - _size_bytes(known)
         )
 
+    def _drop_packed(self) -> None:
+        packed_bytes = sum(len(packed) for packed in self._packed.values())
+        self._packed.clear()
+        self._account.add(storeaccount.Kind.PACKED, -packed_bytes)
+
     def _advance(self, position: objectsource.Position) -> None:
         """Set the position and wake those who wait for a change."""
         self.position = position
-        self._packed.clear()
+        self._drop_packed()
         self.changed.set()
         self.changed = trio.Event()
+
+
+def _size_bytes(item: storeupdate.StoreItem | None) -> int:
+    """Return the bytes that an object takes in a copy."""
+    if item is None:
+        return 0
+    return storeaccount.OBJECT_BYTES + len(item.name) + len(item.spec)
