--- a/plantainhook/errors.py
+++ b/plantainhook/errors.py
@@ -113,6 +113,10 @@
     """Report a failed call that certainly had no effect."""
 
 
+class ObjectReplyError(ObjectApiUnavailableError):
+    """Report a reply that is too large or is no HTTP reply."""
+
+
 class ObjectRateLimitedError(ObjectApiUnavailableError):
     """Report a call over the rate limit; it had no effect."""
 
--- a/plantainhook/platform/store.py
+++ b/plantainhook/platform/store.py
@@ -72,7 +72,9 @@
         """Return the changes after a position, waiting for the first.
 
         ObjectNotFoundError means that the store no longer has the history
-        after that position, or is in another era.
+        after that position, is in another era, or that its reply can't be
+        read. A reply may be too large, because no bound is known for it; the
+        pages of a listing have one.
         """
         query = {
             "watch": str(position.revision),
@@ -82,6 +84,8 @@
             query, wait_s + CALL_TIMEOUT_S, storereplies.WATCH_ARRAY
         )
         if isinstance(read, result.Err):
+            if isinstance(read.err_value, errors.ObjectReplyError):
+                return result.Err(self._history_expired(str(read.err_value)))
             return read
         reply, era = read.ok_value
         if era != position.era:
@@ -291,7 +295,7 @@
             if not connection.is_reusable():
                 self._close()
         if isinstance(read, result.Err):
-            return result.Err(self._unavailable(str(read.err_value)))
+            return result.Err(self._failed(read.err_value))
         self._record_era(_parse_era(read.ok_value))
         return result.Ok(read.ok_value)
 
@@ -330,6 +334,14 @@
             self._connection.close()
             self._connection = None
 
+    def _failed(self, error: errors.LeafError) -> errors.ObjectApiError:
+        """Return the error of a call whose exchange failed."""
+        if error.kind is errors.LeafFailureKind.MALFORMED:
+            return errors.ObjectReplyError(
+                steps.Step.SETTINGS_SPREAD, self._address, str(error)
+            )
+        return self._unavailable(str(error))
+
     def _unavailable(self, detail: str) -> errors.ObjectApiError:
         return errors.ObjectApiUnavailableError(
             steps.Step.SETTINGS_SPREAD, self._address, f"{self.kind}: {detail}"
--- a/tests/test_storelisting.py
+++ b/tests/test_storelisting.py
@@ -280,6 +280,44 @@
         self.assertEqual(1, texts.calls_count)
 
 
+class LargeWatchTest(testtools.TestCase):
+    """Check copies that are behind more changes than a reply may hold."""
+
+    def test_storm_of_large_versions(self) -> None:
+        """Guard against a watch that is asked for again and again.
+
+        Pattern: long configurations come in quick succession, and the changes
+        after one revision exceed the size of a reply (review/13).
+        """
+        texts = TextStore()
+        consumer = Specs()
+        replica = storereplica.StoreReplica(KIND, consumer)
+
+        async def main() -> None:
+            source = store.PlatformStore("a:1", KIND, texts.connect)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    objectsource.follow,
+                    source,
+                    replica,
+                    objectsource.FollowOptions(),
+                    random.Random(1),
+                )
+                await trio.sleep(1.0)
+                for number in range(50):
+                    texts.put("main", json.dumps([number, "x" * 660_000]))
+                    await trio.sleep(0.03)
+                # contract-params.config-apply-ms.
+                await trio.sleep(3.0)
+                nursery.cancel_scope.cancel()
+
+        virtualtime.run(main)
+        spec = consumer.specs["main"]
+        assert isinstance(spec, list)
+        self.assertEqual(49, spec[0])
+        self.assertEqual(storebuilders.at(texts.revision), replica.position)
+
+
 class DamagedWatchTest(testtools.TestCase):
     """Check copies that follow a store with damaged objects."""
 
