Long objects that are not JSON take little time and memory

Cause: an object of 1 MB that is no JSON was split twice, bracket by bracket (0.78 s for a list of short objects), and decoded leniently to 25 times its text before it was found unusable. A listing took the revision of an empty page without comparing the eras of both.

Change: lists and objects without others in them are passed in one step; of an object over 64 KB that is not JSON only the description is read. The bound of a warm-up time has its own unit.

The new form in tests/test_objectmemory.py stays under the same 20 MB at the peak.

--- a/plantainhook/jsonparts.py
+++ b/plantainhook/jsonparts.py
@@ -21,9 +21,12 @@
 _NAME: typing.Final = re.compile(
     rb"(" + _STRING + rb")[ \t\n\r]*+:[ \t\n\r]*+", re.DOTALL
 )
+# A list or object without others in it is passed in one step.
+_FLAT: typing.Final = rb'(?:[^"\[\]{}]++|' + _STRING + rb")*+"
+_FLAT_PART: typing.Final = rb"\[" + _FLAT + rb"\]|\{" + _FLAT + rb"\}"
 # What precedes the next bracket, and the end of a flat value.
 _TO_BRACKET: typing.Final = re.compile(
-    rb'(?:[^"\[\]{}]++|' + _STRING + rb")*+", re.DOTALL
+    rb'(?:[^"\[\]{}]++|' + _STRING + rb"|" + _FLAT_PART + rb")*+", re.DOTALL
 )
 _TO_END: typing.Final = re.compile(
     rb'(?:[^"\[\]{},]++|' + _STRING + rb")*+", re.DOTALL
--- a/plantainhook/objectlisting.py
+++ b/plantainhook/objectlisting.py
@@ -153,8 +153,8 @@
         if revision is None:
             # An empty page shows the revision; what follows is read later.
             end = await self._page(LAST_NAME, is_repeated=True)
-            revision = end.revision
             page = await self._page(None, is_repeated=True)
+            revision = end.revision if end.era == page.era else None
         if revision is None:
             raise self._make_error("its revision can't be read")
         return page, objectsource.Position(page.era, revision)
--- a/plantainhook/platform/documents.py
+++ b/plantainhook/platform/documents.py
@@ -26,13 +26,13 @@
 _ADDRESS: typing.Final = re.compile(r"[!-~]{1,256}:([0-9]{1,5})")
 # Numbers beyond what they can mean are replaced by these bounds, because the
 # operator's store has accepted the configuration.
-TIME_MAX_MS: typing.Final = 86_400_000.0
+TIME_MAX_S: typing.Final = 86_400.0
+TIME_MAX_MS: typing.Final = TIME_MAX_S * MS_PER_S
 COUNT_MAX: typing.Final = 1_000_000
 BYTES_MAX: typing.Final = 1 << 30
 RATE_MAX_PER_S: typing.Final = 1e9
 WEIGHT_MAX: typing.Final = 1e9
 
-
 Number = typing.TypeVar("Number", int, float)
 
 
@@ -149,7 +149,7 @@
                     service.name,
                     _clamp(service.max_conns, -COUNT_MAX, COUNT_MAX),
                     _clamp(service.cold_per_s or 0.0, 0.0, RATE_MAX_PER_S),
-                    _clamp(service.warmup_s or 0.0, 0.0, TIME_MAX_MS),
+                    _clamp(service.warmup_s or 0.0, 0.0, TIME_MAX_S),
                 )
                 for service in document.services
             ],
--- a/plantainhook/platform/storereplies.py
+++ b/plantainhook/platform/storereplies.py
@@ -24,6 +24,8 @@
 LOGGER: typing.Final = logs.part_logger("store")
 LIST_ARRAY: typing.Final = "items"
 WATCH_ARRAY: typing.Final = "events"
+# Of longer objects that are not JSON, only the description is read.
+LENIENT_MAX_BYTES: typing.Final = specreader.LENIENT_MAX_BYTES
 # How far the description of an object extends beyond its name.
 META_MAX_BYTES: typing.Final = 16_384
 
@@ -211,9 +213,11 @@
     try:
         return msgspec.json.decode(text, type=_StoredText)
     except (msgspec.DecodeError, RecursionError):
+        members = None
+    if len(text) <= LENIENT_MAX_BYTES:
         members = await lenientjson.run_in_steps(jsonparts.split_members(text))
     if members is None:
-        # The spec is cut; only what precedes it can be read.
+        # The spec is cut, or too long; only what precedes it is read.
         members = {}
         meta = next(_metas_in(text), None)
     else:
--- a/plantainhook/specreader.py
+++ b/plantainhook/specreader.py
@@ -12,6 +12,8 @@
 
 from plantainhook import lenientjson
 
+# Longer texts that are not JSON are not decoded in part.
+LENIENT_MAX_BYTES: typing.Final = 65_536
 # The strings of an entry are names and addresses; longer ones are invalid.
 NAME_MAX_LENGTH: typing.Final = 1000
 Name = typing.Annotated[str, msgspec.Meta(max_length=NAME_MAX_LENGTH)]
@@ -45,6 +47,8 @@
         try:
             return self.read(text)
         except (msgspec.DecodeError, RecursionError):
+            if len(text) > LENIENT_MAX_BYTES:
+                return None
             value = await lenientjson.decode_in_steps(text)
         try:
             return msgspec.convert(value, self._type)
--- a/tests/test_objectmemory.py
+++ b/tests/test_objectmemory.py
@@ -52,6 +52,7 @@
     + ',"notes":'
     + fill('{"a":1}')
     + "}",
+    "a list that is no JSON": fill('{"a":1}')[:-1] + ",x]",
     "a leaf with a long name": json.dumps({**LEAF, "zone": "z" * MEGABYTE}),
 }
 
