A copy records changes by the objects that it has

Cause: when a batch held the removal of an object and then its return, the log recorded both, the removal last, and peers were told that it is gone. The store's client passes on only the last change of an object, so no caller met it.

Change: which of the changed objects exist follows from the copy, after the batch or the listing is applied. This replaces the list of differences and the second pass over all objects of a listing.

Evidence: test_object_that_returns_in_one_batch failed before ([("a", 3, False)] != [("a", 0, True)]). It passes, as do test_objectmemory, test_restoredstore, test_storerelay, test_storelisting and test_platformfleet; lint and types pass.

--- a/plantainhook/storereplica.py
+++ b/plantainhook/storereplica.py
@@ -10,13 +10,12 @@
 its consumer, and records for peers which objects it has changed.
 
 Pattern: the store comes back from an older copy. The next listing has a higher
-era and leads to the state of that copy. What differs is kept as a batch, so
-that peers which were up to date before get the difference and not all objects.
+era and leads to the state of that copy. What differs is recorded, so that
+peers which were up to date before get the difference and not all objects.
 """
 
 import typing
 
-import msgspec
 import trio
 
 from plantainhook import (
@@ -93,11 +92,17 @@
             item.name: storeupdate.build_item(item, deleted=False)
             for item in listing.objects
         }
+        differing = [
+            name
+            for name in self._objects.keys() | items.keys()
+            if self._objects.get(name) != items.get(name)
+        ]
+        for name in differing:
+            self._set(name, items.get(name))
         if self.position > objectsource.NO_POSITION:
-            self._record(listing.position, self._changes_to(items))
+            self._record(listing.position, differing)
         else:
             self._log.restart(listing.position)
-        self._replace(items)
         last_revision = max(
             (item.revision for item in listing.objects), default=0
         )
@@ -138,7 +143,7 @@
                 self._set(item.name, item)
         if changes or is_restored:
             self.last_change = position
-        self._record(position, items)
+        self._record(position, [item.name for item in items])
         self._advance(position)
         if is_restored:
             self._consumer.on_restored()
@@ -227,29 +232,13 @@
         has_objects = self.position > objectsource.NO_POSITION
         return has_objects and self.position.era < position.era
 
-    def _changes_to(
-        self, objects: dict[str, storeupdate.StoreItem]
-    ) -> list[storeupdate.StoreItem]:
-        """Return the changes that lead from the copy to other objects."""
-        changes = [
-            msgspec.structs.replace(item, deleted=True)
-            for name, item in self._objects.items()
-            if name not in objects
-        ]
-        for item in objects.values():
-            if self._objects.get(item.name) != item:
-                changes.append(item)
-        return changes
-
-    def _record(
-        self, end: objectsource.Position, items: list[storeupdate.StoreItem]
-    ) -> None:
-        """Record the changes up to a position for peers."""
+    def _record(self, end: objectsource.Position, names: list[str]) -> None:
+        """Record which objects changed up to a position, for peers."""
         removed_count = self._log.removed_count
         self._log.record(
             end,
-            [item.name for item in items if not item.deleted],
-            [item.name for item in items if item.deleted],
+            [name for name in names if name in self._objects],
+            [name for name in names if name not in self._objects],
         )
         self._count_removed(removed_count)
         self._forget_removed(REMOVED_MAX_COUNT)
@@ -266,12 +255,6 @@
             change_count * storeaccount.REMOVED_BYTES,
         )
 
-    def _replace(self, items: dict[str, storeupdate.StoreItem]) -> None:
-        for name in self._objects.keys() - items.keys():
-            self._set(name, None)
-        for name, item in items.items():
-            self._set(name, item)
-
     def _set(self, name: str, item: storeupdate.StoreItem | None) -> None:
         """Replace or remove an object, and count what it takes."""
         known = self._objects.pop(name, None)
--- a/tests/test_objectmemory.py
+++ b/tests/test_objectmemory.py
@@ -251,6 +251,29 @@
 
         virtualtime.run(as_task(play))
 
+    def test_object_that_returns_in_one_batch(self) -> None:
+        """Guard against a peer that removes an object which exists."""
+
+        def play() -> None:
+            replica, _ = self.build()
+            self.change(replica, storebuilders.changed("a", 1, x=1))
+            self.change(
+                replica,
+                storebuilders.deleted("a", 1),
+                storebuilders.changed("a", 3, x=2),
+            )
+            update = replica.update_after(storebuilders.at(2))
+            assert update is not None
+            self.assertEqual(
+                [("a", 3, False)],
+                [
+                    (item.name, item.revision, item.deleted)
+                    for item in update.items
+                ],
+            )
+
+        virtualtime.run(as_task(play))
+
     def test_listing_of_the_same_era(self) -> None:
         """Guard against all objects for each follower after a listing.
 
